--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# Targets for people and for CI. `make demo` and `make test` need only Go and
+# access to the module proxy.
+
+TOOLS := bin/buf bin/protoc-gen-go bin/protoc-gen-go-grpc bin/stringer bin/staticcheck bin/gofumpt bin/benchstat
+
+.PHONY: build demo test check generate bench tools
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build
+	bash scripts/demo.sh
+
+test: check
+	go test -race ./...
+
+check: tools
+	bash scripts/check.sh
+
+generate: tools
+	bin/buf generate
+	go generate ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+tools: $(TOOLS)
+
+bin/buf: tools/buf/go.mod
+	go -C tools/buf build -o ../../bin/buf github.com/bufbuild/buf/cmd/buf
+
+bin/protoc-gen-go: tools/go.mod
+	go -C tools build -o ../bin/ google.golang.org/protobuf/cmd/protoc-gen-go
+
+bin/protoc-gen-go-grpc: tools/go.mod
+	go -C tools build -o ../bin/ google.golang.org/grpc/cmd/protoc-gen-go-grpc
+
+bin/stringer: tools/go.mod
+	go -C tools build -o ../bin/ golang.org/x/tools/cmd/stringer
+
+bin/staticcheck: tools/go.mod
+	go -C tools build -o ../bin/ honnef.co/go/tools/cmd/staticcheck
+
+bin/gofumpt: tools/go.mod
+	go -C tools build -o ../bin/ mvdan.cc/gofumpt
+
+bin/benchstat: tools/go.mod
+	go -C tools build -o ../bin/ golang.org/x/perf/cmd/benchstat
--- /dev/null
+++ b/scripts/check.sh
@@ -0,0 +1,23 @@
+#!/usr/bin/env bash
+# Runs the formatter, the linters and the check that generated code is current.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+unformatted=$(bin/gofumpt -l cmd internal api 2>/dev/null | grep -v '\.pb\.go$' || true)
+if [ -n "$unformatted" ]; then
+	echo "not formatted by gofumpt:"
+	echo "$unformatted"
+	exit 1
+fi
+go vet ./...
+bin/staticcheck ./...
+
+# Generated code is built again and compared with the committed files.
+before=$(git ls-files -s -- '*.pb.go' '*_string.go'; git diff -- '*.pb.go' '*_string.go')
+bin/buf generate
+go generate ./...
+after=$(git ls-files -s -- '*.pb.go' '*_string.go'; git diff -- '*.pb.go' '*_string.go')
+if [ "$before" != "$after" ]; then
+	echo "generated code is out of date: run 'make generate' and commit the result"
+	exit 1
+fi
