--- /dev/null
+++ b/internal/entry/operator/operator.go
@@ -0,0 +1,301 @@
+// Package operator is the HTTP API for operators.
+//
+// Each team has a token and sees only its own section, history and decision
+// records. The paths are
+//
+//	GET  /v1/section          the accepted section of the team
+//	POST /v1/submissions      submits a section
+//	GET  /v1/history?limit=N  the audit trail of the team
+//	GET  /v1/status           instances, revisions in force and voters
+//	GET  /v1/explain/ID       the decisions on a request
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bilberryrock/bilberryrock/internal/document"
+	"github.com/bilberryrock/bilberryrock/internal/entry"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/report"
+)
+
+// Documents gives access to the configuration document.
+type Documents interface {
+	// Submit returns the outcome of s. The verdict is document.Unknown when the
+	// outcome could not be learned in time.
+	Submit(ctx context.Context, s document.Submission) (document.Outcome, error)
+	// Document returns the accepted document.
+	Document(ctx context.Context) (document.Document, error)
+	// History returns the newest audit entries of a team, the newest first.
+	History(ctx context.Context, team fleet.TeamID, limit int) ([]document.Audit, error)
+}
+
+// Finder finds decision records, also those of other instances.
+type Finder interface {
+	Find(ctx context.Context, id string) (report.Record, bool)
+}
+
+// Parts are the parts of the daemon that the API uses. All are needed.
+type Parts struct {
+	Documents Documents
+	Finder    Finder
+	// Status returns the state of the fleet as this instance sees it.
+	Status func() Status
+	// Tokens maps the SHA-256 of a token in hexadecimal to its team.
+	Tokens map[string]fleet.TeamID
+	Clock  fleet.Clock
+	Log    *zap.Logger
+}
+
+// API answers operators. It is safe for concurrent use.
+type API struct {
+	parts   Parts
+	limits  entry.Limits
+	timeout time.Duration
+}
+
+// Option changes an API at its construction.
+type Option func(*API)
+
+// WithLimits bounds what the API reads.
+func WithLimits(l entry.Limits) Option {
+	return func(a *API) { a.limits = l.WithDefaults() }
+}
+
+// WithTimeout sets the time after which the outcome of a submission is unknown.
+func WithTimeout(d time.Duration) Option {
+	return func(a *API) { a.timeout = d }
+}
+
+// New returns an API over parts.
+func New(parts Parts, options ...Option) *API {
+	a := &API{parts: parts, limits: entry.Limits{}.WithDefaults(), timeout: 10 * time.Second}
+	for _, option := range options {
+		option(a)
+	}
+	return a
+}
+
+// Handler returns the handler of all paths.
+func (a *API) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/v1/section", a.serve(a.section))
+	r.Post("/v1/submissions", a.serve(a.submit))
+	r.Get("/v1/history", a.serve(a.history))
+	r.Get("/v1/status", a.serve(a.status))
+	r.Get("/v1/explain/{id}", a.serve(a.explain))
+	r.NotFound(a.serve(func(_ http.ResponseWriter, r *http.Request, _ fleet.TeamID) error {
+		return refusal.New(refusal.NotFound, "path %q does not exist", r.URL.Path)
+	}))
+	return r
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, team fleet.TeamID) error
+
+func (a *API) serve(h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		team, err := a.authenticate(r)
+		if err == nil {
+			ctx, cancel := context.WithTimeout(r.Context(), a.timeout)
+			defer cancel()
+			err = h(w, r.WithContext(ctx), team)
+		}
+		if err == nil {
+			return
+		}
+		answer := refusal.KindOf(err).Answer()
+		a.parts.Log.Info("Operator call refused.", zap.String("team", string(team)),
+			zap.String("path", r.URL.Path), zap.String("code", answer.Code))
+		writeJSON(w, answer.Status, Failure{Error: FailureDetail{Code: answer.Code, Message: message(err)}})
+	}
+}
+
+// Failure is the body of an answer to an error.
+type Failure struct {
+	Error FailureDetail `json:"error"`
+}
+
+// FailureDetail holds the code of an error kind and a text for people.
+type FailureDetail struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+func message(err error) string {
+	var e *refusal.Error
+	if errors.As(err, &e) && e.Kind != refusal.Internal {
+		return e.Message
+	}
+	return "internal error"
+}
+
+// authenticate finds the team of the token. The lookup by digest takes the same
+// time for all wrong tokens.
+func (a *API) authenticate(r *http.Request) (fleet.TeamID, error) {
+	token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !found || token == "" {
+		return "", refusal.New(refusal.Unauthenticated, "the header Authorization: Bearer TOKEN is missing")
+	}
+	digest := sha256.Sum256([]byte(token))
+	team, known := a.parts.Tokens[hex.EncodeToString(digest[:])]
+	if !known {
+		return "", refusal.New(refusal.Unauthenticated, "the token is not known")
+	}
+	return team, nil
+}
+
+func (a *API) section(w http.ResponseWriter, r *http.Request, team fleet.TeamID) error {
+	d, err := a.parts.Documents.Document(r.Context())
+	if err != nil {
+		return err
+	}
+	found := document.Section{Team: team}
+	for _, s := range d.Sections {
+		if s.Team == team {
+			found = s
+		}
+	}
+	writeJSON(w, http.StatusOK, found)
+	return nil
+}
+
+// submission is the body of POST /v1/submissions.
+type submission struct {
+	Change   fleet.ChangeID `json:"change"`
+	Team     fleet.TeamID   `json:"team"`
+	Operator string         `json:"operator"`
+	Base     fleet.Revision `json:"base"`
+	Text     string         `json:"text"`
+}
+
+const (
+	maxChangeID = 128 // bytes
+	maxOperator = 128 // bytes
+)
+
+func (a *API) submit(w http.ResponseWriter, r *http.Request, team fleet.TeamID) error {
+	s, err := a.readSubmission(w, r)
+	if err != nil {
+		return err
+	}
+	if s.Team != team {
+		return refusal.New(refusal.Forbidden, "the token does not belong to team %q", s.Team)
+	}
+	outcome, err := a.parts.Documents.Submit(r.Context(), document.Submission{
+		Change:   s.Change,
+		Team:     s.Team,
+		Operator: s.Operator,
+		Base:     s.Base,
+		Text:     s.Text,
+		At:       a.parts.Clock.Now().UTC(),
+	})
+	if err != nil {
+		return err
+	}
+	a.parts.Log.Info("Submission answered.", zap.String("team", string(team)), zap.String("change", string(s.Change)),
+		zap.Stringer("verdict", outcome.Verdict), zap.Uint64("revision", uint64(outcome.Revision)))
+	writeJSON(w, verdictStatus(outcome.Verdict), outcome)
+	return nil
+}
+
+func (a *API) readSubmission(w http.ResponseWriter, r *http.Request) (submission, error) {
+	var s submission
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.limits.MaxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return s, refusal.New(refusal.TooLarge, "the body is larger than %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return s, refusal.Because(refusal.BadRequest, err, "the body could not be read")
+	}
+	if !utf8.Valid(raw) {
+		return s, refusal.New(refusal.BadRequest, "the body is not valid UTF-8")
+	}
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return s, refusal.Because(refusal.BadRequest, err, "the body is not a valid JSON object: %v", err)
+	}
+	switch {
+	case s.Change == "" || len(s.Change) > maxChangeID:
+		return s, refusal.New(refusal.BadRequest, "change: 1 to %d bytes are needed", maxChangeID)
+	case s.Team == "":
+		return s, refusal.New(refusal.BadRequest, "team: the name of the team is needed")
+	case len(s.Operator) > maxOperator:
+		return s, refusal.New(refusal.BadRequest, "operator: at most %d bytes are allowed", maxOperator)
+	}
+	return s, nil
+}
+
+func verdictStatus(v document.Verdict) int {
+	switch v {
+	case document.Accepted:
+		return http.StatusOK
+	case document.Conflicted:
+		return http.StatusConflict
+	case document.Refused, document.Reused:
+		return http.StatusUnprocessableEntity
+	}
+	return http.StatusGatewayTimeout
+}
+
+const (
+	defaultHistory = 20
+	maxHistory     = 1000
+)
+
+func (a *API) history(w http.ResponseWriter, r *http.Request, team fleet.TeamID) error {
+	limit := defaultHistory
+	if text := r.URL.Query().Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxHistory {
+			return refusal.New(refusal.BadRequest, "limit: %q is not a number from 1 to %d", text, maxHistory)
+		}
+		limit = n
+	}
+	entries, err := a.parts.Documents.History(r.Context(), team, limit)
+	if err != nil {
+		return err
+	}
+	if entries == nil {
+		entries = []document.Audit{}
+	}
+	writeJSON(w, http.StatusOK, entries)
+	return nil
+}
+
+func (a *API) status(w http.ResponseWriter, _ *http.Request, _ fleet.TeamID) error {
+	writeJSON(w, http.StatusOK, a.parts.Status())
+	return nil
+}
+
+// explain returns a record of the team. A record of another team is reported
+// like one that does not exist.
+func (a *API) explain(w http.ResponseWriter, r *http.Request, team fleet.TeamID) error {
+	id := chi.URLParam(r, "id")
+	record, found := a.parts.Finder.Find(r.Context(), id)
+	if !found || record.Team != team {
+		return refusal.New(refusal.NotFound, "no record of %q is kept", id)
+	}
+	writeJSON(w, http.StatusOK, record)
+	return nil
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The operator went away if this fails, and nobody is left to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/internal/fleet/settings/values.go
@@ -0,0 +1,228 @@
+package settings
+
+import (
+	"bytes"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxSecretFile is in bytes. A larger file is not a secret but a mistake.
+const maxSecretFile = 64 << 10
+
+func fail(format string, args ...any) error { return errors.Errorf(format, args...) }
+
+func (k Key) required() Key {
+	k.Required = true
+	return k
+}
+
+func custom(section, name, unit, bounds, help string, set func(*Settings, string) error) Key {
+	return Key{Section: section, Name: name, Unit: unit, Bounds: bounds, Help: help, set: set}
+}
+
+func text(section, name, help string, field func(*Settings) *string) Key {
+	return custom(section, name, "text", "", help, func(s *Settings, value string) error {
+		*field(s) = value
+		return nil
+	})
+}
+
+func flag(section, name, def, help string, field func(*Settings) *bool) Key {
+	k := custom(section, name, "true or false", "", help, func(s *Settings, value string) error {
+		switch value {
+		case "true":
+			*field(s) = true
+		case "false":
+			*field(s) = false
+		default:
+			return fail("%q is neither true nor false", value)
+		}
+		return nil
+	})
+	k.Default = def
+	return k
+}
+
+func number(section, name, def string, least, most int, help string, field func(*Settings) *int) Key {
+	k := custom(section, name, "integer", strconv.Itoa(least)+" to "+strconv.Itoa(most), help, func(s *Settings, value string) error {
+		n, err := strconv.Atoi(value)
+		if err != nil {
+			return fail("%q is not an integer", value)
+		}
+		if n < least || n > most {
+			return fail("%d is outside of %d to %d", n, least, most)
+		}
+		*field(s) = n
+		return nil
+	})
+	k.Default = def
+	return k
+}
+
+func share(section, name, def, help string, field func(*Settings) *float64) Key {
+	k := custom(section, name, "share", "0 to 1", help, func(s *Settings, value string) error {
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(x >= 0 && x <= 1) {
+			return fail("%q is not a number from 0 to 1", value)
+		}
+		*field(s) = x
+		return nil
+	})
+	k.Default = def
+	return k
+}
+
+func duration(section, name, def string, least, most time.Duration, help string, field func(*Settings) *time.Duration) Key {
+	k := custom(section, name, "duration", least.String()+" to "+most.String(), help, func(s *Settings, value string) error {
+		d, err := time.ParseDuration(value)
+		if err != nil {
+			return fail("%q is not a duration with a unit, such as 300ms or 3s", value)
+		}
+		if d < least || d > most {
+			return fail("%s is outside of %s to %s", d, least, most)
+		}
+		*field(s) = d
+		return nil
+	})
+	k.Default = def
+	return k
+}
+
+func size(section, name, def string, least, most int64, help string, field func(*Settings) *int64) Key {
+	k := custom(section, name, "size", strconv.FormatInt(least, 10)+" to "+strconv.FormatInt(most, 10)+" bytes", help, func(s *Settings, value string) error {
+		n, err := parseSize(value)
+		if err != nil {
+			return err
+		}
+		if n < least || n > most {
+			return fail("%s is outside of %d to %d bytes", value, least, most)
+		}
+		*field(s) = n
+		return nil
+	})
+	k.Default = def
+	return k
+}
+
+func parseSize(value string) (int64, error) {
+	units := []struct {
+		name  string
+		bytes int64
+	}{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+	for _, u := range units {
+		digits, found := strings.CutSuffix(value, u.name)
+		if !found {
+			continue
+		}
+		n, err := strconv.ParseInt(digits, 10, 32)
+		if err != nil {
+			break
+		}
+		return n * u.bytes, nil
+	}
+	return 0, fail("%q is not a size with a unit, such as 64KiB or 4MiB", value)
+}
+
+func address(section, name, help string, field func(*Settings) *string) Key {
+	return custom(section, name, "address", "IP address and port", help, func(s *Settings, value string) error {
+		if err := checkAddress(value); err != nil {
+			return err
+		}
+		*field(s) = value
+		return nil
+	}).required()
+}
+
+func checkAddress(value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return fail("%q is not an IP address and port, such as 127.0.0.1:7001", value)
+	}
+	return nil
+}
+
+func list(section, name, help string, field func(*Settings) *[]string) Key {
+	return custom(section, name, "list of addresses", "IP address and port", help, func(s *Settings, value string) error {
+		items := splitList(value)
+		for _, item := range items {
+			if err := checkAddress(item); err != nil {
+				return err
+			}
+		}
+		*field(s) = items
+		return nil
+	})
+}
+
+func splitList(value string) []string {
+	var items []string
+	for item := range strings.SplitSeq(value, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+func file(section, name, help string, field func(*Settings) *string) Key {
+	return custom(section, name, "file", "", help, func(s *Settings, value string) error {
+		if value == "" {
+			return nil
+		}
+		if _, err := os.Stat(value); err != nil {
+			return fail("file %q can't be read", value)
+		}
+		*field(s) = value
+		return nil
+	})
+}
+
+func secret(section, name, help string, field func(*Settings) *[]byte) Key {
+	return custom(section, name, "file", "", help, func(s *Settings, value string) error {
+		if value == "" {
+			return nil
+		}
+		content, err := readSecret(value)
+		if err != nil {
+			return err
+		}
+		*field(s) = content
+		return nil
+	})
+}
+
+func readSecret(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil || !info.Mode().IsRegular() {
+		return nil, fail("file %q can't be read", path)
+	}
+	if info.Size() > maxSecretFile {
+		return nil, fail("file %q is larger than %d bytes", path, maxSecretFile)
+	}
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fail("file %q can't be read", path)
+	}
+	content = bytes.TrimSpace(content)
+	if len(content) == 0 {
+		return nil, fail("file %q is empty", path)
+	}
+	return content, nil
+}
+
+func choice(section, name, def string, allowed []string, help string, field func(*Settings) *string) Key {
+	k := custom(section, name, "word", strings.Join(allowed, ", "), help, func(s *Settings, value string) error {
+		if !slices.Contains(allowed, value) {
+			return fail("%q is not one of %s", value, strings.Join(allowed, ", "))
+		}
+		*field(s) = value
+		return nil
+	})
+	k.Default = def
+	return k
+}
