--- /dev/null
+++ b/internal/fleet/board/board_test.go
@@ -0,0 +1,52 @@
+package board_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/board"
+)
+
+// TestUpdate guards against lost updates when many goroutines change one key.
+func TestUpdate(t *testing.T) {
+	is := is.New(t)
+	var s board.Shards[fleet.UpstreamID, int]
+	var wg sync.WaitGroup
+	for range 50 {
+		wg.Go(func() {
+			for i := range 100 {
+				id := fleet.UpstreamID(fmt.Sprint(i % 7))
+				s.Update(id, func(n int, _ bool) (int, bool) { return n + 1, true })
+			}
+		})
+	}
+	wg.Wait()
+	sum := 0
+	s.Range(func(_ fleet.UpstreamID, n int) bool {
+		sum += n
+		return true
+	})
+	is.Equal(sum, 5000)
+	is.Equal(s.Len(), 7)
+	s.Update("0", func(int, bool) (int, bool) { return 0, false })
+	_, found := s.Get("0")
+	is.True(!found) // an update that does not keep the value removes it
+}
+
+// TestAdvance guards against a value that goes back when writers race.
+func TestAdvance(t *testing.T) {
+	is := is.New(t)
+	var c board.Cell[int]
+	var wg sync.WaitGroup
+	for i := range 100 {
+		wg.Go(func() {
+			c.Advance(&i, func(old *int) bool { return old == nil || *old < i })
+		})
+	}
+	wg.Wait()
+	is.Equal(*c.Load(), 99)
+}
--- a/internal/fleet/settings/keys.go
+++ b/internal/fleet/settings/keys.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +27,15 @@
 	set    func(s *Settings, value string) error
 }
 
+// Row returns the row of the table in docs/configuration.md.
+func (k Key) Row() string {
+	def := k.Default
+	if k.Required {
+		def = "required"
+	}
+	return fmt.Sprintf("| `%s` | `%s` | %s | %s | %s | %s |", k.Section, k.Name, k.Unit, def, k.Bounds, k.Help)
+}
+
 // Keys returns all keys that a settings file may have, in the order of the
 // documentation.
 func Keys() []Key {
--- /dev/null
+++ b/internal/fleet/settings/settings_test.go
@@ -0,0 +1,83 @@
+package settings_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet/settings"
+)
+
+// TestFaults guards against a settings file that is accepted although a value
+// is wrong, and against an error that does not name file, section and key.
+func TestFaults(t *testing.T) {
+	base := readBase(t)
+	datadriven.RunTest(t, "testdata/faults.txt", func(t *testing.T, d *datadriven.TestData) string {
+		text := base
+		if d.Cmd == "replace" {
+			text = replaceLines(base, d.Input)
+		}
+		if d.Cmd == "append" {
+			text += d.Input + "\n"
+		}
+		if d.Cmd == "whole" {
+			text = d.Input
+		}
+		if _, err := settings.Parse("a.ini", []byte(text)); err != nil {
+			return err.Error() + "\n"
+		}
+		return "ok\n"
+	})
+}
+
+// replaceLines replaces the lines of base that begin with the key of a line of
+// changes. A change that ends in "=" removes the value.
+func replaceLines(base, changes string) string {
+	lines := strings.Split(base, "\n")
+	for change := range strings.SplitSeq(changes, "\n") {
+		key, _, _ := strings.Cut(change, "=")
+		for i, line := range lines {
+			if strings.HasPrefix(line, strings.TrimSpace(key)+" =") {
+				lines[i] = change
+			}
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
+// TestDocumentation guards against a key that docs/configuration.md does not
+// describe with its default and bounds.
+func TestDocumentation(t *testing.T) {
+	is := is.New(t)
+	raw, err := os.ReadFile("../../../docs/configuration.md")
+	is.NoErr(err)
+	for _, k := range settings.Keys() {
+		if !strings.Contains(string(raw), k.Row()) {
+			t.Errorf("docs/configuration.md has no row\n%s", k.Row())
+		}
+	}
+}
+
+// TestSecretsStayOut guards against an error that shows the content of a secret
+// file.
+func TestSecretsStayOut(t *testing.T) {
+	is := is.New(t)
+	secret := t.TempDir() + "/secret"
+	is.NoErr(os.WriteFile(secret, []byte("verysecret"), 0o600))
+	text := replaceLines(readBase(t), "id =") + "\n[upstreams]\ntokenFile = " + secret + "\n"
+	_, err := settings.Parse("a.ini", []byte(text))
+	is.True(err != nil)
+	is.True(!strings.Contains(err.Error(), "verysecret"))
+}
+
+func readBase(t *testing.T) string {
+	t.Helper()
+	raw, err := os.ReadFile("testdata/base.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(raw)
+}
