--- /dev/null
+++ b/internal/routing/pool/lease.go
@@ -0,0 +1,57 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+)
+
+//go:generate ../../../bin/stringer -type Result -linecomment -output result_string.go
+
+// Result tells how work on an upstream ended.
+type Result int
+
+// The results.
+const (
+	// Succeeded means that the upstream answered in full.
+	Succeeded Result = iota // succeeded
+	// Failed means that the upstream failed, broke off or did not answer in
+	// time.
+	Failed // failed
+	// Canceled means that the work ended for a reason that says nothing about
+	// the upstream, such as a caller that went away.
+	Canceled // canceled
+)
+
+// Lease is one piece of work on a chosen upstream.
+type Lease struct {
+	pool     *Pool
+	node     *node
+	began    time.Time
+	work     float64
+	slowdown float64
+	expected time.Duration
+}
+
+// Upstream returns the chosen upstream as it was last announced.
+func (l *Lease) Upstream() upstream.Upstream { return *l.node.announced.Load() }
+
+// Expected returns the expected time of the work.
+func (l *Lease) Expected() time.Duration { return l.expected }
+
+// Done reports how the work ended.
+func (l *Lease) Done(r Result) {
+	now := l.pool.clock.Now()
+	n := l.node
+	n.end(l.pool.offset(now), r)
+	switch r {
+	case Succeeded:
+		n.learn(now.Sub(l.began), l.slowdown, l.work)
+		n.ejection.Succeed()
+	case Failed:
+		if n.ejection.Fail(now) {
+			l.pool.members.Load().eject(n)
+		}
+	case Canceled:
+	}
+}
--- /dev/null
+++ b/internal/routing/pool/members.go
@@ -0,0 +1,155 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/routing"
+	"github.com/bilberryrock/bilberryrock/internal/routing/ejection"
+)
+
+// members is the set of usable upstreams between two calls of Refresh. Only the
+// nodes in it change.
+type members struct {
+	nodes []*node
+	byID  map[fleet.UpstreamID]*node
+	peers int
+	slots float64
+	// probability and alias form an alias table (Walker 1977): a node is drawn
+	// in constant time, in proportion to its weight.
+	probability []float64
+	alias       []int
+}
+
+// judge takes over the healths. When more upstreams are out than a pool may
+// have out, all are taken to be sound.
+func (m *members) judge(now time.Time) {
+	out := 0
+	for _, n := range m.nodes {
+		h := n.ejection.Health(now)
+		n.setHealth(h)
+		if h == 0 {
+			out++
+		}
+	}
+	if ejection.Allowed(len(m.nodes), out) {
+		return
+	}
+	for _, n := range m.nodes {
+		n.setHealth(1)
+	}
+}
+
+// eject takes n out of use at once, unless too many are out already.
+func (m *members) eject(n *node) {
+	out := 1
+	for _, o := range m.nodes {
+		if o != n && o.health() == 0 {
+			out++
+		}
+	}
+	if !ejection.Allowed(len(m.nodes), out) {
+		return
+	}
+	n.setHealth(0)
+	n.ejections.Add(1)
+}
+
+// weigh builds the alias table. The weight of a node is its slots
+// per service time, scaled by its health.
+func (m *members) weigh() {
+	weights := make([]float64, len(m.nodes))
+	total := 0.0
+	for i, n := range m.nodes {
+		m.slots += float64(n.slots.Load()) * n.health()
+		weights[i] = n.weight()
+		total += weights[i]
+	}
+	if total > 0 {
+		m.fill(weights, float64(len(weights))/total)
+	}
+}
+
+// fill builds the alias table with the method of Vose (1991).
+func (m *members) fill(weights []float64, scale float64) {
+	m.probability = weights
+	m.alias = make([]int, len(weights))
+	var small, large []int
+	for i := range weights {
+		weights[i] *= scale
+		m.alias[i] = i
+		if weights[i] < 1 {
+			small = append(small, i)
+			continue
+		}
+		large = append(large, i)
+	}
+	for len(small) > 0 && len(large) > 0 {
+		s, l := small[len(small)-1], large[len(large)-1]
+		small = small[:len(small)-1]
+		m.alias[s] = l
+		weights[l] -= 1 - weights[s]
+		if weights[l] < 1 {
+			large = large[:len(large)-1]
+			small = append(small, l)
+		}
+	}
+	for _, i := range small {
+		weights[i] = 1
+	}
+	for _, i := range large {
+		weights[i] = 1
+	}
+}
+
+// draw returns a node for 64 random bits.
+func (m *members) draw(bits uint64) *node {
+	i := int((bits >> 32) * uint64(len(m.nodes)) >> 32)
+	if m.probability == nil {
+		return m.nodes[i]
+	}
+	if float64(uint32(bits)) < m.probability[i]*(1<<32) {
+		return m.nodes[i]
+	}
+	return m.nodes[m.alias[i]]
+}
+
+func (n *node) weight() float64 {
+	s := n.service.Value()
+	if s == 0 {
+		s = n.kind.Value()
+	}
+	if s == 0 {
+		s = time.Second
+	}
+	return float64(n.slots.Load()) * n.health() / s.Seconds()
+}
+
+// scratch holds the candidates of one decision.
+type scratch struct {
+	count      int
+	nodes      [maxCandidates]*node
+	candidates [maxCandidates]routing.Candidate
+}
+
+func (s *scratch) reset() { s.count = 0 }
+
+func (s *scratch) has(n *node) bool { return s.find(n) >= 0 }
+
+func (s *scratch) find(n *node) int {
+	for i := range s.count {
+		if s.nodes[i] == n {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s *scratch) add(n *node, c routing.Candidate) {
+	if s.count == maxCandidates {
+		return
+	}
+	s.nodes[s.count] = n
+	s.candidates[s.count] = c
+	s.count++
+}
--- /dev/null
+++ b/internal/routing/pool/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package pool_test
+
+const raceEnabled = false
--- /dev/null
+++ b/internal/routing/pool/pool.go
@@ -0,0 +1,325 @@
+// Package pool chooses the upstream for each piece of work of one pool and learns
+// from how the work ended.
+//
+// A controller hands over the usable upstreams a few times a second. Callers
+// pick an upstream, do the work, and report the result:
+//
+//	p := pool.New(clock, scoring.Policy{})
+//	p.Refresh(roster.Usable(id, clock.Now()), peers)
+//	lease, err := p.Pick(pool.Ask{Work: 1})
+//	if err != nil {
+//		return err // of kind refusal.NoUpstream, nothing was sent
+//	}
+//	err = call(lease.Upstream())
+//	lease.Done(pool.Succeeded)
+//
+// Pick takes no lock that is shared by all callers and weighs a bounded number
+// of candidates, so its cost does not grow with the pool.
+package pool
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/routing"
+	"github.com/bilberryrock/bilberryrock/internal/routing/affinity"
+	"github.com/bilberryrock/bilberryrock/internal/routing/scoring"
+	"github.com/bilberryrock/bilberryrock/internal/routing/speed"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+)
+
+const (
+	// sampleSize is the number of candidates that are drawn from a large pool.
+	sampleSize = 8
+	// maxCandidates leaves room for holders of the cached prefix.
+	maxCandidates = sampleSize + affinity.MaxHolders
+	// drawFactor bounds the draws, because a draw may repeat a candidate.
+	drawFactor = 3
+	// confirmationLimit is the age of the last confirmation at which an upstream
+	// gets no new work, even when Refresh is late.
+	confirmationLimit = 3 * time.Second
+)
+
+// Ask describes the work that needs an upstream.
+type Ask struct {
+	// Work is the expected size of the work in units of the pool, such as
+	// tokens. Zero stands for 1.
+	Work float64
+	// Prefix holds the chained hashes of the blocks of the prompt, the first
+	// block first. It may be empty.
+	Prefix []uint64
+	// Avoid lists upstreams that were tried already.
+	Avoid []fleet.UpstreamID
+	// Explain is filled with the decision when it is not nil.
+	Explain *Explanation
+}
+
+// Pool chooses among the upstreams of one pool. It is safe for concurrent use.
+type Pool struct {
+	clock   fleet.Clock
+	chooser routing.Chooser
+	draw    func() uint64
+	start   time.Time
+	prefix  affinity.Table
+
+	members atomic.Pointer[members]
+	scratch sync.Pool
+
+	refresh   sync.Mutex // serialises Refresh
+	refreshed time.Time
+	kinds     map[string]*speed.Estimate
+	retired   Counters
+}
+
+// Option changes a Pool.
+type Option func(*Pool)
+
+// WithRandom sets the source of randomness. The default is math/rand/v2.
+func WithRandom(draw func() uint64) Option {
+	return func(p *Pool) { p.draw = draw }
+}
+
+// New returns a Pool without upstreams.
+func New(clock fleet.Clock, chooser routing.Chooser, options ...Option) *Pool {
+	p := &Pool{
+		clock:   clock,
+		chooser: chooser,
+		draw:    rand.Uint64,
+		start:   clock.Now(),
+		kinds:   make(map[string]*speed.Estimate),
+	}
+	p.members.Store(&members{})
+	p.scratch.New = func() any { return new(scratch) }
+	for _, o := range options {
+		o(p)
+	}
+	return p
+}
+
+// Refresh replaces the usable upstreams. peers is the number of other instances
+// that choose among the same upstreams. What was learned about an upstream
+// stays as long as its incarnation does.
+func (p *Pool) Refresh(usable []upstream.Upstream, peers int) {
+	p.refresh.Lock()
+	defer p.refresh.Unlock()
+	now := p.clock.Now()
+	old := p.members.Load()
+	next := &members{
+		nodes: make([]*node, 0, len(usable)),
+		byID:  make(map[fleet.UpstreamID]*node, len(usable)),
+		peers: peers,
+	}
+	for i := range usable {
+		n := p.keep(old, &usable[i])
+		n.take(&usable[i], p.offset(usable[i].Confirmed), now)
+		next.nodes = append(next.nodes, n)
+		next.byID[n.id] = n
+	}
+	p.relax(next, now)
+	next.judge(now)
+	next.weigh()
+	p.retire(old, next)
+	p.refreshed = now
+	p.members.Store(next)
+}
+
+// Pick chooses an upstream. The error is of kind refusal.NoUpstream. Done of
+// the Lease must be called exactly once.
+func (p *Pool) Pick(a Ask) (Lease, error) {
+	now := p.clock.Now()
+	m := p.members.Load()
+	s := p.scratch.Get().(*scratch)
+	defer p.scratch.Put(s)
+	s.reset()
+	p.collect(s, m, &a, now)
+	choice := p.chooser.Choose(s.candidates[:s.count])
+	if a.Explain != nil {
+		a.Explain.fill(s, choice)
+	}
+	if choice.Index < 0 {
+		return Lease{}, refusal.New(refusal.NoUpstream, "no usable upstream in a pool of %d", len(m.nodes))
+	}
+	n := s.nodes[choice.Index]
+	n.begin(p.offset(now))
+	if len(a.Prefix) > 0 {
+		p.prefix.Note(n.cache, a.Prefix, p.offset(now))
+	}
+	return Lease{
+		pool:     p,
+		node:     n,
+		began:    now,
+		work:     units(a.Work),
+		slowdown: scoring.Slowdown(&s.candidates[choice.Index]),
+		expected: choice.Expected,
+	}, nil
+}
+
+// Apply takes over a cache event of an engine.
+func (p *Pool) Apply(e affinity.Event) {
+	n := p.members.Load().byID[e.Upstream]
+	if n == nil {
+		return
+	}
+	p.prefix.Apply(n.cache, e, p.offset(p.clock.Now()))
+}
+
+// SetLink sets the measured one-way delay to an upstream.
+func (p *Pool) SetLink(id fleet.UpstreamID, oneWay time.Duration) {
+	n := p.members.Load().byID[id]
+	if n == nil {
+		return
+	}
+	n.link.Store(int64(oneWay))
+}
+
+// InFlight returns the work of this instance on an upstream.
+func (p *Pool) InFlight(id fleet.UpstreamID) int {
+	n := p.members.Load().byID[id]
+	if n == nil {
+		return 0
+	}
+	return int(n.inFlight.Load())
+}
+
+// Capacity returns the slots of the sound upstreams, each scaled by its health,
+// and the number of usable upstreams.
+func (p *Pool) Capacity() (slots float64, upstreams int) {
+	m := p.members.Load()
+	return m.slots, len(m.nodes)
+}
+
+func (p *Pool) collect(s *scratch, m *members, a *Ask, now time.Time) {
+	if len(m.nodes) <= sampleSize {
+		for _, n := range m.nodes {
+			p.offer(s, m, n, a, now)
+		}
+	} else {
+		p.sample(s, m, a, now)
+	}
+	p.offerHolders(s, m, a, now)
+	if s.count > 0 {
+		return
+	}
+	// The draws met only upstreams that are out of use. A scan from a random
+	// place finds one that is not.
+	from := int(p.draw() % uint64(max(len(m.nodes), 1)))
+	for i := range m.nodes {
+		p.offer(s, m, m.nodes[(from+i)%len(m.nodes)], a, now)
+		if s.count > 0 {
+			return
+		}
+	}
+}
+
+func (p *Pool) sample(s *scratch, m *members, a *Ask, now time.Time) {
+	for range sampleSize * drawFactor {
+		if s.count == sampleSize {
+			return
+		}
+		p.offer(s, m, m.draw(p.draw()), a, now)
+	}
+}
+
+// offer adds n to the candidates when it may get the work.
+func (p *Pool) offer(s *scratch, m *members, n *node, a *Ask, now time.Time) {
+	if s.has(n) || avoided(a.Avoid, n.id) {
+		return
+	}
+	if p.offset(now)-n.confirmed.Load() > int64(confirmationLimit) {
+		return
+	}
+	health := n.health()
+	if health < 1 && health*math.MaxUint32 < float64(uint32(p.draw())) {
+		return
+	}
+	s.add(n, n.candidate(m, a, health, p.offset(now)))
+}
+
+func (p *Pool) offerHolders(s *scratch, m *members, a *Ask, now time.Time) {
+	if len(a.Prefix) == 0 {
+		return
+	}
+	var found [affinity.MaxHolders]affinity.Holder
+	for _, h := range found[:p.prefix.Find(a.Prefix, p.offset(now), &found)] {
+		n := m.byID[h.Source.ID()]
+		if n == nil || n.cache != h.Source {
+			continue
+		}
+		p.offer(s, m, n, a, now)
+		if i := s.find(n); i >= 0 {
+			s.candidates[i].CachedShare = h.Share
+		}
+	}
+}
+
+func (p *Pool) offset(t time.Time) int64 { return int64(t.Sub(p.start)) }
+
+func units(work float64) float64 {
+	if work <= 0 {
+		return 1
+	}
+	return work
+}
+
+func avoided(avoid []fleet.UpstreamID, id fleet.UpstreamID) bool {
+	for _, a := range avoid {
+		if a == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) keep(old *members, u *upstream.Upstream) *node {
+	n := old.byID[u.ID]
+	if n != nil && n.incarnation == u.Incarnation {
+		return n
+	}
+	kind := p.kinds[u.Accelerator]
+	if kind == nil {
+		kind = new(speed.Estimate)
+		p.kinds[u.Accelerator] = kind
+	}
+	return newNode(u, kind)
+}
+
+// relax moves the speeds of upstreams without new samples towards their kind.
+func (p *Pool) relax(m *members, now time.Time) {
+	idle := now.Sub(p.refreshed)
+	if p.refreshed.IsZero() {
+		return
+	}
+	for _, n := range m.nodes {
+		if n.sampled.Swap(false) {
+			continue
+		}
+		n.service.Relax(n.kind.Value(), idle)
+	}
+}
+
+// retire keeps the counts of upstreams that are gone.
+func (p *Pool) retire(old, next *members) {
+	for _, n := range old.nodes {
+		if next.byID[n.id] == n {
+			continue
+		}
+		p.retired.add(n)
+		n.cache.Release()
+	}
+}
+
+// Counters returns the sums over all decisions so far.
+func (p *Pool) Counters() Counters {
+	p.refresh.Lock()
+	defer p.refresh.Unlock()
+	c := p.retired
+	for _, n := range p.members.Load().nodes {
+		c.add(n)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/routing/pool/pool_test.go
@@ -0,0 +1,115 @@
+package pool_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/fakeclock"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
+	"github.com/bilberryrock/bilberryrock/internal/routing/pool"
+	"github.com/bilberryrock/bilberryrock/internal/routing/scoring"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+)
+
+func usable(n int, at time.Time) []upstream.Upstream {
+	us := make([]upstream.Upstream, n)
+	for i := range us {
+		us[i].ID = fleet.UpstreamID(fmt.Sprintf("u%d", i))
+		us[i].Incarnation = 1
+		us[i].Accelerator = fmt.Sprintf("kind%d", i%5)
+		us[i].Slots = 8
+		us[i].Confirmed = at
+	}
+	return us
+}
+
+func seeded(seed uint64) pool.Option {
+	return pool.WithRandom(rand.New(rand.NewPCG(seed, 1)).Uint64)
+}
+
+// Guards against new work for an upstream whose last confirmation is old when
+// Refresh itself is late, as after a frozen process thaws.
+func TestNoWorkWithoutConfirmation(t *testing.T) {
+	is := is.New(t)
+	c := fakeclock.New(fakeclock.Start)
+	p := pool.New(c, scoring.Policy{}, seeded(1))
+	p.Refresh(usable(3, c.Now()), 14)
+	l, err := p.Pick(pool.Ask{})
+	is.NoErr(err)
+	l.Done(pool.Succeeded)
+	c.Advance(3*time.Second + 1)
+	_, err = p.Pick(pool.Ask{})
+	is.Equal(refusal.KindOf(err), refusal.NoUpstream)
+}
+
+// Guards against in-flight counts that leak and against picks of upstreams that
+// were tried already.
+func TestAvoidAndCounts(t *testing.T) {
+	is := is.New(t)
+	c := fakeclock.New(fakeclock.Start)
+	p := pool.New(c, scoring.Policy{}, seeded(1))
+	p.Refresh(usable(3, c.Now()), 14)
+	var e pool.Explanation
+	l, err := p.Pick(pool.Ask{Avoid: []fleet.UpstreamID{"u0", "u2"}, Explain: &e})
+	is.NoErr(err)
+	u := l.Upstream()
+	is.Equal(u.ID, fleet.UpstreamID("u1"))
+	is.Equal(e.Chosen(), "u1")
+	is.Equal(p.InFlight("u1"), 1)
+	l.Done(pool.Failed)
+	is.Equal(p.InFlight("u1"), 0)
+	is.Equal(p.Counters(), pool.Counters{Picked: 1, Failed: 1})
+}
+
+// Guards against a bad signal that takes a whole pool out of use.
+func TestEjectionKeepsFloor(t *testing.T) {
+	is := is.New(t)
+	c := fakeclock.New(fakeclock.Start)
+	p := pool.New(c, scoring.Policy{}, seeded(1))
+	for range 200 {
+		p.Refresh(usable(3, c.Now()), 14)
+		l, err := p.Pick(pool.Ask{})
+		is.NoErr(err)
+		l.Done(pool.Failed)
+		c.Advance(10 * time.Millisecond)
+	}
+	is.True(p.Counters().Ejections > 0)
+}
+
+// Guards against allocation on the hot path.
+func TestPickDoesNotAllocate(t *testing.T) {
+	is := is.New(t)
+	c := fakeclock.New(fakeclock.Start)
+	p := pool.New(c, scoring.Policy{}, seeded(1))
+	p.Refresh(usable(12000, c.Now()), 14)
+	prefix := []uint64{1, 2, 3, 4}
+	allocations := testing.AllocsPerRun(1000, func() {
+		l, _ := p.Pick(pool.Ask{Prefix: prefix})
+		l.Done(pool.Succeeded)
+	})
+	is.True(allocations < 0.1 || raceEnabled) // the race detector empties sync.Pool at random
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{3, 40, 12000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := systemclock.Clock{}
+			p := pool.New(c, scoring.Policy{})
+			p.Refresh(usable(n, c.Now().Add(time.Hour)), 14)
+			prefix := []uint64{1, 2, 3, 4}
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					l, _ := p.Pick(pool.Ask{Prefix: prefix})
+					l.Done(pool.Succeeded)
+				}
+			})
+		})
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -22,6 +22,11 @@
 	// ReportAge its age.
 	Reported  int
 	ReportAge time.Duration
+	// InFlightAtReport is InFlight as it was when the report was taken over.
+	InFlightAtReport int
+	// Peers is the number of other instances that choose among the same
+	// candidates. Their choices since the report are unknown.
+	Peers int
 	// ServiceTime is the learned time of one piece of work without waiting.
 	// Zero means not known yet.
 	ServiceTime time.Duration
