--- /dev/null
+++ b/cmd/bilberryrock-standin/main.go
@@ -0,0 +1,175 @@
+// Command bilberryrock-standin runs a small fake of a model engine or a plain
+// service for demos and tests.
+//
+//	bilberryrock-standin --kind engine --id e1 --listen 127.0.0.1:7101 \
+//		--dataCentre dc1 --pool engines --model ledger --version 1 \
+//		--layers 0:4 --totalLayers 8 --announce http://127.0.0.1:7001 --token secret
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/standin"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	drainPoll         = 20 * time.Millisecond
+)
+
+type options struct {
+	Kind        string        `long:"kind" choice:"engine" choice:"service" default:"engine" description:"kind of upstream"`
+	ID          string        `long:"id" required:"true" description:"upstream id"`
+	Incarnation uint64        `long:"incarnation" description:"incarnation; the start time when not given"`
+	Listen      string        `long:"listen" default:"127.0.0.1:0" description:"IP address and port"`
+	DataCentre  string        `long:"dataCentre" default:"dc1" description:"data centre"`
+	Pool        string        `long:"pool" required:"true" description:"pool"`
+	Accelerator string        `long:"accelerator" description:"kind of accelerator"`
+	Model       string        `long:"model" description:"model"`
+	Version     string        `long:"version" description:"version of the model"`
+	Adapter     string        `long:"adapter" description:"adapter of the model"`
+	Layers      string        `long:"layers" default:"0:0" description:"layers that the engine holds, such as 0:4"`
+	TotalLayers int           `long:"totalLayers" description:"number of layers of the model"`
+	Fencing     string        `long:"fencing" choice:"ignores" choice:"refusesOld" default:"refusesOld" description:"what the engine does with an old fencing token"`
+	Slots       int           `long:"slots" description:"batch limit of an engine, calls at once of a service"`
+	StepTime    time.Duration `long:"stepTime" description:"time of one batch"`
+	Position    time.Duration `long:"positionTime" description:"additional time of each further position of a step"`
+	CallTime    time.Duration `long:"callTime" description:"time of one call of a service"`
+	Announce    string        `long:"announce" description:"base URLs of instances, separated by commas"`
+	Token       string        `long:"token" description:"bearer token of announcements"`
+	Record      string        `long:"record" description:"file to which everything that ran is appended"`
+	Drain       time.Duration `long:"drain" default:"1m" description:"longest time to finish work in progress after SIGTERM"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	logger := zap.Must(zap.NewProduction()).Named("standin")
+	if err := run(o, logger); err != nil {
+		logger.Error("stopped", zap.Error(err))
+		os.Exit(1)
+	}
+}
+
+func run(o options, logger *zap.Logger) error {
+	config, err := o.config()
+	if err != nil {
+		return err
+	}
+	record, err := openRecord(o.Record)
+	if err != nil {
+		return err
+	}
+	defer record.Close()
+	config.Recorder = standin.NewRecorder(record)
+	listener, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %q", o.Listen)
+	}
+	config.Announcement.Address = listener.Addr().String()
+	s := standin.New(config)
+	defer s.Close()
+	server := &http.Server{Handler: s, ReadHeaderTimeout: readHeaderTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	logger.Info("listening", zap.String("id", o.ID), zap.String("address", config.Announcement.Address))
+
+	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	announcer := standin.NewAnnouncer(s, targets(o.Announce), o.Token, logger)
+	announced := make(chan struct{})
+	go func() {
+		defer close(announced)
+		announcer.Run(term)
+	}()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-term.Done():
+	}
+	<-announced
+	return leave(s, server, announcer, o.Drain)
+}
+
+// leave tells the instances, finishes the work in progress and closes the
+// listener.
+func leave(s *standin.Standin, server *http.Server, announcer *standin.Announcer, drain time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), drain)
+	defer cancel()
+	s.Leave()
+	announcer.Announce(ctx)
+	go announcer.Run(ctx)
+	for s.Busy() > 0 && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+	return server.Shutdown(ctx)
+}
+
+func (o options) config() (standin.Config, error) {
+	a := upstream.Announcement{
+		ID: fleet.UpstreamID(o.ID), Incarnation: fleet.Incarnation(o.Incarnation),
+		DataCentre: fleet.DataCentreID(o.DataCentre), Pool: fleet.PoolID(o.Pool),
+		Accelerator: o.Accelerator, Model: fleet.ModelID(o.Model),
+		Version: o.Version, Adapter: o.Adapter, Slots: o.Slots,
+	}
+	if a.Incarnation == 0 {
+		a.Incarnation = fleet.Incarnation(time.Now().UnixNano())
+	}
+	if err := a.Kind.UnmarshalText([]byte(o.Kind)); err != nil {
+		return standin.Config{}, err
+	}
+	if err := a.Fencing.UnmarshalText([]byte(o.Fencing)); err != nil {
+		return standin.Config{}, err
+	}
+	if _, err := fmt.Sscanf(o.Layers, "%d:%d", &a.Layers.From, &a.Layers.To); err != nil {
+		return standin.Config{}, errors.Wrapf(err, "layers %q", o.Layers)
+	}
+	return standin.Config{
+		Announcement: a, TotalLayers: fleet.Layer(o.TotalLayers),
+		StepTime: o.StepTime, PositionTime: o.Position, CallTime: o.CallTime,
+	}, nil
+}
+
+func targets(list string) []string {
+	var urls []string
+	for _, u := range strings.Split(list, ",") {
+		if u = strings.TrimSuffix(strings.TrimSpace(u), "/"); u != "" {
+			urls = append(urls, u)
+		}
+	}
+	return urls
+}
+
+func openRecord(name string) (io.WriteCloser, error) {
+	if name == "" {
+		return discard{}, nil
+	}
+	f, err := os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	return f, errors.Wrap(err, "record file")
+}
+
+// discard is a record file that keeps nothing.
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+func (discard) Close() error                { return nil }
--- /dev/null
+++ b/internal/upstream/engine/call.go
@@ -0,0 +1,141 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+
+	"github.com/pkg/errors"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+)
+
+// send sends one request and returns the whole answer. The transport never
+// repeats a request that may have been written.
+func (p *pool) send(ctx context.Context, method, path string, header http.Header, body []byte) (int, http.Header, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.dialer.callTimeout)
+	defer cancel()
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	})
+	request, err := p.request(ctx, method, path, header, body)
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	response, err := p.transport.RoundTrip(request)
+	if err != nil {
+		return 0, nil, nil, p.failure(ctx, err, connected)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, p.dialer.maxAnswer+1))
+	if err != nil {
+		return 0, nil, nil, p.failure(ctx, err, true)
+	}
+	if int64(len(answer)) > p.dialer.maxAnswer {
+		return 0, nil, nil, refusal.New(refusal.UpstreamFailed, "answer of upstream at %s is larger than %d bytes", p.address, p.dialer.maxAnswer)
+	}
+	return response.StatusCode, response.Header, answer, nil
+}
+
+// request builds the request. The transport would repeat a request with a method
+// or an Idempotency-Key header that marks it as idempotent after a lost
+// connection, so the body is given without a way to read it again.
+func (p *pool) request(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Request, error) {
+	target, err := url.ParseRequestURI(path)
+	if err != nil {
+		return nil, refusal.Because(refusal.BadRequest, err, "path %q of a call", path)
+	}
+	target.Scheme = "http"
+	target.Host = p.address
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, refusal.Because(refusal.BadRequest, err, "call %s %q", method, path)
+	}
+	if header != nil {
+		request.Header = header.Clone()
+	}
+	request.ContentLength = int64(len(body))
+	return request, nil
+}
+
+// failure gives err its kind. Without a connection nothing was sent.
+func (p *pool) failure(ctx context.Context, err error, connected bool) error {
+	if !connected {
+		return refusal.Because(refusal.NoUpstream, err, "connect to upstream at %s", p.address)
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refusal.Because(refusal.Deadline, err, "upstream at %s did not answer in time", p.address)
+	}
+	return refusal.Because(refusal.UpstreamFailed, err, "call of upstream at %s", p.address)
+}
+
+// exchange sends in as JSON and decodes the answer into out. Either may be nil.
+func (p *pool) exchange(ctx context.Context, method, path string, in, out any) error {
+	var body []byte
+	if in != nil {
+		encoded, err := json.Marshal(in)
+		if err != nil {
+			return refusal.Because(refusal.Internal, err, "encode %s %s", method, path)
+		}
+		body = encoded
+	}
+	status, _, answer, err := p.send(ctx, method, path, jsonHeader, body)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return p.refused(status, answer)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(answer, out); err != nil {
+		return refusal.Because(refusal.UpstreamFailed, err, "answer of engine at %s", p.address)
+	}
+	return nil
+}
+
+var jsonHeader = http.Header{"Content-Type": {"application/json"}}
+
+// errorBody is the body of an answer other than 200 of an engine.
+type errorBody struct {
+	Error struct {
+		Code    string `json:"code"`
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// refused gives an answer other than 200 its kind.
+func (p *pool) refused(status int, answer []byte) error {
+	var body errorBody
+	// An answer that is not the error body of the protocol has an empty code.
+	_ = json.Unmarshal(answer, &body)
+	return refusal.New(kindOf(status, body.Error.Code), "engine at %s answered %d %s: %s",
+		p.address, status, body.Error.Code, body.Error.Message)
+}
+
+func kindOf(status int, code string) refusal.Kind {
+	switch {
+	case status == http.StatusBadRequest:
+		return refusal.BadRequest
+	case status == http.StatusUnauthorized, status == http.StatusForbidden:
+		return refusal.Forbidden
+	case status == http.StatusNotFound:
+		return refusal.NotFound
+	case status == http.StatusConflict:
+		return refusal.Conflict
+	case status == http.StatusRequestEntityTooLarge:
+		return refusal.TooLarge
+	case status == http.StatusServiceUnavailable && code == "overloaded":
+		return refusal.Overloaded
+	case status == http.StatusServiceUnavailable && code == "stopping":
+		return refusal.Stopping
+	default:
+		return refusal.UpstreamFailed
+	}
+}
--- /dev/null
+++ b/internal/upstream/engine/client.go
@@ -0,0 +1,90 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+)
+
+// Client is the client of one model engine.
+type Client struct {
+	pool *pool
+}
+
+// Step runs the layers of s. An answer to another step is dropped with an error
+// of kind refusal.UpstreamFailed, after which the same step may be sent again.
+func (c *Client) Step(ctx context.Context, s upstream.Step) (upstream.StepResult, error) {
+	var result upstream.StepResult
+	if err := c.pool.exchange(ctx, http.MethodPost, "/v1/steps", s, &result); err != nil {
+		return upstream.StepResult{}, err
+	}
+	if result.Request != s.Request || result.Epoch != s.Epoch || result.Position != s.Position {
+		return upstream.StepResult{}, refusal.New(refusal.UpstreamFailed,
+			"engine at %s answered request %s epoch %d position %d to request %s epoch %d position %d",
+			c.pool.address, result.Request, result.Epoch, result.Position, s.Request, s.Epoch, s.Position)
+	}
+	if len(result.Output) != len(s.Input) {
+		return upstream.StepResult{}, refusal.New(refusal.UpstreamFailed,
+			"engine at %s answered %d positions to %d", c.pool.address, len(result.Output), len(s.Input))
+	}
+	return result, nil
+}
+
+// Cancel ends a request and frees its memory.
+func (c *Client) Cancel(ctx context.Context, r fleet.RequestID) error {
+	return c.pool.exchange(ctx, http.MethodPost, requestPath(r)+"/cancel", nil, nil)
+}
+
+// Export returns the KV cache of a request.
+func (c *Client) Export(ctx context.Context, r fleet.RequestID) (upstream.KV, error) {
+	var kv upstream.KV
+	if err := c.pool.exchange(ctx, http.MethodGet, requestPath(r)+"/kv", nil, &kv); err != nil {
+		return upstream.KV{}, err
+	}
+	if kv.Request != r {
+		return upstream.KV{}, refusal.New(refusal.UpstreamFailed,
+			"engine at %s exported request %s instead of %s", c.pool.address, kv.Request, r)
+	}
+	return kv, nil
+}
+
+// Import takes over a KV cache under epoch e.
+func (c *Client) Import(ctx context.Context, e fleet.Epoch, kv upstream.KV) error {
+	path := requestPath(kv.Request) + "/kv?epoch=" + strconv.FormatUint(uint64(e), 10)
+	return c.pool.exchange(ctx, http.MethodPut, path, kv, nil)
+}
+
+// Command hands over a command.
+func (c *Client) Command(ctx context.Context, command upstream.Command) error {
+	return c.pool.exchange(ctx, http.MethodPost, "/v1/commands", command, nil)
+}
+
+// Describe returns what the engine says of itself now.
+func (c *Client) Describe(ctx context.Context) (upstream.Announcement, error) {
+	var a upstream.Announcement
+	err := c.pool.exchange(ctx, http.MethodGet, "/v1/description", nil, &a)
+	return a, err
+}
+
+func requestPath(r fleet.RequestID) string {
+	return "/v1/requests/" + url.PathEscape(string(r))
+}
+
+// serviceClient is the client of one plain service.
+type serviceClient struct {
+	pool *pool
+}
+
+// Call sends c once and returns the whole answer, whatever its status.
+func (s *serviceClient) Call(ctx context.Context, c upstream.Call) (upstream.Answer, error) {
+	status, header, body, err := s.pool.send(ctx, c.Method, c.Path, c.Header, c.Body)
+	if err != nil {
+		return upstream.Answer{}, err
+	}
+	return upstream.Answer{Status: status, Header: header, Body: body}, nil
+}
--- /dev/null
+++ b/internal/upstream/standin/service.go
@@ -0,0 +1,95 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+)
+
+const maxCallBody = 16 << 20
+
+// service answers every call and counts it.
+type service struct {
+	standin *Standin
+
+	mu       sync.Mutex
+	inFlight int
+	executed int
+}
+
+// callAnswer is the body of the answer to a call.
+type callAnswer struct {
+	Upstream string `json:"upstream"`
+	Method   string `json:"method"`
+	Path     string `json:"path"`
+	Digest   string `json:"digest"`
+	// Execution counts the calls that this stand-in ran, starting at 1.
+	Execution int `json:"execution"`
+}
+
+func (s *service) serve(w http.ResponseWriter, r *http.Request) {
+	s.enter(1)
+	defer s.enter(-1)
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxCallBody))
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "badRequest", err.Error())
+		return
+	}
+	config := s.standin.config
+	if config.CallTime > 0 {
+		<-s.standin.clock.After(config.CallTime)
+	}
+	sum := sha256.Sum256(body)
+	digest := hex.EncodeToString(sum[:])
+	id := config.Announcement.ID
+	config.Recorder.add(Run{
+		What: "call", Upstream: id, Method: r.Method, Path: r.URL.Path,
+		Key: r.Header.Get("Idempotency-Key"), Digest: digest,
+	})
+	writeJSON(w, http.StatusOK, callAnswer{
+		Upstream: string(id), Method: r.Method, Path: r.URL.Path,
+		Digest: digest, Execution: s.count(),
+	})
+}
+
+func (s *service) enter(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight += n
+}
+
+func (s *service) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.executed++
+	return s.executed
+}
+
+func (s *service) busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inFlight
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The connection is gone when the write fails; nobody is left to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+func writeError(w http.ResponseWriter, status int, code, message string) {
+	writeJSON(w, status, errorBody{errorDetail{code, message}})
+}
