--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	go build -o bin/ ./cmd/...
 
 demo: build
-	bash scripts/demo.sh
+	go run ./internal/trial/demo
 
 test: check
 	go test -race ./...
--- a/internal/fleet/refusal/refusal_test.go
+++ b/internal/fleet/refusal/refusal_test.go
@@ -1,7 +1,10 @@
 package refusal_test
 
 import (
+	"fmt"
 	"net/http"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,6 +28,20 @@
 	}
 }
 
+// TestDocumentation guards against a row of docs/api.md that differs from the
+// table.
+func TestDocumentation(t *testing.T) {
+	is := is.New(t)
+	raw, err := os.ReadFile("../../../docs/api.md")
+	is.NoErr(err)
+	word := map[bool]string{true: "yes", false: "no"}
+	for _, k := range refusal.Kinds() {
+		a := k.Answer()
+		row := fmt.Sprintf("| `%s` | %d | %s | %s |", a.Code, a.Status, word[a.NotRun], word[a.Resend])
+		is.True(strings.Contains(string(raw), row)) // docs/api.md has the row
+	}
+}
+
 // TestUncertain guards against "not run" for a kind that is used after something
 // may have been sent.
 func TestUncertain(t *testing.T) {
--- a/internal/fleet/settings/keys.go
+++ b/internal/fleet/settings/keys.go
@@ -61,6 +61,7 @@
 		text(section, "dataFolder", "folder of the durable state; empty: the instance keeps none", func(s *Settings) *string { return &s.Instance.DataFolder }),
 		flag(section, "votes", "false", "whether the instance is a member of the replicated logs", func(s *Settings) *bool { return &s.Instance.Votes }),
 		number(section, "fleetSize", "16", 1, 1000, "greatest number of instances in the data centre", func(s *Settings) *int { return &s.Instance.FleetSize }),
+		duration(section, "drainDelay", "2s", 0, 5*time.Minute, "time between not ready and the first refusal in a graceful stop, for the balancer to notice", func(s *Settings) *time.Duration { return &s.Instance.DrainDelay }),
 		duration(section, "stopTimeout", "2m", time.Second, time.Hour, "greatest time of a graceful stop", func(s *Settings) *time.Duration { return &s.Instance.StopTimeout }),
 	}
 }
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -43,6 +43,9 @@
 	// FleetSize is the greatest number of instances in a data centre. An
 	// instance that does not know the others divides shared bounds by it.
 	FleetSize int
+	// DrainDelay is the time between the loss of readiness and the first refusal in
+	// a graceful stop.
+	DrainDelay time.Duration
 	// StopTimeout bounds the time of a graceful stop.
 	StopTimeout time.Duration
 }
--- /dev/null
+++ b/internal/trial/processes/standin.go
@@ -0,0 +1,91 @@
+package processes
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/bilberryrock/bilberryrock/internal/upstream/standin"
+)
+
+// Standin is a bilberryrock-standin process.
+type Standin struct {
+	*Process
+	ID      string
+	Address string
+	record  string
+	args    []string
+	fleet   *Fleet
+}
+
+// StartStandin starts a stand-in that announces itself to the daemons of its
+// data centre. Further flags are given as args.
+func (f *Fleet) StartStandin(id, dataCentre string, args ...string) (*Standin, error) {
+	address, err := f.Address()
+	if err != nil {
+		return nil, err
+	}
+	s := &Standin{ID: id, Address: address, record: f.Path(id + ".record"), fleet: f}
+	s.args = append([]string{
+		"--id", id, "--listen", address, "--dataCentre", dataCentre,
+		"--announce", f.announceTo(dataCentre), "--token", upstreamToken, "--record", s.record,
+	}, args...)
+	f.standins = append(f.standins, s)
+	return s, s.Restart()
+}
+
+// Restart starts the stand-in again after it ended.
+func (s *Standin) Restart() error {
+	p, err := s.fleet.start(s.ID, "bilberryrock-standin", s.args...)
+	if err != nil {
+		return err
+	}
+	s.Process = p
+	return nil
+}
+
+func (f *Fleet) announceTo(dataCentre string) string {
+	var list []string
+	for _, d := range f.daemons {
+		if d.Plan.DataCentre == dataCentre {
+			list = append(list, "http://"+d.Upstreams)
+		}
+	}
+	return strings.Join(list, ",")
+}
+
+// Runs returns what the stand-in ran, over all its starts.
+func (s *Standin) Runs() ([]standin.Run, error) {
+	file, err := os.Open(s.record)
+	if err != nil {
+		return nil, errors.Wrap(err, "open record")
+	}
+	defer file.Close()
+	var runs []standin.Run
+	lines := bufio.NewScanner(file)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		var r standin.Run
+		if err := json.Unmarshal(lines.Bytes(), &r); err != nil {
+			continue // a killed process can leave half a line
+		}
+		runs = append(runs, r)
+	}
+	return runs, errors.Wrap(lines.Err(), "read record")
+}
+
+// Runs returns what all stand-ins ran.
+func (f *Fleet) Runs() ([]standin.Run, error) {
+	var all []standin.Run
+	for _, s := range f.standins {
+		runs, err := s.Runs()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, runs...)
+	}
+	return all, nil
+}
