--- /dev/null
+++ b/internal/admission/gate/gate_test.go
@@ -0,0 +1,160 @@
+package gate_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberryrock/bilberryrock/internal/admission"
+	"github.com/bilberryrock/bilberryrock/internal/admission/gate"
+	"github.com/bilberryrock/bilberryrock/internal/admission/share"
+	"github.com/bilberryrock/bilberryrock/internal/document"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
+)
+
+// Inside of synctest.Test the system clock is a fake one.
+func newGate(slots float64) *gate.Gate {
+	limit := share.New(1)
+	limit.Configure(map[fleet.AccountID]document.Account{"limited": {ID: "limited", MaxInFlight: 1}})
+	g := gate.New(systemclock.Clock{}, limit)
+	g.SetCapacity("pool", gate.Capacity{Slots: slots, Instances: 1})
+	return g
+}
+
+func ask(account string, wait, expected time.Duration) admission.Ask {
+	return admission.Ask{
+		Account:  fleet.AccountID(account),
+		Pool:     "pool",
+		Deadline: time.Now().Add(wait),
+		Expected: expected,
+	}
+}
+
+// Guards against work that is held although it cannot finish in time, and
+// against refusals of the wrong kind or without the time to come back.
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGate(1)
+		ctx := context.Background()
+
+		_, err := g.Enter(ctx, ask("a", time.Second, 2*time.Second))
+		is.Equal(refusal.KindOf(err), refusal.Deadline)
+
+		limited, err := g.Enter(ctx, ask("limited", time.Second, time.Second))
+		is.NoErr(err)
+		_, err = g.Enter(ctx, ask("limited", time.Second, time.Second))
+		is.Equal(refusal.KindOf(err), refusal.AccountLimit)
+		is.True(err.(*refusal.Error).RetryAfter > 0)
+
+		began := time.Now()
+		_, err = g.Enter(ctx, ask("a", 3*time.Second, time.Second))
+		is.Equal(refusal.KindOf(err), refusal.Overloaded) // waited as long as it made sense
+		is.True(err.(*refusal.Error).RetryAfter > 0)
+		is.Equal(time.Since(began), 2*time.Second+1)
+
+		limited.Done()
+		ticket, err := g.Enter(ctx, ask("a", 3*time.Second, time.Second))
+		is.NoErr(err)
+		ticket.Done()
+		is.Equal(g.Counters("pool").Running, 0)
+	})
+}
+
+// Guards against places that leak when callers go away while they wait.
+func TestCancelWhileWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGate(1)
+		first, err := g.Enter(context.Background(), ask("a", time.Minute, time.Second))
+		is.NoErr(err)
+		ctx, cancel := context.WithCancel(context.Background())
+		for i := range 20 {
+			go func() {
+				ticket, err := g.Enter(ctx, ask(fmt.Sprint(i), time.Minute, time.Second))
+				if err == nil {
+					ticket.Done()
+				}
+			}()
+		}
+		synctest.Wait()
+		is.Equal(g.Counters("pool").Waiting, 20)
+		cancel()
+		first.Done()
+		synctest.Wait()
+		is.Equal(g.Counters("pool").Waiting, 0)
+		is.Equal(g.Counters("pool").Running, 0)
+	})
+}
+
+// Guards against a stop that interrupts or loses work in progress.
+func TestCloseWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGate(1)
+		running, err := g.Enter(context.Background(), ask("a", time.Minute, time.Second))
+		is.NoErr(err)
+		waiting := make(chan error, 1)
+		go func() {
+			ticket, err := g.Enter(context.Background(), ask("b", time.Minute, time.Second))
+			if err == nil {
+				ticket.Done()
+			}
+			waiting <- err
+		}()
+		synctest.Wait()
+		closed := make(chan error, 1)
+		go func() { closed <- g.Close(context.Background()) }()
+		synctest.Wait()
+		_, err = g.Enter(context.Background(), ask("c", time.Minute, time.Second))
+		is.Equal(refusal.KindOf(err), refusal.Stopping)
+		select {
+		case <-closed:
+			t.Fatal("Close returned while work was in progress")
+		default:
+		}
+		running.Done()
+		is.NoErr(<-waiting)
+		is.NoErr(<-closed)
+	})
+}
+
+// Guards against a large account that starves a small one: the small one gets
+// its part although the other one keeps the queue full.
+func TestSmallAccountIsNotStarved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGate(4)
+		start := time.Now()
+		served := map[string]int{}
+		done := make(chan string, 10000)
+		send := func(account string, every time.Duration) {
+			for time.Since(start) < 20*time.Second {
+				time.Sleep(every)
+				go func() {
+					ticket, err := g.Enter(context.Background(), ask(account, 2*time.Second, 100*time.Millisecond))
+					if err != nil {
+						return
+					}
+					time.Sleep(100 * time.Millisecond)
+					ticket.Done()
+					done <- account
+				}()
+			}
+		}
+		go send("large", 5*time.Millisecond) // 200/s, five times what the pool can do
+		send("small", 100*time.Millisecond)  // 10/s, a quarter
+		time.Sleep(5 * time.Second)
+		for len(done) > 0 {
+			served[<-done]++
+		}
+		is.True(served["small"] >= 195)
+		is.True(served["small"]+served["large"] >= 760) // 95% of 4 places * 10/s * 20 s
+	})
+}
