--- /dev/null
+++ b/internal/quorum/journal/identity.go
@@ -0,0 +1,83 @@
+package journal
+
+import (
+	"os"
+	"path/filepath"
+
+	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
+	"github.com/bilberryrock/bilberryrock/internal/quorum"
+	"github.com/pkg/errors"
+)
+
+const identityName = "identity"
+
+// FolderID tells one data folder from all others, also of the same instance.
+type FolderID uint64
+
+// Identity is what a data folder knows about itself.
+type Identity struct {
+	// Folder is random. It is 0 in a folder that was never used.
+	Folder FolderID
+	// Voter is the id under which the folder takes part, or 0 while it is not
+	// known.
+	Voter quorum.VoterID
+	// Folders are the folders that were first seen under the ids of the initial
+	// voters.
+	Folders map[quorum.VoterID]FolderID
+	// Replaced tells that the folder took a new id, because the one in the
+	// settings belongs to a lost folder.
+	Replaced bool
+	// Groups are the groups whose journals were created in the folder.
+	Groups []quorum.GroupID
+}
+
+// LoadIdentity reads the identity of a data folder. The zero value means that
+// there is none.
+func LoadIdentity(d Disk, dir string) (Identity, error) {
+	name := filepath.Join(dir, identityName)
+	b, err := d.Read(name)
+	if errors.Is(err, os.ErrNotExist) {
+		return Identity{}, nil
+	}
+	if err != nil {
+		return Identity{}, errors.Wrap(err, "identity")
+	}
+	var p peerv1.JournalIdentity
+	if err := readWhole(name, b, &p); err != nil {
+		return Identity{}, err
+	}
+	id := Identity{
+		Folder: FolderID(p.GetFolder()), Voter: quorum.VoterID(p.GetVoter()),
+		Replaced: p.GetReplaced(), Folders: make(map[quorum.VoterID]FolderID),
+	}
+	for v, f := range p.GetFolders() {
+		id.Folders[quorum.VoterID(v)] = FolderID(f)
+	}
+	for _, g := range p.GetGroups() {
+		id.Groups = append(id.Groups, quorum.GroupID(g))
+	}
+	return id, nil
+}
+
+// SaveIdentity replaces the identity of a data folder and syncs it.
+func SaveIdentity(d Disk, dir string, id Identity) error {
+	p := &peerv1.JournalIdentity{
+		Folder: uint64(id.Folder), Voter: uint64(id.Voter),
+		Replaced: id.Replaced, Folders: make(map[uint64]uint64),
+	}
+	for v, f := range id.Folders {
+		p.Folders[uint64(v)] = uint64(f)
+	}
+	for _, g := range id.Groups {
+		p.Groups = append(p.Groups, string(g))
+	}
+	content, err := appendFrame(nil, p)
+	if err != nil {
+		return errors.Wrap(err, "identity")
+	}
+	f, err := replaceFile(d, dir, identityName, content)
+	if err != nil {
+		return errors.Wrap(err, "identity")
+	}
+	return f.Close()
+}
