--- a/internal/admission/gate/gate.go
+++ b/internal/admission/gate/gate.go
@@ -35,19 +35,14 @@
 // Bound limits the work in progress of all pools together. Implementations are
 // safe for concurrent use; quiet/governor has one.
 type Bound interface {
-	// Start returns whether work of the expected time may start at now, and
-	// counts it when it may.
-	Start(now time.Time, expected time.Duration) (Run, bool)
+	// Start returns whether work of the expected time may start at now. When it
+	// may, end is called once when the work has ended.
+	Start(now time.Time, expected time.Duration) (end func(), ok bool)
 	// Retry returns the time until work may start again, or zero when there is
 	// no bound now.
 	Retry(now time.Time) time.Duration
 }
 
-// Run is work that a Bound counts until End.
-type Run interface {
-	End()
-}
-
 // Gate admits requests. It is safe for concurrent use.
 type Gate struct {
 	clock fleet.Clock
--- a/internal/admission/gate/lane.go
+++ b/internal/admission/gate/lane.go
@@ -49,7 +49,7 @@
 type waiter struct {
 	item    queue.Item
 	granted chan struct{}
-	run     Run
+	end     func() // of the bound, or nil
 	refused error
 }
 
@@ -157,8 +157,8 @@
 	if l.gate.bound == nil {
 		return true
 	}
-	run, ok := l.gate.bound.Start(now, i.Expected)
-	i.Owner.(*waiter).run = run
+	end, ok := l.gate.bound.Start(now, i.Expected)
+	i.Owner.(*waiter).end = end
 	return ok
 }
 
@@ -218,8 +218,8 @@
 
 // finish returns the place of w. took is zero when the work was not run.
 func (l *lane) finish(w *waiter, took time.Duration) {
-	if w.run != nil {
-		w.run.End()
+	if w.end != nil {
+		w.end()
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/internal/quiet/calendar/calendar_test.go
@@ -0,0 +1,70 @@
+package calendar_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+	_ "time/tzdata" // the same zones on every machine
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"github.com/bilberryrock/bilberryrock/internal/document"
+	"github.com/bilberryrock/bilberryrock/internal/quiet/calendar"
+)
+
+// Guards against occurrences that are short or missing where a zone changes its
+// offset, over midnight, and at the ends of the queried time.
+func TestSpans(t *testing.T) {
+	datadriven.RunTest(t, "testdata/spans.txt", func(t *testing.T, d *datadriven.TestData) string {
+		var zone, from, to, at, length, clockError string
+		d.ScanArgs(t, "zone", &zone)
+		d.ScanArgs(t, "from", &from)
+		d.ScanArgs(t, "to", &to)
+		d.ScanArgs(t, "at", &at)
+		d.ScanArgs(t, "for", &length)
+		d.MaybeScanArgs(t, "error", &clockError)
+		var w document.Window
+		for _, a := range d.CmdArgs {
+			if a.Key == "days" {
+				w.Days = days(a.Vals)
+			}
+		}
+		w.Name = "quiet"
+		w.From, w.To = timeOfDay(t, from), timeOfDay(t, to)
+		var err error
+		w.Zone, err = time.LoadLocation(zone)
+		is.New(t).NoErr(err)
+		start, err := time.Parse(time.RFC3339, at)
+		is.New(t).NoErr(err)
+		whole, err := time.ParseDuration(length)
+		is.New(t).NoErr(err)
+		e, _ := time.ParseDuration(clockError)
+		var b strings.Builder
+		for _, s := range calendar.Spans([]document.Window{w}, start, start.Add(whole), e) {
+			fmt.Fprintf(&b, "%s - %s (%s)\n", s.Start.UTC().Format(time.RFC3339), s.End.UTC().Format(time.RFC3339), s.End.Sub(s.Start))
+		}
+		return b.String()
+	})
+}
+
+func days(names []string) []time.Weekday {
+	var all []time.Weekday
+	for d := time.Sunday; d <= time.Saturday; d++ {
+		for _, n := range names {
+			if n == d.String()[:3] || n == "all" {
+				all = append(all, d)
+			}
+		}
+	}
+	return all
+}
+
+func timeOfDay(t *testing.T, s string) time.Duration {
+	t.Helper()
+	var h, m int
+	_, err := fmt.Sscanf(s, "%d:%d", &h, &m)
+	is.New(t).NoErr(err)
+	return time.Duration(h)*time.Hour + time.Duration(m)*time.Minute
+}
