Run replicas of several groups in one daemon

voter drives each replica from one goroutine: inputs that queue up during a sync share the next one. Proposals are tied to index and term of their entry, so an entry that another leader replaced is reported as not applied. An id of the initial set is bound to the first data folder that claims it; a new folder under the same instance joins as a learner under a new id.

--- a/internal/quorum/journal/journal.go
+++ b/internal/quorum/journal/journal.go
@@ -121,8 +121,11 @@
 	return j.replace(s, base, retained)
 }
 
-// Install stores a snapshot in place of the whole log.
-func (j *Journal) Install(s replica.Snapshot) error {
+// Install stores a snapshot in place of the whole log, and the state with it.
+func (j *Journal) Install(s replica.Snapshot, st replica.State) error {
+	if j.failure == nil {
+		j.state = st
+	}
 	return j.replace(s, position{s.Index, s.Term}, nil)
 }
 
--- a/internal/quorum/journal/load.go
+++ b/internal/quorum/journal/load.go
@@ -60,7 +60,7 @@
 		return l, 0, err
 	}
 	last := list[len(list)-1]
-	if err := l.join(last); err != nil {
+	if err := l.join(last, s.GetNextSegment()); err != nil {
 		return l, 0, err
 	}
 	l.Dropped = last.dropped
@@ -211,7 +211,7 @@
 
 // join checks that the log and the snapshot fit together. A log that ends before
 // the snapshot or differs from it was replaced by the snapshot.
-func (l *loaded) join(last segment) error {
+func (l *loaded) join(last segment, next uint64) error {
 	s := l.Snapshot
 	end := l.base.index + quorum.Index(len(l.Entries))
 	if l.base.index > s.Index {
@@ -220,6 +220,12 @@
 			Reason: fmt.Sprintf("snapshot ends at entry %d, but the log starts after entry %d", s.Index, l.base.index),
 		}
 	}
+	if end < s.Index && last.number >= next {
+		return &CorruptError{
+			File: last.name, Offset: int64(last.size - last.dropped),
+			Reason: fmt.Sprintf("log ends at entry %d before its snapshot at entry %d", end, s.Index),
+		}
+	}
 	k := s.Index - l.base.index
 	if end < s.Index || k > 0 && l.Entries[k-1].Term != s.Term {
 		l.Entries = nil
--- a/internal/quorum/replica/leader.go
+++ b/internal/quorum/replica/leader.go
@@ -28,8 +28,9 @@
 	poke        bool           // send an empty Append to find out what is missing
 	sentCommit  quorum.Index
 	installed   quorum.Index
-	waited      int // ticks since the snapshot was sent
-	active      bool
+	waited      int  // ticks since the snapshot was sent
+	active      bool // answered since the last check of the quorum
+	recent      bool // answered in the period before
 	lost        bool
 	ackContext  uint64
 	// matchContext is the heartbeat round in which match was reached. A reply to
@@ -74,6 +75,7 @@
 		return
 	}
 	for _, p := range r.progress {
+		p.recent = p.active
 		p.active = false
 	}
 }
@@ -88,6 +90,8 @@
 	}
 }
 
+func (p *progress) reachable() bool { return p.active || p.recent }
+
 func (p *progress) probe(next quorum.Index) {
 	p.flow = probing
 	p.next = next
@@ -188,7 +192,7 @@
 	}
 	v, ok := find(r.voters(), to)
 	p := r.progress[to]
-	if !ok || v.Learner || p == nil || !p.active || p.lost {
+	if !ok || v.Learner || p == nil || !p.reachable() || p.lost {
 		return errors.Errorf("voter %d can't take over", to)
 	}
 	r.transfer = to
@@ -263,7 +267,7 @@
 	p.installed = s.Index
 	p.waited = 0
 	p.inFlight = nil
-	r.sendEarly(Message{Kind: SnapshotChunk, To: id, Snapshot: &s})
+	r.sendEarly(Message{Kind: InstallSnapshot, To: id, Snapshot: &s})
 }
 
 // SnapshotFailed tells that a snapshot did not reach a member.
@@ -385,7 +389,7 @@
 			list = append(list, Progress{Voter: v, Match: r.log.stable, Active: true})
 			continue
 		}
-		list = append(list, Progress{Voter: v, Match: p.match, Active: p.active, Lost: p.lost})
+		list = append(list, Progress{Voter: v, Match: p.match, Active: p.reachable(), Lost: p.lost})
 	}
 	return list
 }
--- a/internal/quorum/replica/membership.go
+++ b/internal/quorum/replica/membership.go
@@ -107,7 +107,7 @@
 // caughtUp reports whether a member holds all committed entries.
 func (r *Replica) caughtUp(id quorum.VoterID) bool {
 	p := r.progress[id]
-	return p != nil && p.active && !p.lost && p.match >= r.log.commit
+	return p != nil && p.reachable() && !p.lost && p.match >= r.log.commit
 }
 
 // updateProgress starts following new members and forgets removed ones.
--- a/internal/quorum/replica/names_string.go
+++ b/internal/quorum/replica/names_string.go
@@ -38,7 +38,7 @@
 	_ = x[AppendReply-6]
 	_ = x[Heartbeat-7]
 	_ = x[HeartbeatReply-8]
-	_ = x[SnapshotChunk-9]
+	_ = x[InstallSnapshot-9]
 	_ = x[TimeoutNow-10]
 }
 
--- a/internal/quorum/replica/replica.go
+++ b/internal/quorum/replica/replica.go
@@ -192,7 +192,7 @@
 		return r.handleAppend(m)
 	case Heartbeat:
 		r.handleHeartbeat(m)
-	case SnapshotChunk:
+	case InstallSnapshot:
 		r.handleSnapshot(m)
 	case AppendReply:
 		return r.handleAppendReply(m)
@@ -210,7 +210,7 @@
 // an old leader that a cut-off voter can't follow would never step down.
 func (r *Replica) answerOldTerm(m Message) {
 	switch m.Kind {
-	case Append, Heartbeat, SnapshotChunk:
+	case Append, Heartbeat, InstallSnapshot:
 		r.send(Message{Kind: AppendReply, To: m.From, Reject: true})
 	case PreVote:
 		r.send(Message{Kind: PreVoteReply, To: m.From, Reject: true})
@@ -230,7 +230,7 @@
 		return true
 	}
 	leader := quorum.VoterID(0)
-	if m.Kind == Append || m.Kind == Heartbeat || m.Kind == SnapshotChunk {
+	if m.Kind == Append || m.Kind == Heartbeat || m.Kind == InstallSnapshot {
 		leader = m.From
 	}
 	r.becomeFollower(m.Term, leader)
--- a/internal/quorum/replica/types.go
+++ b/internal/quorum/replica/types.go
@@ -24,17 +24,17 @@
 
 // The kinds of messages.
 const (
-	NoMessage      MessageKind = iota // none
-	PreVote                           // preVote
-	PreVoteReply                      // preVoteReply
-	Vote                              // vote
-	VoteReply                         // voteReply
-	Append                            // append
-	AppendReply                       // appendReply
-	Heartbeat                         // heartbeat
-	HeartbeatReply                    // heartbeatReply
-	SnapshotChunk                     // snapshot
-	TimeoutNow                        // timeoutNow
+	NoMessage       MessageKind = iota // none
+	PreVote                            // preVote
+	PreVoteReply                       // preVoteReply
+	Vote                               // vote
+	VoteReply                          // voteReply
+	Append                             // append
+	AppendReply                        // appendReply
+	Heartbeat                          // heartbeat
+	HeartbeatReply                     // heartbeatReply
+	InstallSnapshot                    // snapshot
+	TimeoutNow                         // timeoutNow
 )
 
 // EntryKind is the kind of an Entry. The values are those of peerv1.EntryKind.
@@ -163,7 +163,7 @@
 	Voter Voter
 	// Match is the highest index that the member has synced.
 	Match quorum.Index
-	// Active tells that the member answered within the last election timeout.
+	// Active tells that the member answered within the last two election timeouts.
 	Active bool
 	// Lost tells that the member no longer holds entries that it had
 	// acknowledged. It counts for nothing until it is replaced.
--- /dev/null
+++ b/internal/quorum/voter/member.go
@@ -0,0 +1,397 @@
+package voter
+
+import (
+	"slices"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/quorum"
+	"github.com/bilberryrock/bilberryrock/internal/quorum/journal"
+	"github.com/bilberryrock/bilberryrock/internal/quorum/replica"
+	"github.com/pkg/errors"
+)
+
+// patience is the number of election timeouts that a proposal waits for its
+// outcome after the replica lost the leadership.
+const patience = 4
+
+// done receives the outcome of a proposal or read. It must not block.
+type done func(reply []byte, err error)
+
+type waiter struct {
+	term quorum.Term
+	age  int // ticks without leadership
+	done done
+}
+
+type query struct {
+	data []byte
+	done done
+}
+
+type memberConfig struct {
+	group   quorum.GroupID
+	options replica.Options
+	initial []replica.Voter
+	machine quorum.Reader
+	disk    journal.Disk
+	dir     string
+	// send must not block. It may drop messages.
+	send func(replica.Message)
+	// snapshotEntries is the number of applied entries between snapshots, and
+	// keepEntries the number that the log keeps before a snapshot.
+	snapshotEntries int
+	keepEntries     int
+}
+
+// member runs the replica of one group against its journal and state machine. It
+// is driven from one goroutine: inputs first, then flush.
+type member struct {
+	memberConfig
+	replica   *replica.Replica
+	journal   *journal.Journal
+	applied   quorum.Index
+	snapshot  quorum.Index
+	waiters   map[quorum.Index]waiter
+	reads     map[uint64]query
+	nextRead  uint64
+	failure   error
+	leaderFor int // ticks as the leader since the last housekeeping
+}
+
+func openMember(c memberConfig) (*member, error) {
+	j, stored, err := journal.Open(c.disk, c.dir)
+	if err != nil {
+		return nil, err
+	}
+	s := stored.Snapshot
+	if s.Index == 0 {
+		s.Voters = c.initial
+	}
+	r, err := replica.New(c.options, stored.State, s, stored.Entries)
+	if err != nil {
+		return nil, errors.Wrapf(err, "group %q", c.group)
+	}
+	m := &member{
+		memberConfig: c, replica: r, journal: j,
+		applied: s.Index, snapshot: s.Index,
+		waiters: make(map[quorum.Index]waiter), reads: make(map[uint64]query),
+	}
+	if s.Index > 0 {
+		if err := c.machine.Restore(s.State); err != nil {
+			return nil, errors.Wrapf(err, "group %q", c.group)
+		}
+	}
+	return m, nil
+}
+
+// tick tells that n ticks passed since the last call.
+func (m *member) tick(n, gap int) {
+	if m.failure != nil {
+		return
+	}
+	if n >= gap {
+		m.replica.Gap(n)
+		return
+	}
+	for range n {
+		m.replica.Tick()
+		m.expire()
+		m.housekeep()
+	}
+}
+
+func (m *member) step(msg replica.Message) {
+	if m.failure != nil {
+		return
+	}
+	if err := m.replica.Step(msg); err != nil {
+		m.fail(err)
+	}
+}
+
+func (m *member) propose(command []byte, d done) {
+	if m.failure != nil {
+		d(nil, m.refuse())
+		return
+	}
+	i, t, err := m.replica.Propose(command)
+	m.await(i, t, err, d)
+}
+
+func (m *member) change(c replica.Change, d done) {
+	if m.failure != nil {
+		d(nil, m.refuse())
+		return
+	}
+	i, t, err := m.replica.ProposeChange(c)
+	m.await(i, t, err, d)
+}
+
+func (m *member) await(i quorum.Index, t quorum.Term, err error, d done) {
+	if err != nil {
+		d(nil, m.notRun(err))
+		return
+	}
+	if old, ok := m.waiters[i]; ok {
+		old.done(nil, unknown(m.group, "another leader wrote at its place"))
+	}
+	m.waiters[i] = waiter{term: t, done: d}
+}
+
+func (m *member) read(data []byte, d done) {
+	if m.failure != nil {
+		d(nil, m.refuse())
+		return
+	}
+	m.nextRead++
+	if err := m.replica.Read(m.nextRead); err != nil {
+		d(nil, m.notRun(err))
+		return
+	}
+	m.reads[m.nextRead] = query{data: data, done: d}
+}
+
+// flush executes the effects of the inputs so far.
+func (m *member) flush() {
+	for m.failure == nil {
+		e := m.replica.Effects()
+		if e.Empty() {
+			return
+		}
+		if err := m.execute(e); err != nil {
+			m.fail(err)
+		}
+	}
+}
+
+func (m *member) execute(e replica.Effects) error {
+	m.sendAll(e.Early)
+	if err := m.save(e); err != nil {
+		return err
+	}
+	m.replica.Synced(e)
+	m.sendAll(e.Messages)
+	for _, en := range e.Committed {
+		m.apply(en)
+	}
+	m.answerReads(e)
+	return m.takeSnapshot()
+}
+
+func (m *member) save(e replica.Effects) error {
+	if s := e.Snapshot; s != nil {
+		if err := m.journal.Install(*s, e.State); err != nil {
+			return err
+		}
+		if err := m.restore(s); err != nil {
+			return err
+		}
+	}
+	if !e.MustSync {
+		return nil
+	}
+	return m.journal.Save(e.State, e.Entries)
+}
+
+func (m *member) restore(s *replica.Snapshot) error {
+	if err := m.machine.Restore(s.State); err != nil {
+		return errors.Wrapf(err, "group %q", m.group)
+	}
+	m.applied, m.snapshot = s.Index, s.Index
+	for i, w := range m.waiters {
+		if i <= s.Index {
+			delete(m.waiters, i)
+			w.done(nil, unknown(m.group, "the replica received a snapshot"))
+		}
+	}
+	return nil
+}
+
+func (m *member) sendAll(ms []replica.Message) {
+	for _, msg := range ms {
+		m.send(msg)
+	}
+}
+
+func (m *member) apply(e replica.Entry) {
+	var reply []byte
+	if e.Kind == replica.Command {
+		reply = m.machine.Apply(e.Index, e.Data)
+	}
+	m.applied = e.Index
+	w, ok := m.waiters[e.Index]
+	if !ok {
+		return
+	}
+	delete(m.waiters, e.Index)
+	if w.term != e.Term {
+		// The entry at this index is final, so the other one never takes effect.
+		w.done(nil, refusal.New(refusal.NotReady, "group %q: another leader replaced the command", m.group))
+		return
+	}
+	w.done(reply, nil)
+}
+
+func (m *member) answerReads(e replica.Effects) {
+	for _, r := range e.Reads {
+		q := m.reads[r.ID]
+		delete(m.reads, r.ID)
+		q.done(m.machine.Query(q.data), nil)
+	}
+	for _, id := range e.FailedReads {
+		q := m.reads[id]
+		delete(m.reads, id)
+		q.done(nil, m.notRun(replica.ErrNotLeader))
+	}
+}
+
+func (m *member) takeSnapshot() error {
+	if m.applied < m.snapshot+quorum.Index(m.snapshotEntries) {
+		return nil
+	}
+	state, err := m.machine.Snapshot()
+	if err != nil {
+		return errors.Wrapf(err, "group %q: snapshot", m.group)
+	}
+	s := m.replica.MakeSnapshot(state)
+	m.replica.Compact(s, m.keepEntries)
+	if err := m.journal.Compact(s, m.replica.Retained()); err != nil {
+		return err
+	}
+	m.snapshot = s.Index
+	return nil
+}
+
+// expire ends proposals whose outcome this replica may never learn.
+func (m *member) expire() {
+	if m.replica.Leader() == m.options.ID {
+		return
+	}
+	for i, w := range m.waiters {
+		w.age++
+		m.waiters[i] = w
+		if w.age >= patience*m.options.ElectionTicks {
+			delete(m.waiters, i)
+			w.done(nil, unknown(m.group, "the leadership was lost"))
+		}
+	}
+}
+
+// housekeep completes the replacement of voters whose data folder was lost.
+func (m *member) housekeep() {
+	m.leaderFor++
+	if m.leaderFor < m.options.ElectionTicks {
+		return
+	}
+	m.leaderFor = 0
+	if m.replica.Leader() != m.options.ID {
+		return
+	}
+	if c, ok := nextChange(m.replica.Status().Progress); ok {
+		// A refused change is tried again after the next pause.
+		_, _, _ = m.replica.ProposeChange(c)
+	}
+}
+
+// nextChange returns the next step of a replacement: two members of one instance
+// are the lost one and its successor. The successor is promoted before the lost
+// one is removed, so that no step leaves fewer running voters than before.
+func nextChange(ps []replica.Progress) (replica.Change, bool) {
+	for i, old := range ps {
+		if old.Active && !old.Lost {
+			continue
+		}
+		for _, p := range ps[i+1:] {
+			if p.Voter.Instance != old.Voter.Instance {
+				continue
+			}
+			if p.Voter.Learner && !old.Voter.Learner {
+				return replica.Change{Kind: replica.Promote, Voter: p.Voter}, p.Active
+			}
+			return replica.Change{Kind: replica.Remove, Voter: old.Voter}, true
+		}
+	}
+	return replica.Change{}, false
+}
+
+// join adds a learner that takes the place of a lost member of its instance.
+func (m *member) join(v replica.Voter, d done) {
+	if m.failure != nil {
+		d(nil, m.refuse())
+		return
+	}
+	s := m.replica.Status()
+	if s.Role != replica.Leader {
+		d(nil, m.notRun(replica.ErrNotLeader))
+		return
+	}
+	if slices.ContainsFunc(s.Voters, func(o replica.Voter) bool { return o.ID == v.ID }) {
+		d(nil, nil)
+		return
+	}
+	if err := mayJoin(s.Progress, v); err != nil {
+		d(nil, err)
+		return
+	}
+	m.change(replica.Change{Kind: replica.AddLearner, Voter: v}, d)
+}
+
+func mayJoin(ps []replica.Progress, v replica.Voter) error {
+	known := false
+	for _, p := range ps {
+		if p.Voter.Instance != v.Instance {
+			continue
+		}
+		known = true
+		if p.Active && !p.Lost {
+			return refusal.New(refusal.Conflict, "voter %d of instance %q is still running", p.Voter.ID, v.Instance)
+		}
+	}
+	if !known {
+		return refusal.New(refusal.Forbidden, "instance %q has no voter to replace", v.Instance)
+	}
+	return nil
+}
+
+// stop ends all proposals and reads and closes the journal.
+func (m *member) stop() error {
+	m.fail(errors.New("voter is stopping"))
+	return m.journal.Close()
+}
+
+// fail ends the replica. Nothing is sent any more, because the stored state is
+// no longer known.
+func (m *member) fail(err error) {
+	if m.failure != nil {
+		return
+	}
+	m.failure = err
+	for i, w := range m.waiters {
+		delete(m.waiters, i)
+		w.done(nil, unknown(m.group, err.Error()))
+	}
+	for id, q := range m.reads {
+		delete(m.reads, id)
+		q.done(nil, m.refuse())
+	}
+}
+
+func (m *member) refuse() error {
+	return refusal.Because(refusal.NotReady, m.failure, "group %q does not run here", m.group)
+}
+
+func (m *member) notRun(err error) error {
+	kind := refusal.NotReady
+	if errors.Is(err, replica.ErrBusy) {
+		kind = refusal.Overloaded
+	}
+	e := refusal.Because(kind, err, "group %q", m.group)
+	if v, ok := m.replica.Voter(m.replica.Leader()); ok && v.ID != m.options.ID {
+		return &leaderHint{refusal: e, address: v.Address, instance: v.Instance}
+	}
+	return e
+}
+
+func unknown(g quorum.GroupID, why string) error {
+	return refusal.New(refusal.OutcomeUnknown, "group %q: outcome of the command is unknown: %s", g, why)
+}
--- /dev/null
+++ b/internal/quorum/voter/transport.go
@@ -0,0 +1,238 @@
+package voter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/quorum"
+	"github.com/bilberryrock/bilberryrock/internal/quorum/replica"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
+)
+
+const (
+	outboxMessages  = 4096
+	batchMessages   = 256
+	snapshotTimeout = 30 * time.Second
+)
+
+// connections holds one connection for each address.
+type connections struct {
+	options []grpc.DialOption
+	mu      sync.Mutex
+	conns   map[string]*grpc.ClientConn
+	closed  bool
+}
+
+func newConnections(options []grpc.DialOption) *connections {
+	return &connections{options: options, conns: make(map[string]*grpc.ClientConn)}
+}
+
+func (c *connections) get(address string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, errors.New("connections are closed")
+	}
+	if conn, ok := c.conns[address]; ok {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, c.options...)
+	if err != nil {
+		return nil, err
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+// ready returns a connection that is established. An error means that nothing
+// was sent.
+func (c *connections) ready(ctx context.Context, address string) (*grpc.ClientConn, error) {
+	conn, err := c.get(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	for {
+		s := conn.GetState()
+		switch s {
+		case connectivity.Ready:
+			return conn, nil
+		case connectivity.TransientFailure, connectivity.Shutdown:
+			return nil, errors.Errorf("%s is not reachable", address)
+		case connectivity.Idle:
+			conn.Connect()
+		}
+		if !conn.WaitForStateChange(ctx, s) {
+			return nil, errors.Errorf("%s is not reachable in time", address)
+		}
+	}
+}
+
+func (c *connections) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+}
+
+type envelope struct {
+	group   quorum.GroupID
+	message replica.Message
+}
+
+// transport sends consensus messages in batches, one stream for each address.
+type transport struct {
+	config   *config
+	conns    *connections
+	self     replica.Voter
+	ctx      context.Context
+	cancel   context.CancelFunc
+	mu       sync.Mutex
+	outboxes map[string]chan envelope
+	wait     sync.WaitGroup
+}
+
+func newTransport(c *config, conns *connections, self replica.Voter) *transport {
+	t := &transport{config: c, conns: conns, self: self, outboxes: make(map[string]chan envelope)}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	return t
+}
+
+// send queues a message. It drops the message when the queue is full or the link
+// is cut, which the protocol tolerates.
+func (t *transport) send(to replica.Voter, e envelope, failed func()) {
+	if t.config.cut(t.self.Instance, to.Instance) {
+		return
+	}
+	if e.message.Kind == replica.InstallSnapshot {
+		t.sendSnapshot(to, e, failed)
+		return
+	}
+	select {
+	case t.outbox(to.Address) <- e:
+	default:
+	}
+}
+
+func (t *transport) outbox(address string) chan envelope {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if box, ok := t.outboxes[address]; ok {
+		return box
+	}
+	box := make(chan envelope, outboxMessages)
+	t.outboxes[address] = box
+	t.wait.Go(func() {
+		var s peerv1.Peer_ConsensusClient
+		for {
+			select {
+			case <-t.ctx.Done():
+				return
+			case e := <-box:
+				s = t.sendBatches(s, address, collect(e, box))
+			}
+		}
+	})
+	return box
+}
+
+// sendBatches sends over s, or over a new stream if s is nil. It returns nil
+// when the stream failed.
+func (t *transport) sendBatches(s peerv1.Peer_ConsensusClient, address string, bs []*peerv1.ConsensusBatch) peerv1.Peer_ConsensusClient {
+	if s == nil {
+		conn, err := t.conns.get(address)
+		if err != nil {
+			return nil
+		}
+		if s, err = peerv1.NewPeerClient(conn).Consensus(t.ctx); err != nil {
+			return nil
+		}
+	}
+	for _, b := range bs {
+		b.Sender = senderOf(t.self)
+		if s.Send(b) != nil {
+			return nil
+		}
+	}
+	return s
+}
+
+// sendSnapshot uses a stream of its own, so that heartbeats don't wait for the
+// snapshot.
+func (t *transport) sendSnapshot(to replica.Voter, e envelope, failed func()) {
+	t.wait.Go(func() {
+		ctx, cancel := context.WithTimeout(t.ctx, snapshotTimeout)
+		defer cancel()
+		conn, err := t.conns.get(to.Address)
+		if err == nil {
+			err = t.streamOnce(ctx, conn, e)
+		}
+		if err != nil {
+			failed()
+		}
+	})
+}
+
+func (t *transport) streamOnce(ctx context.Context, conn *grpc.ClientConn, e envelope) error {
+	s, err := peerv1.NewPeerClient(conn).Consensus(ctx)
+	if err != nil {
+		return err
+	}
+	b := &peerv1.ConsensusBatch{
+		Group: string(e.group), Sender: senderOf(t.self),
+		Messages: []*peerv1.Message{replica.MessageToProto(e.message)},
+	}
+	if err := s.Send(b); err != nil {
+		return err
+	}
+	_, err = s.CloseAndRecv()
+	return err
+}
+
+func (t *transport) close() {
+	t.cancel()
+	t.wait.Wait()
+}
+
+// collect takes what is queued without waiting, and groups it.
+func collect(first envelope, box chan envelope) []*peerv1.ConsensusBatch {
+	var bs []*peerv1.ConsensusBatch
+	index := make(map[quorum.GroupID]*peerv1.ConsensusBatch)
+	add := func(e envelope) {
+		b := index[e.group]
+		if b == nil {
+			b = &peerv1.ConsensusBatch{Group: string(e.group)}
+			index[e.group] = b
+			bs = append(bs, b)
+		}
+		b.Messages = append(b.Messages, replica.MessageToProto(e.message))
+	}
+	add(first)
+	for range batchMessages {
+		select {
+		case e := <-box:
+			add(e)
+		default:
+			return bs
+		}
+	}
+	return bs
+}
+
+func senderOf(v replica.Voter) *peerv1.Voter {
+	return &peerv1.Voter{Id: uint64(v.ID), Instance: string(v.Instance), Address: v.Address}
+}
+
+func voterOf(p *peerv1.Voter) replica.Voter {
+	return replica.Voter{
+		ID: quorum.VoterID(p.GetId()), Instance: fleet.InstanceID(p.GetInstance()), Address: p.GetAddress(),
+	}
+}
--- /dev/null
+++ b/internal/quorum/voter/voter.go
@@ -0,0 +1,355 @@
+// Package voter runs the replicas of several groups in one daemon: journals,
+// transport, clock, batching, snapshots, and the replacement of a voter whose
+// data folder was lost.
+//
+//	v, err := voter.New(
+//		voter.Instance("london-1", "10.0.0.1:7300"),
+//		voter.Folder("/var/lib/bilberryrock"),
+//		voter.Initial(
+//			voter.Peer{ID: 1, Instance: "london-1", Address: "10.0.0.1:7300"},
+//			voter.Peer{ID: 2, Instance: "leeds-1", Address: "10.0.1.1:7300"},
+//			voter.Peer{ID: 3, Instance: "derby-1", Address: "10.0.2.1:7300"},
+//		),
+//		voter.Group(quorum.ConfigGroup, register),
+//		voter.Logger(logger),
+//	)
+//	server := grpc.NewServer(voter.ServerOptions()...)
+//	v.Register(server)
+//	reply, err := v.Propose(ctx, quorum.ConfigGroup, command)
+//	err = v.Stop(ctx)
+//
+// A Voter is a quorum.Proposer: it forwards to the leader of the group. A daemon
+// without a data folder uses a Client instead.
+//
+// # First start and lost folders
+//
+// The ids in Initial belong to data folders, not to instances. A voter with a
+// new folder first asks all other initial voters to bind its id to the folder,
+// and each of them keeps the first folder that it saw. The group therefore forms
+// once all initial voters have been up at the same time. A folder that finds its
+// id bound to another one is the successor of a lost folder: it takes a new
+// random id and joins as a learner. The leader promotes it when it has caught up
+// and then removes the lost voter.
+package voter
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/quorum"
+	"github.com/bilberryrock/bilberryrock/internal/quorum/journal"
+	"github.com/bilberryrock/bilberryrock/internal/quorum/replica"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+// Voter runs the replicas of one daemon. It is safe for concurrent use.
+type Voter struct {
+	config *config
+	conns  *connections
+	client *Client
+	lock   io.Closer
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+	failed chan error
+
+	mu        sync.Mutex
+	identity  journal.Identity
+	groups    map[quorum.GroupID]*group
+	transport *transport
+	directory map[quorum.VoterID]replica.Voter
+	stopping  bool
+}
+
+var _ quorum.Proposer = (*Voter)(nil)
+
+// New opens the data folder and starts the replicas. A damaged folder is an
+// error that names the file. New does not wait for other voters.
+func New(options ...Option) (*Voter, error) {
+	c, err := newConfig(options)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.disk.MakeDir(c.folder); err != nil {
+		return nil, errors.Wrap(err, "data folder")
+	}
+	lock, err := c.disk.Lock(c.folder)
+	if err != nil {
+		return nil, err
+	}
+	v := &Voter{
+		config: c, conns: newConnections(c.dialOptions()), lock: lock,
+		failed: make(chan error, 1), groups: make(map[quorum.GroupID]*group),
+		directory: make(map[quorum.VoterID]replica.Voter),
+	}
+	v.ctx, v.cancel = context.WithCancel(context.Background())
+	v.client = newClient(c, v.conns)
+	v.client.local = v.local
+	if err := v.begin(); err != nil {
+		_ = v.Stop(context.Background())
+		return nil, err
+	}
+	return v, nil
+}
+
+// begin loads the identity and starts the groups, now or once the identity is
+// known.
+func (v *Voter) begin() error {
+	id, err := journal.LoadIdentity(v.config.disk, v.config.folder)
+	if err != nil {
+		return err
+	}
+	if id.Folder == 0 {
+		id = journal.Identity{Folder: journal.FolderID(newID()), Folders: make(map[quorum.VoterID]journal.FolderID)}
+		if err := journal.SaveIdentity(v.config.disk, v.config.folder, id); err != nil {
+			return err
+		}
+	}
+	v.identity = id
+	if id.Voter != 0 {
+		return v.start()
+	}
+	v.wait.Go(func() {
+		if err := v.form(); err != nil {
+			v.fail(err)
+		}
+	})
+	return nil
+}
+
+// start opens all groups and runs them.
+func (v *Voter) start() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.stopping {
+		return nil
+	}
+	self := replica.Voter{ID: v.identity.Voter, Instance: v.config.instance, Address: v.config.address}
+	v.transport = newTransport(v.config, v.conns, self)
+	for _, id := range v.config.order {
+		if err := v.startGroup(id); err != nil {
+			return err
+		}
+	}
+	for _, id := range v.config.order {
+		g := v.groups[id]
+		v.wait.Go(func() { v.join(g) })
+	}
+	return nil
+}
+
+func (v *Voter) startGroup(id quorum.GroupID) error {
+	dir := filepath.Join(v.config.folder, string(id))
+	if err := v.checkFolder(id, dir); err != nil {
+		return err
+	}
+	o := v.config.replica
+	o.ID = v.identity.Voter
+	if o.Seed == 0 {
+		o.Seed = newID()
+	}
+	g := &group{voter: v, id: id, inbox: make(chan func(*member), inboxInputs), stopped: make(chan struct{})}
+	m, err := openMember(memberConfig{
+		group: id, options: o, initial: v.initialVoters(), machine: v.config.machines[id],
+		disk: v.config.disk, dir: dir, send: g.send,
+		snapshotEntries: v.config.snapshotEntries, keepEntries: v.config.keepEntries,
+	})
+	if err != nil {
+		return err
+	}
+	if err := v.noteGroup(id); err != nil {
+		return err
+	}
+	g.member = m
+	v.groups[id] = g
+	g.run()
+	return nil
+}
+
+// checkFolder refuses an empty journal of a group that this folder took part in:
+// the voter may have voted and acknowledged entries that are gone.
+func (v *Voter) checkFolder(id quorum.GroupID, dir string) error {
+	if err := v.config.disk.MakeDir(dir); err != nil {
+		return errors.Wrap(err, "data folder")
+	}
+	names, err := v.config.disk.List(dir)
+	if err != nil {
+		return errors.Wrap(err, "data folder")
+	}
+	for _, g := range v.identity.Groups {
+		if g == id && len(names) == 0 {
+			return &journal.CorruptError{File: dir, Reason: "the journal of the group is missing"}
+		}
+	}
+	return nil
+}
+
+func (v *Voter) noteGroup(id quorum.GroupID) error {
+	for _, g := range v.identity.Groups {
+		if g == id {
+			return nil
+		}
+	}
+	v.identity.Groups = append(v.identity.Groups, id)
+	return journal.SaveIdentity(v.config.disk, v.config.folder, v.identity)
+}
+
+// initialVoters returns the members of a new group. A replaced voter is none of
+// them and learns the members from the leader.
+func (v *Voter) initialVoters() []replica.Voter {
+	if v.identity.Replaced {
+		return nil
+	}
+	var vs []replica.Voter
+	for _, p := range v.config.initial {
+		vs = append(vs, replica.Voter{ID: p.ID, Instance: p.Instance, Address: p.Address})
+	}
+	return vs
+}
+
+// Propose hands a command to the leader of a group.
+func (v *Voter) Propose(ctx context.Context, id quorum.GroupID, command []byte) ([]byte, error) {
+	return v.client.Propose(ctx, id, command)
+}
+
+// Read hands a query to the leader of a group.
+func (v *Voter) Read(ctx context.Context, id quorum.GroupID, query []byte) ([]byte, error) {
+	return v.client.Read(ctx, id, query)
+}
+
+// local runs a call on the own replica.
+func (v *Voter) local(ctx context.Context, k call) ([]byte, error) {
+	g, err := v.group(k.group)
+	if err != nil {
+		return nil, err
+	}
+	return g.await(ctx, func(m *member, d done) {
+		if k.read {
+			m.read(k.data, d)
+			return
+		}
+		m.propose(k.data, d)
+	})
+}
+
+// AddLearner adds a member that receives the log without voting. It must be
+// called on the leader.
+func (v *Voter) AddLearner(ctx context.Context, id quorum.GroupID, p Peer) error {
+	return v.change(ctx, id, replica.Change{
+		Kind:  replica.AddLearner,
+		Voter: replica.Voter{ID: p.ID, Instance: p.Instance, Address: p.Address},
+	})
+}
+
+// Promote makes a learner that has caught up a voter. It must be called on the
+// leader.
+func (v *Voter) Promote(ctx context.Context, id quorum.GroupID, voter quorum.VoterID) error {
+	return v.change(ctx, id, replica.Change{Kind: replica.Promote, Voter: replica.Voter{ID: voter}})
+}
+
+// Remove removes a member. It must be called on the leader.
+func (v *Voter) Remove(ctx context.Context, id quorum.GroupID, voter quorum.VoterID) error {
+	return v.change(ctx, id, replica.Change{Kind: replica.Remove, Voter: replica.Voter{ID: voter}})
+}
+
+// TransferLeadership asks a voter to take over. It must be called on the leader
+// and returns before the transfer is complete.
+func (v *Voter) TransferLeadership(ctx context.Context, id quorum.GroupID, to quorum.VoterID) error {
+	g, err := v.group(id)
+	if err != nil {
+		return err
+	}
+	return g.transferTo(ctx, to)
+}
+
+func (v *Voter) change(ctx context.Context, id quorum.GroupID, c replica.Change) error {
+	g, err := v.group(id)
+	if err != nil {
+		return err
+	}
+	_, err = g.await(ctx, func(m *member, d done) { m.change(c, d) })
+	return err
+}
+
+func (v *Voter) group(id quorum.GroupID) (*group, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.stopping {
+		return nil, refusal.New(refusal.Stopping, "voter is stopping")
+	}
+	g, ok := v.groups[id]
+	if !ok {
+		return nil, refusal.New(refusal.NotReady, "group %q does not run here yet", id)
+	}
+	return g, nil
+}
+
+// running returns a group also while the voter is stopping, so that a transfer
+// of its leadership can complete.
+func (v *Voter) running(id quorum.GroupID) (*group, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	g, ok := v.groups[id]
+	return g, ok
+}
+
+// Failed returns a channel that receives the first error after which a replica
+// can't continue, such as a failed sync. The daemon should then stop.
+func (v *Voter) Failed() <-chan error { return v.failed }
+
+func (v *Voter) fail(err error) {
+	v.config.logger.Error("replica failed", zap.Error(err))
+	select {
+	case v.failed <- err:
+	default:
+	}
+}
+
+// Stop hands the leadership of all groups to other voters, ends the replicas and
+// closes the journals. It waits for a transfer until ctx ends, but no longer than
+// two election timeouts.
+func (v *Voter) Stop(ctx context.Context) error {
+	v.mu.Lock()
+	if v.stopping {
+		v.mu.Unlock()
+		return nil
+	}
+	v.stopping = true // start adds no groups from here on
+	groups, t := v.groups, v.transport
+	v.mu.Unlock()
+	for _, g := range groups {
+		g.resign(ctx)
+	}
+	v.cancel()
+	var err error
+	for _, g := range groups {
+		<-g.stopped
+		if e := g.member.stop(); e != nil && err == nil {
+			err = e
+		}
+	}
+	v.wait.Wait()
+	if t != nil {
+		t.close()
+	}
+	v.conns.close()
+	if e := v.lock.Close(); e != nil && err == nil {
+		err = e
+	}
+	return err
+}
+
+// newID returns a random id. Ids of 63 bits don't collide in practice with each
+// other or with the small ids of the settings.
+func newID() uint64 {
+	for {
+		if id := rand.Uint64() >> 1; id > 1<<32 {
+			return id
+		}
+	}
+}
