Add the order ledger

The state machine of the order groups keeps claims and answers; the client implements order.Ledger over quorum.Proposer. A claim holds at most once for a key, is repeated safely by its attempt, and is never forgotten before an answer, a release or a settlement by an operator. When a bound on keys or bytes is reached, new claims are refused and no key is forgotten; an account gets at most half of a bound, so that one account can't stop the orders of others.

A claim that is applied after its release would hold a key for ever, so a released attempt is remembered for ClaimAge, and older claims are refused. Limits are part of the commands, because voters with different settings would diverge.

--- /dev/null
+++ b/internal/order/ledger/client.go
@@ -0,0 +1,228 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/order"
+	"github.com/bilberryrock/bilberryrock/internal/quorum"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"github.com/pkg/errors"
+)
+
+const (
+	attempts   = 3
+	retryPause = 50 * time.Millisecond
+)
+
+// Client uses the ledger over a quorum.Proposer. It is safe for concurrent use.
+type Client struct {
+	proposer quorum.Proposer
+	clock    fleet.Clock
+	instance fleet.InstanceID
+	shards   int
+	limits   Limits
+}
+
+var _ order.Ledger = (*Client)(nil)
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithShards sets the number of groups. It must be the same on all instances and
+// must not change while keys are kept.
+func WithShards(n int) Option {
+	return func(c *Client) { c.shards = n }
+}
+
+// WithLimits replaces DefaultLimits.
+func WithLimits(l Limits) Option {
+	return func(c *Client) { c.limits = l }
+}
+
+// NewClient returns a Client of an instance.
+func NewClient(p quorum.Proposer, k fleet.Clock, i fleet.InstanceID, options ...Option) *Client {
+	c := &Client{proposer: p, clock: k, instance: i, shards: 1, limits: DefaultLimits}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+// Claim claims the key of a. Besides refusal.LedgerUnreachable, errors have the
+// kinds refusal.Overloaded, when a bound of the ledger is reached and the key has
+// no claim, refusal.NotReady, when the claim was not made and never will be, and
+// refusal.BadRequest.
+func (c *Client) Claim(ctx context.Context, a order.Claim) (order.Record, error) {
+	if a.Key.Name == "" || len(a.Key.Name) > MaxKey {
+		return order.Record{}, refusal.New(refusal.BadRequest, "key must have 1 to %d bytes", MaxKey)
+	}
+	if a.At.IsZero() {
+		a.At = c.clock.Now()
+	}
+	p, err := c.propose(ctx, command{
+		Kind:     claimKind,
+		Key:      a.Key,
+		Attempt:  a.Attempt,
+		Digest:   a.Digest[:],
+		Request:  a.Request,
+		Instance: a.Instance,
+		At:       a.At,
+	})
+	if err != nil {
+		return order.Record{}, err
+	}
+	if p.Full != "" {
+		return order.Record{}, refusal.New(refusal.Overloaded, "order was not run: %s", p.Full)
+	}
+	return recordOf(a.Key, p)
+}
+
+// Finish records an answer. The error has kind refusal.Conflict when the attempt
+// does not hold the claim. An answer above Limits.MaxAnswer is not kept, only
+// that the order ran.
+func (c *Client) Finish(ctx context.Context, k order.Key, a order.AttemptID, answer upstream.Answer) error {
+	data, err := json.Marshal(answer)
+	if err != nil {
+		return refusal.Because(refusal.Internal, err, "encode answer of an order")
+	}
+	if len(data) > c.limits.MaxAnswer {
+		data = nil
+	}
+	return c.change(ctx, command{Kind: finishKind, Key: k, Attempt: a, Answer: data})
+}
+
+// Release gives up a claim. The error has kind refusal.Conflict when the order
+// has a recorded answer.
+func (c *Client) Release(ctx context.Context, k order.Key, a order.AttemptID) error {
+	return c.change(ctx, command{Kind: releaseKind, Key: k, Attempt: a})
+}
+
+// Settle ends the claim that s names by the statement of an operator. When the
+// order ran, answer is what callers get from then on. The error has kind
+// refusal.Conflict when the attempt does not hold an open claim.
+func (c *Client) Settle(ctx context.Context, s Settlement, answer upstream.Answer) error {
+	if s.Operator == "" {
+		return refusal.New(refusal.BadRequest, "settlement needs the name of an operator")
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		return refusal.Because(refusal.Internal, err, "encode answer of an order")
+	}
+	return c.change(ctx, command{
+		Kind:     settleKind,
+		Key:      s.Key,
+		Attempt:  s.Attempt,
+		Operator: s.Operator,
+		Note:     s.Note,
+		Ran:      s.Ran,
+		Answer:   data,
+	})
+}
+
+// OpenClaims returns the oldest claims of an account that have no answer.
+func (c *Client) OpenClaims(ctx context.Context, a fleet.AccountID, limit int) ([]Open, error) {
+	p, err := c.read(ctx, command{Kind: openKind, Key: order.Key{Account: a}, Limit: limit})
+	return p.Open, err
+}
+
+// Settlements returns the newest settlements of an account, the newest first.
+func (c *Client) Settlements(ctx context.Context, a fleet.AccountID, limit int) ([]Settlement, error) {
+	p, err := c.read(ctx, command{Kind: settlementsKind, Key: order.Key{Account: a}, Limit: limit})
+	return p.Settlements, err
+}
+
+func (c *Client) change(ctx context.Context, m command) error {
+	m.Instance, m.At = c.instance, c.clock.Now()
+	p, err := c.propose(ctx, m)
+	if err != nil {
+		return err
+	}
+	if p.Full != "" {
+		return refusal.New(refusal.Overloaded, "attempt %q can't be released: %s", m.Attempt, p.Full)
+	}
+	if p.Lost {
+		return refusal.New(refusal.Conflict, "attempt %q does not hold the claim", m.Attempt)
+	}
+	return nil
+}
+
+// propose hands in a command up to a few times. All commands are safe to repeat.
+func (c *Client) propose(ctx context.Context, m command) (reply, error) {
+	m.Version, m.Limits, m.At = version, c.limits, m.At.UTC()
+	data, err := json.Marshal(m)
+	if err != nil {
+		return reply{}, refusal.Because(refusal.Internal, err, "encode command of the ledger")
+	}
+	kind := refusal.NotReady
+	var last error
+	for n := range attempts {
+		if n > 0 && !c.pause(ctx) {
+			break
+		}
+		answer, err := c.proposer.Propose(ctx, GroupOf(m.Key.Account, c.shards), data)
+		if err == nil {
+			return decodeReply(answer)
+		}
+		last = err
+		if refusal.KindOf(err) != refusal.NotReady {
+			kind = refusal.LedgerUnreachable
+		}
+	}
+	return reply{}, refusal.Because(kind, last, "order ledger did not answer")
+}
+
+func (c *Client) pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.clock.After(retryPause):
+		return true
+	}
+}
+
+func (c *Client) read(ctx context.Context, m command) (reply, error) {
+	m.Version = version
+	data, err := json.Marshal(m)
+	if err != nil {
+		return reply{}, refusal.Because(refusal.Internal, err, "encode query of the ledger")
+	}
+	answer, err := c.proposer.Read(ctx, GroupOf(m.Key.Account, c.shards), data)
+	if err != nil {
+		return reply{}, refusal.Because(refusal.LedgerUnreachable, err, "order ledger can't be read")
+	}
+	return decodeReply(answer)
+}
+
+// decodeReply returns a reply. A reply that can't be read tells nothing about
+// the command.
+func decodeReply(data []byte) (reply, error) {
+	var p reply
+	if err := json.Unmarshal(data, &p); err != nil {
+		return p, refusal.Because(refusal.LedgerUnreachable, err, "decode reply of the ledger")
+	}
+	if p.Error != "" {
+		return p, refusal.Because(refusal.LedgerUnreachable, errors.New(p.Error), "ledger refused the command")
+	}
+	return p, nil
+}
+
+func recordOf(k order.Key, p reply) (order.Record, error) {
+	r := order.Record{State: p.State, Mine: p.Mine, Reused: p.Reused}
+	if p.Record == nil {
+		return r, nil
+	}
+	r.Claim = order.Claim{Key: k, Attempt: p.Record.Attempt, Request: p.Record.Request, Instance: p.Record.Instance, At: p.Record.At}
+	copy(r.Claim.Digest[:], p.Record.Digest)
+	if len(p.Record.Answer) == 0 {
+		return r, nil
+	}
+	r.Answer = new(upstream.Answer)
+	if err := json.Unmarshal(p.Record.Answer, r.Answer); err != nil {
+		return r, refusal.Because(refusal.LedgerUnreachable, err, "decode recorded answer")
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/order/ledger/codec.go
@@ -0,0 +1,237 @@
+package ledger
+
+import (
+	"cmp"
+	"container/heap"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/order"
+	"github.com/bilberryrock/bilberryrock/internal/quorum"
+	"github.com/pkg/errors"
+)
+
+// version is the version of commands, queries, replies and snapshots.
+const version = 1
+
+type kind string
+
+const (
+	claimKind       kind = "claim"
+	finishKind      kind = "finish"
+	releaseKind     kind = "release"
+	settleKind      kind = "settle"
+	openKind        kind = "open"
+	settlementsKind kind = "settlements"
+)
+
+// command is a command or a query.
+type command struct {
+	Version  int              `json:"version"`
+	Kind     kind             `json:"kind"`
+	Key      order.Key        `json:"key"`
+	Attempt  order.AttemptID  `json:"attempt,omitempty"`
+	Digest   []byte           `json:"digest,omitempty"`
+	Request  fleet.RequestID  `json:"request,omitempty"`
+	Instance fleet.InstanceID `json:"instance,omitempty"`
+	At       time.Time        `json:"at"`
+	Limits   Limits           `json:"limits"`
+	// Answer is an encoded upstream.Answer.
+	Answer []byte `json:"answer,omitempty"`
+	// Operator, Note and Ran are for settle.
+	Operator string `json:"operator,omitempty"`
+	Note     string `json:"note,omitempty"`
+	Ran      bool   `json:"ran,omitempty"`
+	// Limit is for queries.
+	Limit int `json:"limit,omitempty"`
+}
+
+// reply answers a command or a query.
+type reply struct {
+	Version int         `json:"version"`
+	Error   string      `json:"error,omitempty"`
+	State   order.State `json:"state"`
+	Record  *record     `json:"record,omitempty"`
+	Mine    bool        `json:"mine,omitempty"`
+	Reused  bool        `json:"reused,omitempty"`
+	// Full names the bound that kept a claim from being made.
+	Full string `json:"full,omitempty"`
+	// Lost tells that the attempt does not hold the claim.
+	Lost        bool         `json:"lost,omitempty"`
+	Settled     *Settlement  `json:"settled,omitempty"`
+	Open        []Open       `json:"open,omitempty"`
+	Settlements []Settlement `json:"settlements,omitempty"`
+}
+
+// Settlement is the statement of an operator about an order whose outcome was
+// unknown.
+type Settlement struct {
+	Key      order.Key       `json:"key"`
+	Attempt  order.AttemptID `json:"attempt"`
+	Operator string          `json:"operator"`
+	Note     string          `json:"note,omitempty"`
+	// Ran tells whether the order ran. The key of an order that did not run is
+	// free again.
+	Ran bool      `json:"ran"`
+	At  time.Time `json:"at"`
+	// AnsweredLater tells that the answer of the attempt arrived afterwards.
+	AnsweredLater bool `json:"answeredLater,omitempty"`
+}
+
+// Open is a claim without an answer.
+type Open struct {
+	Key      order.Key        `json:"key"`
+	Attempt  order.AttemptID  `json:"attempt"`
+	Request  fleet.RequestID  `json:"request"`
+	Instance fleet.InstanceID `json:"instance"`
+	At       time.Time        `json:"at"`
+}
+
+type snapshot struct {
+	Version     int                          `json:"version"`
+	Time        timeline                     `json:"time"`
+	Records     []keyed                      `json:"records"`
+	Released    map[order.AttemptID]released `json:"released"`
+	Settlements []Settlement                 `json:"settlements"`
+}
+
+type keyed struct {
+	Key order.Key `json:"key"`
+	record
+}
+
+var _ quorum.Reader = (*Machine)(nil)
+
+// Apply runs one command.
+func (m *Machine) Apply(_ quorum.Index, data []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c, err := decodeCommand(data)
+	if err != nil {
+		return encode(reply{Error: err.Error()})
+	}
+	switch c.Kind {
+	case claimKind:
+		return encode(m.claim(c))
+	case finishKind:
+		return encode(m.finish(c))
+	case releaseKind:
+		return encode(m.release(c))
+	case settleKind:
+		return encode(m.settle(c))
+	}
+	return encode(reply{Error: "unknown kind of command"})
+}
+
+// Query answers a query.
+func (m *Machine) Query(data []byte) []byte {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	c, err := decodeCommand(data)
+	if err != nil {
+		return encode(reply{Error: err.Error()})
+	}
+	switch c.Kind {
+	case openKind:
+		return encode(reply{Open: m.open(c)})
+	case settlementsKind:
+		return encode(reply{Settlements: m.settled(c)})
+	}
+	return encode(reply{Error: "unknown kind of query"})
+}
+
+// open lists the oldest claims without an answer of an account.
+func (m *Machine) open(c command) []Open {
+	var list []Open
+	for k, r := range m.records {
+		if k.Account == c.Key.Account && r.State == order.Claimed {
+			list = append(list, Open{Key: k, Attempt: r.Attempt, Request: r.Request, Instance: r.Instance, At: r.At})
+		}
+	}
+	slices.SortFunc(list, func(a, b Open) int {
+		return cmp.Or(a.At.Compare(b.At), strings.Compare(a.Key.Name, b.Key.Name))
+	})
+	return list[:min(len(list), max(c.Limit, 0), MaxPage)]
+}
+
+// settled lists the newest settlements of an account, the newest first.
+func (m *Machine) settled(c command) []Settlement {
+	var list []Settlement
+	for i := len(m.settlements) - 1; i >= 0 && len(list) < min(c.Limit, MaxPage); i-- {
+		if s := m.settlements[i]; s.Key.Account == c.Key.Account {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// Snapshot returns the whole state in JSON, with the records ordered by key.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	s := snapshot{Version: version, Time: m.time, Released: m.released, Settlements: m.settlements}
+	for k, r := range m.records {
+		s.Records = append(s.Records, keyed{k, *r})
+	}
+	slices.SortFunc(s.Records, func(a, b keyed) int {
+		return cmp.Or(strings.Compare(string(a.Key.Account), string(b.Key.Account)), strings.Compare(a.Key.Name, b.Key.Name))
+	})
+	return json.Marshal(s)
+}
+
+// Restore replaces the state by a snapshot. It leaves the state as it was when
+// the snapshot is not valid.
+func (m *Machine) Restore(data []byte) error {
+	var s snapshot
+	if err := json.Unmarshal(data, &s); err != nil {
+		return errors.Wrap(err, "decode snapshot of the ledger")
+	}
+	if s.Version != version {
+		return errors.Errorf("snapshot version %d of the ledger is not supported", s.Version)
+	}
+	next := New()
+	for _, k := range s.Records {
+		r := k.record
+		next.records[k.Key] = &r
+		next.count(k.Key.Account, 1, r.size())
+		if r.State == order.Done {
+			next.expiries = append(next.expiries, expiry{at: r.Expires, key: k.Key})
+		}
+	}
+	for a, b := range s.Released {
+		next.released[a] = b
+		next.count(b.Account, 1, 0)
+		next.expiries = append(next.expiries, expiry{at: b.Until, attempt: a})
+	}
+	heap.Init(&next.expiries)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.time, m.settlements = s.Time, s.Settlements
+	m.records, m.released, m.accounts = next.records, next.released, next.accounts
+	m.total, m.expiries = next.total, next.expiries
+	return nil
+}
+
+func decodeCommand(data []byte) (command, error) {
+	var c command
+	if err := json.Unmarshal(data, &c); err != nil {
+		return c, errors.Wrap(err, "decode command of the ledger")
+	}
+	if c.Version != version {
+		return c, errors.Errorf("command version %d of the ledger is not supported", c.Version)
+	}
+	return c, nil
+}
+
+// encode returns p in JSON. A reply always encodes.
+func encode(p reply) []byte {
+	p.Version = version
+	data, err := json.Marshal(p)
+	if err != nil {
+		panic(errors.Wrap(err, "ledger: encode reply"))
+	}
+	return data
+}
--- /dev/null
+++ b/internal/order/ledger/ledger.go
@@ -0,0 +1,382 @@
+// Package ledger is the replicated state machine of order claims and their
+// recorded answers, and the client that implements order.Ledger over it.
+//
+// Claims are spread over groups by account: GroupOf names the group of an
+// account, and each group has its own Machine on every voter.
+//
+//	client := ledger.NewClient(proposer, clock, instance, ledger.WithShards(8))
+//	record, err := client.Claim(ctx, claim)
+//
+// A recorded answer is kept for Limits.Retention. A claim without an answer is
+// kept until it is finished, released or settled by an operator, because its
+// order may have run. When Limits.MaxRecords or Limits.MaxBytes is reached, new
+// claims are refused; no key is forgotten early. An account can use half of
+// either bound.
+//
+// The limits are part of each command, so that replicas with different settings
+// stay equal. Time comes from the commands as well: it is the second newest time
+// of any instance, so that one instance whose clock runs ahead does not make the
+// ledger forget keys early.
+package ledger
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/order"
+	"github.com/bilberryrock/bilberryrock/internal/quorum"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Limits bound one group.
+type Limits struct {
+	// Retention is the time for which an answer is kept after it was recorded.
+	// It is at least ClaimAge.
+	Retention time.Duration `json:"retention"`
+	// MaxRecords bounds the keys and released attempts.
+	MaxRecords int `json:"maxRecords"`
+	// MaxBytes bounds the recorded answers. Each claim without an answer counts
+	// MaxAnswer bytes.
+	MaxBytes int `json:"maxBytes"`
+	// MaxAnswer is the largest answer in bytes that is kept for replay.
+	MaxAnswer int `json:"maxAnswer"`
+}
+
+// DefaultLimits hold when a Client has no others.
+var DefaultLimits = Limits{
+	Retention:  24 * time.Hour,
+	MaxRecords: 200_000,
+	MaxBytes:   128 << 20,
+	MaxAnswer:  64 << 10,
+}
+
+const (
+	// MaxKey is the longest key name in bytes.
+	MaxKey = 256
+	// MaxSettlements is the number of settlements that are kept, the newest.
+	MaxSettlements = 10_000
+	// MaxPage is the largest number of entries of one answer to a query.
+	MaxPage = 500
+
+	// ClaimAge is the age from which on a claim is refused. A released attempt
+	// is remembered as long, so that its claim can't take effect afterwards.
+	ClaimAge = 10 * time.Minute
+
+	accountShare = 2 // an account may use one part in accountShare
+)
+
+// GroupOf returns the group of an account.
+func GroupOf(a fleet.AccountID, shards int) quorum.GroupID {
+	return quorum.GroupID(fmt.Sprintf("orders-%d", xxhash.Sum64String(string(a))%uint64(shards)))
+}
+
+// Machine is the state machine of one group. It is safe for concurrent use.
+type Machine struct {
+	mu      sync.RWMutex
+	time    timeline
+	records map[order.Key]*record
+	// released holds the attempts that may not claim any more.
+	released    map[order.AttemptID]released
+	accounts    map[fleet.AccountID]use
+	total       use
+	expiries    expiries
+	settlements []Settlement
+}
+
+// record is what is kept of a key.
+type record struct {
+	State    order.State      `json:"state"`
+	Attempt  order.AttemptID  `json:"attempt"`
+	Digest   []byte           `json:"digest"`
+	Request  fleet.RequestID  `json:"request"`
+	Instance fleet.InstanceID `json:"instance"`
+	At       time.Time        `json:"at"`
+	// Reserved is the size that the claim counts until it has an answer.
+	Reserved int `json:"reserved,omitempty"`
+	// Answer is an encoded upstream.Answer.
+	Answer []byte `json:"answer,omitempty"`
+	// Expires is set when the state is order.Done.
+	Expires time.Time `json:"expires"`
+}
+
+func (r *record) size() int { return r.Reserved + len(r.Answer) }
+
+// released is an attempt that was released.
+type released struct {
+	Account fleet.AccountID `json:"account"`
+	Until   time.Time       `json:"until"`
+}
+
+// use counts records and bytes.
+type use struct {
+	records, bytes int
+}
+
+// New returns an empty Machine.
+func New() *Machine {
+	return &Machine{
+		records:  make(map[order.Key]*record),
+		released: make(map[order.AttemptID]released),
+		accounts: make(map[fleet.AccountID]use),
+	}
+}
+
+func (m *Machine) claim(c command) reply {
+	m.advance(c)
+	r, ok := m.records[c.Key]
+	if ok {
+		return m.show(r, c)
+	}
+	if _, late := m.released[c.Attempt]; late {
+		return reply{State: order.Free}
+	}
+	if !c.At.Add(ClaimAge).After(m.time.now()) {
+		return reply{Full: "the claim came too late, or the clock of the instance is behind"}
+	}
+	if reason := m.full(c); reason != "" {
+		return reply{Full: reason}
+	}
+	r = &record{
+		State:    order.Claimed,
+		Attempt:  c.Attempt,
+		Digest:   c.Digest,
+		Request:  c.Request,
+		Instance: c.Instance,
+		At:       c.At,
+		Reserved: c.Limits.MaxAnswer,
+	}
+	m.records[c.Key] = r
+	m.count(c.Key.Account, 1, r.size())
+	return m.show(r, c)
+}
+
+// show returns a record as the attempt of c sees it. The answer of another
+// content is not shown.
+func (m *Machine) show(r *record, c command) reply {
+	p := reply{State: r.State, Record: r, Mine: r.Attempt == c.Attempt}
+	if !slices.Equal(r.Digest, c.Digest) {
+		hidden := *r
+		hidden.Answer = nil
+		p.Record, p.Reused, p.Mine = &hidden, true, false
+	}
+	return p
+}
+
+// full tells which bound a new claim would exceed.
+func (m *Machine) full(c command) string {
+	l, reserve := c.Limits, c.Limits.MaxAnswer
+	a := m.accounts[c.Key.Account]
+	switch {
+	case m.total.records >= l.MaxRecords:
+		return "the ledger holds its largest number of keys"
+	case m.total.bytes+reserve > l.MaxBytes:
+		return "the ledger holds its largest number of bytes"
+	case a.records >= l.MaxRecords/accountShare:
+		return "the account holds its largest number of keys"
+	case a.bytes+reserve > l.MaxBytes/accountShare:
+		return "the account holds its largest number of bytes"
+	}
+	return ""
+}
+
+func (m *Machine) finish(c command) reply {
+	m.advance(c)
+	r, ok := m.records[c.Key]
+	if !ok || r.Attempt != c.Attempt {
+		m.contradict(c)
+		return reply{Lost: true}
+	}
+	if r.State == order.Done {
+		m.contradict(c)
+		return reply{State: r.State}
+	}
+	m.complete(c, r, c.Answer)
+	return reply{State: r.State}
+}
+
+// complete records the answer of a claim.
+func (m *Machine) complete(c command, r *record, answer []byte) {
+	before := r.size()
+	if len(answer) > r.Reserved {
+		answer = nil
+	}
+	r.State, r.Answer, r.Reserved = order.Done, answer, 0
+	r.Expires = m.time.from(c.At).Add(max(c.Limits.Retention, ClaimAge))
+	m.count(c.Key.Account, 0, r.size()-before)
+	heap.Push(&m.expiries, expiry{at: r.Expires, key: c.Key})
+}
+
+// release gives up a claim. The attempt is remembered also when it has no claim,
+// because the command of the claim may still be under way.
+func (m *Machine) release(c command) reply {
+	m.advance(c)
+	r, ok := m.records[c.Key]
+	switch {
+	case ok && r.Attempt == c.Attempt && r.State == order.Done:
+		return reply{Lost: true}
+	case ok && r.Attempt == c.Attempt:
+		m.remove(c.Key)
+	case m.total.records >= c.Limits.MaxRecords:
+		return reply{Full: "the ledger holds its largest number of keys"}
+	}
+	m.bar(c)
+	return reply{State: order.Free}
+}
+
+// bar keeps an attempt from claiming again.
+func (m *Machine) bar(c command) {
+	if _, again := m.released[c.Attempt]; !again {
+		m.count(c.Key.Account, 1, 0)
+	}
+	until := m.time.from(c.At).Add(ClaimAge)
+	m.released[c.Attempt] = released{Account: c.Key.Account, Until: until}
+	heap.Push(&m.expiries, expiry{at: until, attempt: c.Attempt})
+}
+
+func (m *Machine) settle(c command) reply {
+	m.advance(c)
+	for _, s := range m.settlements {
+		if s.Attempt == c.Attempt && s.Key == c.Key {
+			return reply{Settled: &s}
+		}
+	}
+	r, ok := m.records[c.Key]
+	if !ok || r.Attempt != c.Attempt || r.State != order.Claimed {
+		return reply{Lost: true}
+	}
+	s := Settlement{Key: c.Key, Attempt: c.Attempt, Operator: c.Operator, Note: c.Note, Ran: c.Ran, At: c.At}
+	m.settlements = append(m.settlements, s)
+	if len(m.settlements) > MaxSettlements {
+		m.settlements = slices.Delete(m.settlements, 0, 1)
+	}
+	if c.Ran {
+		m.complete(c, r, c.Answer)
+	} else {
+		m.remove(c.Key)
+		m.bar(c)
+	}
+	return reply{Settled: &s}
+}
+
+// contradict notes that an answer arrived after its claim was settled.
+func (m *Machine) contradict(c command) {
+	for i := range m.settlements {
+		if s := &m.settlements[i]; s.Attempt == c.Attempt && s.Key == c.Key {
+			s.AnsweredLater = true
+		}
+	}
+}
+
+func (m *Machine) remove(k order.Key) {
+	m.count(k.Account, -1, -m.records[k].size())
+	delete(m.records, k)
+}
+
+func (m *Machine) count(a fleet.AccountID, records, bytes int) {
+	u := m.accounts[a]
+	u.records += records
+	u.bytes += bytes
+	if u.records == 0 {
+		delete(m.accounts, a)
+	} else {
+		m.accounts[a] = u
+	}
+	m.total.records += records
+	m.total.bytes += bytes
+}
+
+// advance takes over the time of a command and forgets what has expired.
+func (m *Machine) advance(c command) {
+	m.time.observe(c.Instance, c.At)
+	now := m.time.now()
+	for len(m.expiries) > 0 && !m.expiries[0].at.After(now) {
+		e := heap.Pop(&m.expiries).(expiry)
+		m.forget(e)
+	}
+}
+
+// forget drops what e stands for, unless it was recorded again since.
+func (m *Machine) forget(e expiry) {
+	if e.attempt != "" {
+		if b, ok := m.released[e.attempt]; ok && b.Until.Equal(e.at) {
+			delete(m.released, e.attempt)
+			m.count(b.Account, -1, 0)
+		}
+		return
+	}
+	r, ok := m.records[e.key]
+	if ok && r.State == order.Done && r.Expires.Equal(e.at) {
+		m.remove(e.key)
+	}
+}
+
+// timeline keeps the newest times of the two instances that are furthest ahead.
+type timeline struct {
+	First  mark `json:"first"`
+	Second mark `json:"second"`
+}
+
+type mark struct {
+	Instance fleet.InstanceID `json:"instance"`
+	At       time.Time        `json:"at"`
+}
+
+func (t *timeline) observe(i fleet.InstanceID, at time.Time) {
+	switch {
+	case i == t.First.Instance:
+		t.First.At = later(t.First.At, at)
+	case at.After(t.First.At):
+		t.Second, t.First = t.First, mark{i, at}
+	case i == t.Second.Instance || at.After(t.Second.At):
+		t.Second = mark{i, later(t.Second.At, at)}
+	}
+}
+
+// now returns the time that a second instance confirms. A single instance is
+// trusted alone.
+func (t *timeline) now() time.Time {
+	if t.Second.Instance == "" {
+		return t.First.At
+	}
+	return t.Second.At
+}
+
+// from returns the time at which a period starts that begins with a command. It
+// is not before now, so that a late command or a slow clock shortens no period.
+func (t *timeline) from(at time.Time) time.Time { return later(t.now(), at) }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// expiry is the time at which a key or a released attempt is forgotten.
+type expiry struct {
+	at      time.Time
+	key     order.Key
+	attempt order.AttemptID
+}
+
+type expiries []expiry
+
+func (e expiries) Len() int           { return len(e) }
+func (e expiries) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e expiries) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+
+// Push is part of heap.Interface.
+func (e *expiries) Push(x any) { *e = append(*e, x.(expiry)) }
+
+// Pop is part of heap.Interface.
+func (e *expiries) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	(*e)[last] = expiry{}
+	*e = (*e)[:last]
+	return x
+}
--- /dev/null
+++ b/internal/order/ledger/ledger_test.go
@@ -0,0 +1,178 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/order"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestScripts guards against a second claim of a key, forgotten keys, bounds
+// that are passed and answers that are not replayed whole.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		f := newFaulty(t, 1)
+		f.calm = true
+		clock := &movingClock{}
+		ctx := context.Background()
+		limits := Limits{Retention: time.Hour, MaxRecords: 8, MaxBytes: 1600, MaxAnswer: 200}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			account, key, attempt, instance, content, body, operator := "a", "k", "", "i1", "x", "", ""
+			move, age, ran := "0s", "0s", false
+			for name, to := range map[string]*string{"account": &account, "key": &key, "attempt": &attempt, "instance": &instance, "content": &content, "body": &body, "operator": &operator, "by": &move, "age": &age} {
+				d.MaybeScanArgs(t, name, to)
+			}
+			d.MaybeScanArgs(t, "ran", &ran)
+			k := order.Key{Account: fleet.AccountID(account), Name: key}
+			id := order.AttemptID(attempt)
+			skewed := &movingClock{offset: clock.offset}
+			if strings.HasPrefix(instance, "fast") {
+				skewed.offset += 48 * time.Hour
+			}
+			client := NewClient(f, skewed, fleet.InstanceID(instance), WithLimits(limits))
+			answer := upstream.Answer{Status: 200, Header: http.Header{"Order": {"7"}}, Body: []byte(body)}
+			switch d.Cmd {
+			case "claim":
+				old, _ := time.ParseDuration(age)
+				r, err := client.Claim(ctx, order.Claim{Key: k, Attempt: id, Digest: [32]byte{content[0]}, Instance: fleet.InstanceID(instance), At: skewed.Now().Add(-old)})
+				if err != nil {
+					return fmt.Sprintf("%s: %v\n", refusal.KindOf(err).Answer().Code, err)
+				}
+				out := fmt.Sprintf("%v by=%s mine=%v reused=%v", r.State, r.Claim.Attempt, r.Mine, r.Reused)
+				if r.Answer != nil {
+					out += fmt.Sprintf(" answer=%d %v %s", r.Answer.Status, r.Answer.Header, r.Answer.Body)
+				}
+				return out + "\n"
+			case "finish":
+				return result(client.Finish(ctx, k, id, answer))
+			case "release":
+				return result(client.Release(ctx, k, id))
+			case "settle":
+				return result(client.Settle(ctx, Settlement{Key: k, Attempt: id, Operator: operator, Ran: ran}, answer))
+			case "open":
+				list, err := client.OpenClaims(ctx, k.Account, 9)
+				return fmt.Sprintf("%d %v\n", len(list), err)
+			case "settlements":
+				list, err := client.Settlements(ctx, k.Account, 9)
+				out := fmt.Sprintf("%v\n", err)
+				for _, s := range list {
+					out += fmt.Sprintf("%s by %s ran=%v answeredLater=%v\n", s.Attempt, s.Operator, s.Ran, s.AnsweredLater)
+				}
+				return out
+			case "wait":
+				by, err := time.ParseDuration(move)
+				clock.offset += by
+				return result(err)
+			case "restart":
+				f.restart(0)
+				f.restart(1)
+				f.restart(2)
+				return "ok\n"
+			}
+			return "unknown command"
+		})
+	})
+}
+
+func result(err error) string {
+	if err != nil {
+		return fmt.Sprintf("%s: %v\n", refusal.KindOf(err).Answer().Code, err)
+	}
+	return "ok\n"
+}
+
+// TestSchedules guards against two executions of a key and against claims that
+// take effect after they were reported as not made or were released.
+func TestSchedules(t *testing.T) {
+	for seed := range int64(100) {
+		schedule(t, seed)
+	}
+}
+
+func schedule(t *testing.T, seed int64) {
+	f := newFaulty(t, seed)
+	clock := &movingClock{}
+	ctx := context.Background()
+	runs := make(map[order.Key]int)
+	never := make(map[order.AttemptID]bool) // attempts that may not hold a claim in the end
+	for n := range 80 {
+		instance := fleet.InstanceID(fmt.Sprint("i", f.random.Intn(3)))
+		c := NewClient(f, clock, instance)
+		k := order.Key{Account: "a", Name: fmt.Sprint(f.random.Intn(12))}
+		id := order.AttemptID(fmt.Sprint("attempt-", n))
+		clock.offset += time.Second
+		r, err := c.Claim(ctx, order.Claim{Key: k, Attempt: id, Instance: instance, At: clock.Now()})
+		switch {
+		case refusal.KindOf(err) == refusal.NotReady:
+			never[id] = true
+		case err != nil:
+			never[id] = c.Release(ctx, k, id) == nil
+		case r.Mine && f.random.Intn(3) == 0: // nothing was sent
+			never[id] = c.Release(ctx, k, id) == nil
+		case r.Mine:
+			runs[k]++
+			_ = c.Finish(ctx, k, id, upstream.Answer{Status: 200})
+		}
+		if runs[k] > 1 {
+			t.Fatalf("seed %d: key %s ran %d times", seed, k.Name, runs[k])
+		}
+	}
+	f.settle(1)
+	first, _ := f.replicas[0].Snapshot()
+	for _, m := range f.replicas[1:] {
+		if data, _ := m.Snapshot(); string(data) != string(first) {
+			t.Fatalf("seed %d: replicas differ:\n%s\n%s", seed, first, data)
+		}
+	}
+	for k, r := range f.replicas[0].records {
+		if never[r.Attempt] {
+			t.Fatalf("seed %d: %s holds key %s", seed, r.Attempt, k.Name)
+		}
+	}
+}
+
+// BenchmarkClaim measures claim and finish in one state machine.
+func BenchmarkClaim(b *testing.B) {
+	f := newFaulty(nil, 1)
+	f.calm, f.replicas = true, f.replicas[:1]
+	f.random.Seed(2)
+	m := f.replicas[0]
+	limits := DefaultLimits
+	limits.MaxRecords, limits.MaxBytes = 1<<30, 1<<40
+	var commands [][]byte
+	record := recorder{&commands}
+	clock := &movingClock{}
+	c := NewClient(record, clock, "i", WithLimits(limits))
+	answer := upstream.Answer{Status: 200, Header: http.Header{"Content-Type": {"application/json"}}, Body: make([]byte, 200)}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	n := 0
+	for b.Loop() {
+		b.StopTimer()
+		commands = commands[:0]
+		k := order.Key{Account: fleet.AccountID(fmt.Sprint(n % 1000)), Name: fmt.Sprint(n)}
+		id := order.AttemptID(fmt.Sprint("attempt-", n))
+		n++
+		_, _ = c.Claim(context.Background(), order.Claim{Key: k, Attempt: id, Request: fleet.NewRequestID()})
+		_ = c.Finish(context.Background(), k, id, answer)
+		b.StartTimer()
+		for _, x := range commands {
+			m.Apply(0, x)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(m.records)), "B/record")
+	b.ReportMetric(float64(n)/b.Elapsed().Seconds(), "orders/s")
+	runtime.KeepAlive(m)
+}
