--- /dev/null
+++ b/cmd/bilberryrockd/main.go
@@ -0,0 +1,121 @@
+// Command bilberryrockd is the daemon of an entry instance.
+//
+//	bilberryrockd --config a.ini
+//
+// It runs until SIGTERM or SIGINT and then stops gracefully: it takes no new
+// work and ends once all requests in progress are answered. Its exit status is 0
+// after a graceful stop, 2 if the settings are wrong and 1 for any other error.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/bilberryrock/bilberryrock/internal/entry/daemon"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/settings"
+)
+
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+type options struct {
+	Config string `long:"config" description:"settings file"`
+	Check  bool   `long:"check" description:"check the settings and end"`
+	Keys   bool   `long:"keys" description:"print a table of all settings and end"`
+}
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var usage *flags.Error
+		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+			return 0
+		}
+		return exitSettings
+	}
+	if o.Keys {
+		printKeys()
+		return 0
+	}
+	if o.Config == "" {
+		fmt.Fprintln(os.Stderr, "bilberryrockd: --config is needed")
+		return exitSettings
+	}
+	s, err := settings.Load(o.Config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bilberryrockd:", err)
+		return exitSettings
+	}
+	if o.Check {
+		fmt.Printf("%s: no fault found\n", o.Config)
+		return 0
+	}
+	log, err := newLog(s.Log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bilberryrockd:", err)
+		return exitFailed
+	}
+	return serve(s, log)
+}
+
+func printKeys() {
+	for _, k := range settings.Keys() {
+		fmt.Println(k.Row())
+	}
+}
+
+func serve(s settings.Settings, log *zap.Logger) int {
+	// Sync fails on a terminal; the lines are written all the same.
+	defer func() { _ = log.Sync() }()
+	d, err := daemon.New(s, daemon.WithLog(log))
+	if err != nil {
+		log.Error("The daemon could not start.", zap.Error(err))
+		return exitFailed
+	}
+	signals, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	var failed error
+	select {
+	case <-signals.Done():
+	case failed = <-d.Failed():
+		log.Error("A listener failed.", zap.Error(failed))
+	}
+	if err := d.Stop(); err != nil {
+		log.Error("The stop was not graceful.", zap.Error(err))
+		return exitFailed
+	}
+	if failed != nil {
+		return exitFailed
+	}
+	return 0
+}
+
+func newLog(l settings.Log) (*zap.Logger, error) {
+	config := zap.NewProductionConfig()
+	if l.Format == "console" {
+		config = zap.NewDevelopmentConfig()
+	}
+	level, err := zapcore.ParseLevel(l.Level)
+	if err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	config.Level = zap.NewAtomicLevelAt(level)
+	// Sampling would drop lines that an operator looks for.
+	config.Sampling = nil
+	config.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	return config.Build()
+}
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -44,6 +44,8 @@
 
 // Parts are the parts of the daemon that the API uses. All are needed.
 type Parts struct {
+	// Instance is the own instance.
+	Instance fleet.InstanceID
 	// Config returns the configuration in force, or nil if there is none yet.
 	Config  func() *document.Config
 	Gate    admission.Gate
--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -43,7 +43,7 @@
 func (a *API) serve(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		started := a.parts.Clock.Now()
-		q := &request{id: fleet.NewRequestID(), keyed: r.Header.Get("Idempotency-Key") != ""}
+		q := &request{id: a.parts.Instance.NewRequestID(), keyed: r.Header.Get("Idempotency-Key") != ""}
 		w.Header().Set("X-Request-Id", string(q.id))
 		err := a.run(w, r, q, h)
 		a.finish(w, r, q, started, err)
--- a/internal/entry/console/commands.go
+++ b/internal/entry/console/commands.go
@@ -1,6 +1,7 @@
 package console
 
 import (
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -59,7 +60,7 @@
 		return err
 	}
 	if c.Change == "" {
-		c.Change = string(fleet.NewRequestID())
+		c.Change = "change-" + rand.Text()
 	}
 	var outcome document.Outcome
 	err = c.call(http.MethodPost, "/v1/submissions", submitBody{
--- /dev/null
+++ b/internal/entry/daemon/control.go
@@ -0,0 +1,58 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/bilberryrock/bilberryrock/internal/membership"
+)
+
+// The times between two rounds of the control loop, and between two questions
+// for a newer configuration.
+const (
+	controlInterval = 200 * time.Millisecond
+	followTimeout   = 2 * time.Second
+)
+
+// control runs the controllers until the daemon ends.
+func (d *Daemon) control() {
+	for {
+		d.round()
+		select {
+		case <-d.clock.After(controlInterval):
+		case <-d.ended:
+			return
+		}
+	}
+}
+
+func (d *Daemon) round() {
+	ctx, cancel := context.WithTimeout(context.Background(), followTimeout)
+	defer cancel()
+	d.follow(ctx)
+	members := d.members()
+	d.spread.observe(members, d.clock.Now())
+	d.steer(members)
+	if d.revision() > 0 && d.health.Reason() == "starting" {
+		d.health.SetReady()
+	}
+}
+
+// members returns the known instances.
+func (d *Daemon) members() []membership.Member {
+	d.state.mu.Lock()
+	since := d.state.since
+	d.state.mu.Unlock()
+	list := []membership.Member{{
+		ID: d.settings.Instance.ID, DataCentre: d.settings.Instance.DataCentre,
+		Status: membership.Alive, Voter: d.settings.Instance.Votes,
+		Peers:    d.settings.Listeners.Peers,
+		Revision: d.revision(), Since: since,
+	}}
+	for _, v := range d.settings.Quorum.Voters {
+		if v.Instance != d.settings.Instance.ID {
+			list = append(list, membership.Member{ID: v.Instance, Peers: v.Address, Voter: true, Revision: d.revision()})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/entry/daemon/finder.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+
+	"go.uber.org/zap"
+
+	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/report"
+)
+
+// Find implements operator.Finder. A record that is not kept here is asked of
+// the instance that the request id points to.
+func (r *requests) Find(ctx context.Context, id string) (report.Record, bool) {
+	d := r.daemon
+	if record, found := d.state.trail.Find(id); found {
+		return record, true
+	}
+	for _, m := range d.members() {
+		if m.ID == d.settings.Instance.ID || !fleet.RequestID(id).MayBeOf(m.ID) {
+			continue
+		}
+		if record, found := d.ask(ctx, m.Peers, id); found {
+			return record, true
+		}
+	}
+	return report.Record{}, false
+}
+
+func (d *Daemon) ask(ctx context.Context, address, id string) (report.Record, bool) {
+	var record report.Record
+	conn, err := d.peers.Get(address)
+	if err != nil {
+		return record, false
+	}
+	reply, err := peerv1.NewPeerClient(conn).Explain(ctx, &peerv1.ExplainRequest{Id: id})
+	if err != nil {
+		d.log.Info("An instance did not answer.", zap.String("address", address), zap.Error(err))
+		return record, false
+	}
+	if !reply.GetFound() {
+		return record, false
+	}
+	if err := json.Unmarshal(reply.GetRecord(), &record); err != nil {
+		d.log.Error("A record could not be decoded.", zap.String("address", address), zap.Error(err))
+		return record, false
+	}
+	return record, true
+}
--- /dev/null
+++ b/internal/entry/daemon/listener.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
+
+	"github.com/bilberryrock/bilberryrock/internal/entry"
+)
+
+// server is one HTTP listener of the daemon.
+type server struct {
+	name string
+	http *http.Server
+}
+
+// startServer opens a listener and serves h in a goroutine until shutdown. A
+// failure is sent to failed. With a certificate and key it serves TLS.
+//
+// ReadTimeout and WriteTimeout of http.Server stay zero: they would cut off
+// answers that take longer. Handlers set deadlines for each body and write.
+func startServer(name, address string, h http.Handler, l entry.Limits, certificate, key string, log *zap.Logger, failed chan<- error) (*server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "open listener %s", name)
+	}
+	l = l.WithDefaults()
+	listener = netutil.LimitListener(listener, l.MaxConnections)
+	s := &server{name: name, http: &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: l.ReadTimeout,
+		IdleTimeout:       l.IdleTimeout,
+		MaxHeaderBytes:    l.MaxHeader,
+		ErrorLog:          zap.NewStdLog(log),
+	}}
+	go func() {
+		var err error
+		if certificate != "" {
+			err = s.http.ServeTLS(listener, certificate, key)
+		} else {
+			err = s.http.Serve(listener)
+		}
+		if !errors.Is(err, http.ErrServerClosed) {
+			failed <- errors.Wrapf(err, "listener %s", name)
+		}
+	}()
+	return s, nil
+}
+
+// stop waits until all requests are answered, for at most the given time.
+func (s *server) stop(wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		_ = s.http.Close()
+		return errors.Wrapf(err, "stop listener %s", s.name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/peer/peer.go
@@ -0,0 +1,96 @@
+// Package peer is the gRPC service that daemons offer each other, and the
+// connections to it.
+//
+// The methods of the replicated logs are those of package voter. Fetch hands out
+// the configuration in force, Explain a decision record.
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc/status"
+
+	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
+	"github.com/bilberryrock/bilberryrock/internal/document"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/report"
+)
+
+// maxFetchWait bounds the time that a Fetch waits for a newer revision.
+const maxFetchWait = 30 * time.Second
+
+// Source is the document in force on this instance.
+type Source interface {
+	// InForce returns the document, and a channel that is closed once there is
+	// a newer one.
+	InForce() (d document.Document, newer <-chan struct{})
+}
+
+// Server implements peerv1.PeerServer. The methods of the replicated logs are
+// those of the embedded server.
+type Server struct {
+	peerv1.PeerServer
+	source Source
+	trail  report.Trail
+	clock  fleet.Clock
+}
+
+// NewServer returns a Server. The log serves the methods of the replicated logs;
+// an instance that does not vote has a nil one.
+func NewServer(log peerv1.PeerServer, source Source, trail report.Trail, clock fleet.Clock) *Server {
+	if log == nil {
+		log = peerv1.UnimplementedPeerServer{}
+	}
+	return &Server{PeerServer: log, source: source, trail: trail, clock: clock}
+}
+
+// Fetch returns the sections that are newer than the asking instance's revision.
+// It waits for a newer revision for the time that the request names.
+func (s *Server) Fetch(ctx context.Context, r *peerv1.FetchRequest) (*peerv1.FetchReply, error) {
+	wait := min(time.Duration(r.GetWaitMs())*time.Millisecond, maxFetchWait)
+	timeout := s.clock.After(wait)
+	for {
+		d, newer := s.source.InForce()
+		if d.Revision > fleet.Revision(r.GetAfter()) {
+			return difference(d, fleet.Revision(r.GetAfter())), nil
+		}
+		select {
+		case <-newer:
+		case <-timeout:
+			return &peerv1.FetchReply{Revision: uint64(d.Revision)}, nil
+		case <-ctx.Done():
+			return nil, status.FromContextError(ctx.Err()).Err()
+		}
+	}
+}
+
+// difference returns the sections of d that changed after a revision.
+func difference(d document.Document, after fleet.Revision) *peerv1.FetchReply {
+	reply := &peerv1.FetchReply{Revision: uint64(d.Revision), Full: after == 0}
+	for _, section := range d.Sections {
+		if section.Revision > after {
+			reply.Sections = append(reply.Sections, &peerv1.Section{
+				Team:     string(section.Team),
+				Revision: uint64(section.Revision),
+				Text:     section.Text,
+			})
+		}
+	}
+	return reply
+}
+
+// Explain returns a decision record of this instance.
+func (s *Server) Explain(_ context.Context, r *peerv1.ExplainRequest) (*peerv1.ExplainReply, error) {
+	record, found := s.trail.Find(r.GetId())
+	if !found {
+		return &peerv1.ExplainReply{}, nil
+	}
+	raw, err := json.Marshal(record)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode record")
+	}
+	return &peerv1.ExplainReply{Found: true, Record: raw}, nil
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,7 +15,11 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
+	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // InstanceID names one running daemon of the system. It stays the same over
@@ -82,6 +86,10 @@
 	After(d time.Duration) <-chan time.Time
 }
 
+// mark is the length of the part of a RequestID that names the instance, in
+// hexadecimal digits.
+const mark = 8
+
 // NewRequestID returns a random RequestID of 128 bits in hexadecimal.
 func NewRequestID() RequestID {
 	var b [16]byte
@@ -90,3 +98,19 @@
 	_, _ = rand.Read(b[:])
 	return RequestID(hex.EncodeToString(b[:]))
 }
+
+// NewRequestID returns a RequestID whose first 32 bits are a hash of the instance
+// that received the request, so that its records can be found again.
+func (i InstanceID) NewRequestID() RequestID {
+	return RequestID(i.mark()) + NewRequestID()[mark:]
+}
+
+// MayBeOf tells whether the request may have been received by the instance. It
+// is true for the right one, and rarely for another.
+func (r RequestID) MayBeOf(i InstanceID) bool {
+	return strings.HasPrefix(string(r), i.mark())
+}
+
+func (i InstanceID) mark() string {
+	return fmt.Sprintf("%016x", xxhash.Sum64String(string(i)))[:mark]
+}
