--- a/internal/quorum/replica/codec.go
+++ b/internal/quorum/replica/codec.go
@@ -93,7 +93,8 @@
 	p := &peerv1.Voters{}
 	for _, v := range vs {
 		p.Voters = append(p.Voters, &peerv1.Voter{
-			Id: uint64(v.ID), Instance: string(v.Instance), Address: v.Address, Learner: v.Learner,
+			Id: uint64(v.ID), Instance: string(v.Instance), Address: v.Address,
+			Learner: v.Learner, Replaces: uint64(v.Replaces),
 		})
 	}
 	return p
@@ -105,6 +106,7 @@
 		vs = append(vs, Voter{
 			ID: quorum.VoterID(v.GetId()), Instance: fleet.InstanceID(v.GetInstance()),
 			Address: v.GetAddress(), Learner: v.GetLearner(),
+			Replaces: quorum.VoterID(v.GetReplaces()),
 		})
 	}
 	return vs
--- a/internal/quorum/replica/membership.go
+++ b/internal/quorum/replica/membership.go
@@ -71,6 +71,9 @@
 	if err != nil {
 		return 0, 0, err
 	}
+	if c.Kind != AddLearner && !r.reachable(vs) {
+		return 0, 0, ErrMajority
+	}
 	i := r.appendOwn(Membership, EncodeVoters(vs))
 	r.updateProgress()
 	return i, r.term, nil
@@ -104,12 +107,27 @@
 	return nil, errors.Errorf("unknown membership change %d", c.Kind)
 }
 
-// caughtUp reports whether a member holds all committed entries.
+// caughtUp reports whether a member answers and holds all committed entries.
 func (r *Replica) caughtUp(id quorum.VoterID) bool {
 	p := r.progress[id]
 	return p != nil && p.reachable() && !p.lost && p.match >= r.log.commit
 }
 
+// reachable reports whether a majority of the voters in vs answers.
+func (r *Replica) reachable(vs []Voter) bool {
+	yes, voters := 0, 0
+	for _, v := range vs {
+		if v.Learner {
+			continue
+		}
+		voters++
+		if p := r.progress[v.ID]; v.ID == r.options.ID || p != nil && p.reachable() && !p.lost {
+			yes++
+		}
+	}
+	return yes > voters/2
+}
+
 // updateProgress starts following new members and forgets removed ones.
 func (r *Replica) updateProgress() {
 	for id := range r.progress {
--- a/internal/quorum/replica/replica.go
+++ b/internal/quorum/replica/replica.go
@@ -35,6 +35,7 @@
 	ErrBusy       = errors.New("too many uncommitted entries")
 	ErrChanging   = errors.New("another membership change is not committed yet")
 	ErrNotReached = errors.New("member has not caught up")
+	ErrMajority   = errors.New("too few of the voters would be reachable")
 )
 
 // transferContext in a Vote marks an election that the old leader asked for.
--- a/internal/quorum/replica/types.go
+++ b/internal/quorum/replica/types.go
@@ -67,6 +67,8 @@
 	Address string
 	// Learner receives the log but neither votes nor counts for a commit.
 	Learner bool
+	// Replaces is the lost voter whose place the member takes, or 0.
+	Replaces quorum.VoterID
 }
 
 // Snapshot is the state of the state machine up to Index.
--- a/internal/quorum/voter/member.go
+++ b/internal/quorum/voter/member.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
 	"github.com/bilberryrock/bilberryrock/internal/quorum/journal"
@@ -287,33 +288,43 @@
 	if m.replica.Leader() != m.options.ID {
 		return
 	}
-	if c, ok := nextChange(m.replica.Status().Progress); ok {
+	s := m.replica.Status()
+	if c, ok := nextChange(s.Progress, s.Commit); ok {
 		// A refused change is tried again after the next pause.
 		_, _, _ = m.replica.ProposeChange(c)
 	}
 }
 
-// nextChange returns the next step of a replacement: two members of one instance
-// are the lost one and its successor. The successor is promoted before the lost
-// one is removed, so that no step leaves fewer running voters than before.
-func nextChange(ps []replica.Progress) (replica.Change, bool) {
+// nextChange returns the next step of a replacement. Once the successor of a
+// lost voter has caught up, the lost voter is removed and then the successor is
+// promoted. The other order would raise the majority first, and the loss of the
+// successor would then leave 2 of 4 voters.
+func nextChange(ps []replica.Progress, commit quorum.Index) (replica.Change, bool) {
 	for i, old := range ps {
-		if old.Active && !old.Lost {
+		gone := !old.Active || old.Lost
+		if gone && old.Voter.Learner && hasSuccessor(ps[i+1:], old.Voter) {
+			return replica.Change{Kind: replica.Remove, Voter: old.Voter}, true
+		}
+	}
+	for _, p := range ps {
+		if !p.Voter.Learner || p.Voter.Replaces == 0 || !p.Active || p.Match < commit {
 			continue
 		}
-		for _, p := range ps[i+1:] {
-			if p.Voter.Instance != old.Voter.Instance {
-				continue
-			}
-			if p.Voter.Learner && !old.Voter.Learner {
-				return replica.Change{Kind: replica.Promote, Voter: p.Voter}, p.Active
-			}
-			return replica.Change{Kind: replica.Remove, Voter: old.Voter}, true
+		k := slices.IndexFunc(ps, func(o replica.Progress) bool { return o.Voter.ID == p.Voter.Replaces })
+		if k < 0 {
+			return replica.Change{Kind: replica.Promote, Voter: p.Voter}, true
+		}
+		if !ps[k].Active || ps[k].Lost {
+			return replica.Change{Kind: replica.Remove, Voter: ps[k].Voter}, true
 		}
 	}
 	return replica.Change{}, false
 }
 
+func hasSuccessor(later []replica.Progress, v replica.Voter) bool {
+	return slices.ContainsFunc(later, func(p replica.Progress) bool { return p.Voter.Instance == v.Instance })
+}
+
 // join adds a learner that takes the place of a lost member of its instance.
 func (m *member) join(v replica.Voter, d done) {
 	if m.failure != nil {
@@ -329,28 +340,35 @@
 		d(nil, nil)
 		return
 	}
-	if err := mayJoin(s.Progress, v); err != nil {
+	lost, err := predecessor(s.Progress, v.Instance)
+	if err != nil {
 		d(nil, err)
 		return
 	}
+	v.Replaces = lost
 	m.change(replica.Change{Kind: replica.AddLearner, Voter: v}, d)
 }
 
-func mayJoin(ps []replica.Progress, v replica.Voter) error {
-	known := false
+// predecessor returns the voter of an instance whose folder was lost. When its
+// successor was lost as well, it is still the first one.
+func predecessor(ps []replica.Progress, instance fleet.InstanceID) (quorum.VoterID, error) {
+	lost := quorum.VoterID(0)
 	for _, p := range ps {
-		if p.Voter.Instance != v.Instance {
+		if p.Voter.Instance != instance {
 			continue
 		}
-		known = true
 		if p.Active && !p.Lost {
-			return refusal.New(refusal.Conflict, "voter %d of instance %q is still running", p.Voter.ID, v.Instance)
+			return 0, refusal.New(refusal.Conflict, "voter %d of instance %q is still running", p.Voter.ID, instance)
+		}
+		lost = p.Voter.ID
+		if p.Voter.Learner && p.Voter.Replaces != 0 {
+			lost = p.Voter.Replaces
 		}
 	}
-	if !known {
-		return refusal.New(refusal.Forbidden, "instance %q has no voter to replace", v.Instance)
+	if lost == 0 {
+		return 0, refusal.New(refusal.Forbidden, "instance %q has no voter to replace", instance)
 	}
-	return nil
+	return lost, nil
 }
 
 // stop ends all proposals and reads and closes the journal.
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -28,8 +28,8 @@
 // and each of them keeps the first folder that it saw. The group therefore forms
 // once all initial voters have been up at the same time. A folder that finds its
 // id bound to another one is the successor of a lost folder: it takes a new
-// random id and joins as a learner. The leader promotes it when it has caught up
-// and then removes the lost voter.
+// random id and joins as a learner. When it has caught up, the leader removes the
+// lost voter and then promotes the learner.
 package voter
 
 import (
