--- a/internal/quorum/journal/identity.go
+++ b/internal/quorum/journal/identity.go
@@ -29,6 +29,8 @@
 	Replaced bool
 	// Groups are the groups whose journals were created in the folder.
 	Groups []quorum.GroupID
+	// Damage says why the folder must not be used any more, or is empty.
+	Damage string
 }
 
 // LoadIdentity reads the identity of a data folder. The zero value means that
@@ -48,7 +50,7 @@
 	}
 	id := Identity{
 		Folder: FolderID(p.GetFolder()), Voter: quorum.VoterID(p.GetVoter()),
-		Replaced: p.GetReplaced(), Folders: make(map[quorum.VoterID]FolderID),
+		Replaced: p.GetReplaced(), Damage: p.GetDamage(), Folders: make(map[quorum.VoterID]FolderID),
 	}
 	for v, f := range p.GetFolders() {
 		id.Folders[quorum.VoterID(v)] = FolderID(f)
@@ -63,7 +65,7 @@
 func SaveIdentity(d Disk, dir string, id Identity) error {
 	p := &peerv1.JournalIdentity{
 		Folder: uint64(id.Folder), Voter: uint64(id.Voter),
-		Replaced: id.Replaced, Folders: make(map[uint64]uint64),
+		Replaced: id.Replaced, Damage: id.Damage, Folders: make(map[uint64]uint64),
 	}
 	for v, f := range id.Folders {
 		p.Folders[uint64(v)] = uint64(f)
--- a/internal/quorum/journal/journal.go
+++ b/internal/quorum/journal/journal.go
@@ -19,10 +19,12 @@
 // the mark itself.
 //
 // Open can't detect that the whole directory was put back to an older state,
-// that the newest segment was cut at a record boundary, or that a disk dropped
-// the newest records although it had acknowledged their sync. A leader notices
-// such a voter when its log is shorter than what it acknowledged to that leader
-// (replica.Progress.Lost).
+// that the newest segment was cut at a record boundary, that a disk dropped the
+// newest records although it had acknowledged their sync, or damage to the newest
+// record when a power loss also took the mark after it. A leader notices such a
+// voter when its log is shorter than what it acknowledged to that leader
+// (replica.LostError). Nobody notices when that leader is gone before the voter
+// returns.
 //
 // When a write or sync fails, the state of the file is unknown: the journal then
 // refuses further use until it is opened again. Open copies what it read to a
--- a/internal/quorum/journal/load.go
+++ b/internal/quorum/journal/load.go
@@ -52,8 +52,7 @@
 	if len(list) == 0 && s.GetSnapshot() == nil {
 		return l, 0, nil
 	}
-	list, err = fromBase(dir, list, s.GetNextSegment())
-	if err != nil {
+	if err := checkChain(dir, list, s.GetNextSegment()); err != nil {
 		return l, 0, err
 	}
 	if err := l.replay(list); err != nil {
@@ -80,23 +79,29 @@
 	return &s, readWhole(name, b, &s)
 }
 
+// loadSegments reads the segments from the newest one that replaces all before
+// it. Older ones are left over from a crash, and their tails may be damaged.
 func loadSegments(d Disk, dir string) ([]segment, error) {
 	numbers, err := segments(d, dir)
 	if err != nil {
 		return nil, errors.Wrap(err, "journal")
 	}
 	var list []segment
-	for i, n := range numbers {
-		if i > 0 && n != numbers[i-1]+1 {
-			return nil, missing(dir, numbers[i-1]+1)
-		}
-		s, err := loadSegment(d, dir, n, i == len(numbers)-1)
+	for i := len(numbers) - 1; i >= 0; i-- {
+		s, err := loadSegment(d, dir, numbers[i], i == len(numbers)-1)
 		if err != nil {
 			return nil, err
 		}
 		list = append(list, s)
+		if s.records[0].GetBase() != nil {
+			slices.Reverse(list)
+			return list, nil
+		}
+		if i == 0 || numbers[i-1] != numbers[i]-1 {
+			return nil, missing(dir, numbers[i]-1)
+		}
 	}
-	return list, nil
+	return nil, nil
 }
 
 // loadSegment reads the records of one segment. Only the last segment may end
@@ -130,37 +135,30 @@
 	return s, nil
 }
 
-// fromBase returns the segments from the newest base on. next is the number that
-// the snapshot expects for the segment after it.
-func fromBase(dir string, list []segment, next uint64) ([]segment, error) {
-	start := -1
-	for i, s := range list {
-		if s.records[0].GetBase() != nil {
-			start = i
-			continue
-		}
-		if i > 0 && s.records[0].GetPreviousBytes() != uint64(list[i-1].size) {
-			return nil, &CorruptError{
-				File: list[i-1].name, Offset: int64(list[i-1].size),
-				Reason: fmt.Sprintf("segment had %d bytes when it was closed", s.records[0].GetPreviousBytes()),
-			}
-		}
+// checkChain checks that no segment lost its end, and that the segment after the
+// snapshot exists. next is the number that the snapshot expects for it.
+func checkChain(dir string, list []segment, next uint64) error {
+	if len(list) == 0 {
+		return missing(dir, next)
 	}
-	if start < 0 {
-		if len(list) > 0 {
-			return nil, missing(dir, list[0].number-1)
+	for i, s := range list[1:] {
+		if size := s.records[0].GetPreviousBytes(); size != uint64(list[i].size) {
+			return &CorruptError{
+				File: list[i].name, Offset: int64(list[i].size),
+				Reason: fmt.Sprintf("segment had %d bytes when it was closed", size),
+			}
 		}
-		return nil, missing(dir, next)
 	}
-	list = list[start:]
 	// A crash after the snapshot was stored leaves the log without the segment
 	// that follows it, but with the segment before.
-	if last := list[len(list)-1].number; last+1 < next {
-		return nil, missing(dir, last+1)
-	} else if list[0].number < next && last >= next {
-		return nil, &CorruptError{File: filepath.Join(dir, segmentName(next)), Reason: "segment does not start at its snapshot"}
+	last := list[len(list)-1].number
+	if last+1 < next {
+		return missing(dir, last+1)
+	}
+	if list[0].number < next && last >= next {
+		return &CorruptError{File: filepath.Join(dir, segmentName(next)), Reason: "segment does not start at its snapshot"}
 	}
-	return list, nil
+	return nil
 }
 
 func (l *loaded) replay(list []segment) error {
--- a/internal/quorum/quorumtest/disk.go
+++ b/internal/quorum/quorumtest/disk.go
@@ -21,6 +21,7 @@
 	// loss leaves them.
 	names, durable map[string]*content
 	failSyncs      int
+	failAfter      int // operations until all fail, or -1
 	lying          bool
 }
 
@@ -41,7 +42,7 @@
 
 // NewDisk returns an empty Disk.
 func NewDisk() *Disk {
-	return &Disk{names: make(map[string]*content), durable: make(map[string]*content)}
+	return &Disk{names: make(map[string]*content), durable: make(map[string]*content), failAfter: -1}
 }
 
 // FailSyncs makes the next n syncs of files fail.
@@ -51,6 +52,25 @@
 	d.failSyncs = n
 }
 
+// FailAfter makes all changes fail after the next n, as if the process had ended
+// there. A negative n ends this.
+func (d *Disk) FailAfter(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failAfter = n
+}
+
+// change counts an operation and reports whether it fails.
+func (d *Disk) change() error {
+	if d.failAfter == 0 {
+		return ErrDisk
+	}
+	if d.failAfter > 0 {
+		d.failAfter--
+	}
+	return nil
+}
+
 // Lie makes syncs report success without doing anything, until it is called
 // with false.
 func (d *Disk) Lie(on bool) {
@@ -139,6 +159,9 @@
 func (d *Disk) Create(name string) (journal.File, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return nil, err
+	}
 	c := &content{}
 	d.names[filepath.Clean(name)] = c
 	return &handle{disk: d, file: c}, nil
@@ -148,6 +171,9 @@
 func (d *Disk) Rename(from, to string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return err
+	}
 	c, ok := d.names[filepath.Clean(from)]
 	if !ok {
 		return &os.PathError{Op: "rename", Path: from, Err: os.ErrNotExist}
@@ -161,6 +187,9 @@
 func (d *Disk) Remove(name string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return err
+	}
 	delete(d.names, filepath.Clean(name))
 	return nil
 }
@@ -169,6 +198,9 @@
 func (d *Disk) SyncDir(dir string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return err
+	}
 	if d.lying {
 		return nil
 	}
@@ -192,6 +224,9 @@
 func (h *handle) Write(b []byte) (int, error) {
 	h.disk.mu.Lock()
 	defer h.disk.mu.Unlock()
+	if err := h.disk.change(); err != nil {
+		return 0, err
+	}
 	h.file.data = append(h.file.data, b...)
 	return len(b), nil
 }
@@ -199,6 +234,9 @@
 func (h *handle) Sync() error {
 	h.disk.mu.Lock()
 	defer h.disk.mu.Unlock()
+	if err := h.disk.change(); err != nil {
+		return err
+	}
 	if h.disk.failSyncs > 0 {
 		h.disk.failSyncs--
 		return ErrDisk
--- a/internal/quorum/replica/leader.go
+++ b/internal/quorum/replica/leader.go
@@ -333,6 +333,9 @@
 	if m.Context > p.matchContext && m.LogIndex < p.match {
 		p.lost = true
 	}
+	if p.lost {
+		r.sendEarly(Message{Kind: LostEntries, To: m.From, LogIndex: p.match, Hint: m.LogIndex})
+	}
 	if p.flow == probing {
 		p.probed = false
 	}
--- a/internal/quorum/replica/names_string.go
+++ b/internal/quorum/replica/names_string.go
@@ -40,11 +40,12 @@
 	_ = x[HeartbeatReply-8]
 	_ = x[InstallSnapshot-9]
 	_ = x[TimeoutNow-10]
+	_ = x[LostEntries-11]
 }
 
-const _MessageKind_name = "nonepreVotepreVoteReplyvotevoteReplyappendappendReplyheartbeatheartbeatReplysnapshottimeoutNow"
+const _MessageKind_name = "nonepreVotepreVoteReplyvotevoteReplyappendappendReplyheartbeatheartbeatReplysnapshottimeoutNowlostEntries"
 
-var _MessageKind_index = [...]uint8{0, 4, 11, 23, 27, 36, 42, 53, 62, 76, 84, 94}
+var _MessageKind_index = [...]uint8{0, 4, 11, 23, 27, 36, 42, 53, 62, 76, 84, 94, 105}
 
 func (i MessageKind) String() string {
 	idx := int(i) - 0
--- a/internal/quorum/replica/replica.go
+++ b/internal/quorum/replica/replica.go
@@ -22,6 +22,7 @@
 package replica
 
 import (
+	"fmt"
 	"math/rand/v2"
 
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
@@ -38,6 +39,20 @@
 	ErrMajority   = errors.New("too few of the voters would be reachable")
 )
 
+// LostError tells that a replica no longer holds entries that it had
+// acknowledged, because its folder was put back to an older state or its disk
+// dropped synced data. Its votes can't be trusted either.
+type LostError struct {
+	Voter              quorum.VoterID
+	Acknowledged, Last quorum.Index
+}
+
+// Error names the voter and its entries.
+func (e *LostError) Error() string {
+	return fmt.Sprintf("voter %d acknowledged entry %d, but its log ended at %d after a restart; "+
+		"remove its data folder so that it joins anew", e.Voter, e.Acknowledged, e.Last)
+}
+
 // transferContext in a Vote marks an election that the old leader asked for.
 const transferContext = 1
 
@@ -199,6 +214,8 @@
 		return r.handleAppendReply(m)
 	case HeartbeatReply:
 		r.handleHeartbeatReply(m)
+	case LostEntries:
+		return &LostError{Voter: m.To, Acknowledged: m.LogIndex, Last: m.Hint}
 	case TimeoutNow:
 		if m.From == r.leader && r.electable() {
 			r.campaign(transferContext)
--- a/internal/quorum/replica/types.go
+++ b/internal/quorum/replica/types.go
@@ -35,6 +35,7 @@
 	HeartbeatReply                     // heartbeatReply
 	InstallSnapshot                    // snapshot
 	TimeoutNow                         // timeoutNow
+	LostEntries                        // lostEntries
 )
 
 // EntryKind is the kind of an Entry. The values are those of peerv1.EntryKind.
--- a/internal/quorum/voter/group.go
+++ b/internal/quorum/voter/group.go
@@ -34,7 +34,7 @@
 		defer close(g.stopped)
 		last := c.clock.Now()
 		timer := c.clock.After(c.tick)
-		var seen replica.Status
+		var seen sight
 		for {
 			var input func(*member)
 			select {
@@ -70,17 +70,22 @@
 	}
 }
 
+// sight is what the log last told about a member.
+type sight struct {
+	leader quorum.VoterID
+	term   quorum.Term
+	failed bool
+}
+
 // report logs a change of leader or term, and the first failure.
-func (g *group) report(seen replica.Status) replica.Status {
+func (g *group) report(seen sight) sight {
 	m := g.member
-	now := replica.Status{Leader: m.replica.Leader(), Term: m.replica.Term()}
-	if now.Leader != seen.Leader || now.Term != seen.Term {
+	now := sight{leader: m.replica.Leader(), term: m.replica.Term(), failed: m.failure != nil}
+	if now.leader != seen.leader || now.term != seen.term {
 		g.voter.config.logger.Info("leader changed", zap.String("group", string(g.id)),
-			zap.Uint64("leader", uint64(now.Leader)), zap.Uint64("term", uint64(now.Term)))
+			zap.Uint64("leader", uint64(now.leader)), zap.Uint64("term", uint64(now.term)))
 	}
-	now.Commit = seen.Commit
-	if m.failure != nil && seen.Commit == 0 {
-		now.Commit = 1 // The failure was reported.
+	if now.failed && !seen.failed {
 		g.voter.fail(m.failure)
 	}
 	return now
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -110,6 +110,9 @@
 			return err
 		}
 	}
+	if id.Damage != "" {
+		return errors.Errorf("data folder %s: %s", v.config.folder, id.Damage)
+	}
 	v.identity = id
 	if id.Voter != 0 {
 		return v.start()
@@ -304,12 +307,27 @@
 
 func (v *Voter) fail(err error) {
 	v.config.logger.Error("replica failed", zap.Error(err))
+	v.noteDamage(err)
 	select {
 	case v.failed <- err:
 	default:
 	}
 }
 
+// noteDamage keeps a folder that lost entries from being used after a restart.
+func (v *Voter) noteDamage(err error) {
+	var lost *replica.LostError
+	if !errors.As(err, &lost) {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.identity.Damage = lost.Error()
+	if err := journal.SaveIdentity(v.config.disk, v.config.folder, v.identity); err != nil {
+		v.config.logger.Error("damage of the data folder is not noted", zap.Error(err))
+	}
+}
+
 // Stop hands the leadership of all groups to other voters, ends the replicas and
 // closes the journals. It waits for a transfer until ctx ends, but no longer than
 // two election timeouts.
--- a/internal/quorum/voter/world_test.go
+++ b/internal/quorum/voter/world_test.go
@@ -37,6 +37,7 @@
 	acked    quorum.Index            // highest index of an answered command
 	promised []string                // commands that were reported as not run
 	counts   map[string]int
+	log      []string // outcomes, for scripted cases
 }
 
 // place is one instance with its disk.
@@ -244,8 +245,13 @@
 	to.flush()
 }
 
+func (w *world) note(format string, args ...any) {
+	w.log = append(w.log, fmt.Sprintf(format, args...))
+}
+
 func (p *place) propose(command string) {
 	p.member.propose([]byte(command), func(reply []byte, err error) {
+		p.w.note("%s: %s", command, outcome(err))
 		switch refusal.KindOf(err) {
 		case refusal.NotReady, refusal.Overloaded:
 			p.w.counts["notRun"]++
@@ -266,6 +272,7 @@
 func (p *place) read() {
 	atLeast := p.w.acked
 	p.member.read(nil, func(reply []byte, err error) {
+		p.w.note("read at %d: %s", p.id, outcome(err))
 		if err != nil {
 			p.w.counts["readFailed"]++
 			return
@@ -427,6 +434,13 @@
 	return true
 }
 
+func outcome(err error) string {
+	if err == nil {
+		return "done"
+	}
+	return refusal.KindOf(err).Answer().Code
+}
+
 func one(b bool) int {
 	if b {
 		return 1
