--- a/internal/quorum/replica/types.go
+++ b/internal/quorum/replica/types.go
@@ -35,6 +35,7 @@
 	HeartbeatReply                     // heartbeatReply
 	InstallSnapshot                    // snapshot
 	TimeoutNow                         // timeoutNow
+	LostEntries                        // lostEntries
 )
 
 // EntryKind is the kind of an Entry. The values are those of peerv1.EntryKind.
@@ -67,6 +68,8 @@
 	Address string
 	// Learner receives the log but neither votes nor counts for a commit.
 	Learner bool
+	// Replaces is the lost voter whose place the member takes, or 0.
+	Replaces quorum.VoterID
 }
 
 // Snapshot is the state of the state machine up to Index.
