--- a/internal/order/ledger/client.go
+++ b/internal/order/ledger/client.go
@@ -63,7 +63,7 @@
 	if a.At.IsZero() {
 		a.At = c.clock.Now()
 	}
-	p, err := c.propose(ctx, command{
+	p, uncertain, err := c.propose(ctx, command{
 		Kind:     claimKind,
 		Key:      a.Key,
 		Attempt:  a.Attempt,
@@ -75,6 +75,9 @@
 	if err != nil {
 		return order.Record{}, err
 	}
+	if p.Full != "" && uncertain {
+		return order.Record{}, refusal.New(refusal.LedgerUnreachable, "an earlier command of the claim may still be applied: %s", p.Full)
+	}
 	if p.Full != "" {
 		return order.Record{}, refusal.New(refusal.Overloaded, "order was not run: %s", p.Full)
 	}
@@ -137,12 +140,12 @@
 
 func (c *Client) change(ctx context.Context, m command) error {
 	m.Instance, m.At = c.instance, c.clock.Now()
-	p, err := c.propose(ctx, m)
+	p, _, err := c.propose(ctx, m)
 	if err != nil {
 		return err
 	}
 	if p.Full != "" {
-		return refusal.New(refusal.Overloaded, "attempt %q can't be released: %s", m.Attempt, p.Full)
+		return refusal.New(refusal.Overloaded, "command for attempt %q was refused: %s", m.Attempt, p.Full)
 	}
 	if p.Lost {
 		return refusal.New(refusal.Conflict, "attempt %q does not hold the claim", m.Attempt)
@@ -151,13 +154,15 @@
 }
 
 // propose hands in a command up to a few times. All commands are safe to repeat.
-func (c *Client) propose(ctx context.Context, m command) (reply, error) {
+// The second result tells that an earlier copy of the command may still be
+// applied.
+func (c *Client) propose(ctx context.Context, m command) (reply, bool, error) {
 	m.Version, m.Limits, m.At = version, c.limits, m.At.UTC()
 	data, err := json.Marshal(m)
 	if err != nil {
-		return reply{}, refusal.Because(refusal.Internal, err, "encode command of the ledger")
+		return reply{}, false, refusal.Because(refusal.Internal, err, "encode command of the ledger")
 	}
-	kind := refusal.NotReady
+	uncertain := false
 	var last error
 	for n := range attempts {
 		if n > 0 && !c.pause(ctx) {
@@ -165,14 +170,17 @@
 		}
 		answer, err := c.proposer.Propose(ctx, GroupOf(m.Key.Account, c.shards), data)
 		if err == nil {
-			return decodeReply(answer)
+			p, err := decodeReply(answer)
+			return p, uncertain, err
 		}
 		last = err
-		if refusal.KindOf(err) != refusal.NotReady {
-			kind = refusal.LedgerUnreachable
-		}
+		uncertain = uncertain || refusal.KindOf(err) != refusal.NotReady
+	}
+	kind := refusal.NotReady
+	if uncertain {
+		kind = refusal.LedgerUnreachable
 	}
-	return reply{}, refusal.Because(kind, last, "order ledger did not answer")
+	return reply{}, uncertain, refusal.Because(kind, last, "order ledger did not answer")
 }
 
 func (c *Client) pause(ctx context.Context) bool {
--- a/internal/order/ledger/ledger.go
+++ b/internal/order/ledger/ledger.go
@@ -66,6 +66,11 @@
 	// is remembered as long, so that its claim can't take effect afterwards.
 	ClaimAge = 10 * time.Minute
 
+	// SettleAge is the age of a claim from which on an operator may settle it. It
+	// is longer than the time after which an instance no longer sends the order
+	// of a claim, so that a thawed instance can't run a settled order.
+	SettleAge = 5 * time.Minute
+
 	accountShare = 2 // an account may use one part in accountShare
 )
 
@@ -248,6 +253,9 @@
 	if !ok || r.Attempt != c.Attempt || r.State != order.Claimed {
 		return reply{Lost: true}
 	}
+	if c.At.Before(r.At.Add(SettleAge)) || m.time.now().Before(r.At.Add(SettleAge)) {
+		return reply{Full: "the claim is younger than " + SettleAge.String()}
+	}
 	s := Settlement{Key: c.Key, Attempt: c.Attempt, Operator: c.Operator, Note: c.Note, Ran: c.Ran, At: c.At}
 	m.settlements = append(m.settlements, s)
 	if len(m.settlements) > MaxSettlements {
--- a/internal/order/ledger/ledger_test.go
+++ b/internal/order/ledger/ledger_test.go
@@ -12,6 +12,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/order"
+	"github.com/bilberryrock/bilberryrock/internal/quorum"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 	"github.com/cockroachdb/datadriven"
 )
@@ -140,6 +141,39 @@
 	}
 }
 
+// loser loses the first command and applies the others.
+type loser struct {
+	*faulty
+	lost bool
+}
+
+func (l *loser) Propose(ctx context.Context, g quorum.GroupID, c []byte) ([]byte, error) {
+	if !l.lost {
+		l.lost = true
+		return nil, refusal.New(refusal.OutcomeUnknown, "leader lost")
+	}
+	return l.faulty.Propose(ctx, g, c)
+}
+
+// TestFullAfterLostClaim guards against a refusal as not run and not claimed
+// while an earlier command of the claim may still be applied.
+func TestFullAfterLostClaim(t *testing.T) {
+	f := newFaulty(t, 1)
+	f.calm = true
+	claim := order.Claim{Key: order.Key{Account: "a", Name: "k"}, Attempt: "1"}
+	for _, p := range []quorum.Proposer{f, &loser{faulty: f}} {
+		c := NewClient(p, &movingClock{}, "i", WithLimits(Limits{}))
+		_, err := c.Claim(context.Background(), claim)
+		want := refusal.LedgerUnreachable
+		if p == f {
+			want = refusal.Overloaded
+		}
+		if refusal.KindOf(err) != want {
+			t.Errorf("claim after a lost command: %v", err)
+		}
+	}
+}
+
 // BenchmarkClaim measures claim and finish in one state machine.
 func BenchmarkClaim(b *testing.B) {
 	f := newFaulty(nil, 1)
