--- /dev/null
+++ b/internal/membership/gossip/beats.go
@@ -0,0 +1,549 @@
+package gossip
+
+import (
+	"encoding/binary"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	gossipv1 "github.com/bilberryrock/bilberryrock/api/gossip/v1"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+)
+
+// Beats are a list of entries, one for each instance:
+//
+//	hash of id and boot    4 bytes
+//	lag                    varint, 1 + highest revision - its revision; 0 for none
+//	since                  varint, age of its revision in seconds
+//	base, count            varints, the window of slots
+//	ages                   count values of 6 bits, in units of 50 ms
+//
+// An age of 63 stands for no confirmation. Ages are rounded up, so a
+// confirmation gets older by at most 50 ms on each hop.
+const (
+	ageUnit = 50 * time.Millisecond
+	ageBits = 6
+	noAge   = 1<<ageBits - 1
+	// maxBeats bounds the beats of one message in bytes. What does not fit goes
+	// into the next message.
+	maxBeats = 1000
+	// maxWindow bounds the slots of one instance.
+	maxWindow = 1 << 14
+)
+
+// item is one upstream and the slot that stands for it.
+type item struct {
+	record    *gossipv1.Upstream
+	confirmed time.Time
+	// idle is the time from which UpstreamRetention counts.
+	idle time.Time
+}
+
+// table maps the slots of one owner to upstreams. The slots start at base.
+type table struct {
+	base  uint32
+	slots []*item
+}
+
+func (t *table) get(slot uint32) *item {
+	if slot < t.base || slot-t.base >= uint32(len(t.slots)) {
+		return nil
+	}
+	return t.slots[slot-t.base]
+}
+
+func (t *table) set(slot uint32, i *item) {
+	if len(t.slots) == 0 {
+		t.base = slot
+	}
+	if slot < t.base {
+		t.slots = slices.Concat(make([]*item, t.base-slot), t.slots)
+		t.base = slot
+	}
+	for slot-t.base >= uint32(len(t.slots)) {
+		t.slots = append(t.slots, nil)
+	}
+	t.slots[slot-t.base] = i
+}
+
+// accepts reports whether the window stays bounded with slot.
+func (t *table) accepts(slot uint32) bool {
+	if len(t.slots) == 0 {
+		return true
+	}
+	return slot < t.base+maxWindow && slot+maxWindow > t.base+uint32(len(t.slots))
+}
+
+func (t *table) trim() {
+	for len(t.slots) > 0 && t.slots[0] == nil {
+		t.slots = t.slots[1:]
+		t.base++
+	}
+	for len(t.slots) > 0 && t.slots[len(t.slots)-1] == nil {
+		t.slots = t.slots[:len(t.slots)-1]
+	}
+}
+
+func (i *item) leaving() bool { return i.record.State == uint32(upstream.Leaving) }
+
+// settled reports whether the item left the digest, before it is forgotten.
+func (i *item) settled(now time.Time) bool {
+	return now.Sub(i.idle) > UpstreamRetention/2
+}
+
+func (i *item) sum() uint64 {
+	var b [32]byte
+	binary.LittleEndian.PutUint64(b[0:], i.record.Incarnation)
+	binary.LittleEndian.PutUint64(b[8:], i.record.Sequence)
+	binary.LittleEndian.PutUint32(b[16:], i.record.Owner)
+	binary.LittleEndian.PutUint32(b[20:], i.record.Slot)
+	binary.LittleEndian.PutUint32(b[24:], i.record.State)
+	return xxhash.Sum64(b[:])
+}
+
+func (i *item) wire(now time.Time) *gossipv1.Upstream {
+	record := proto.Clone(i.record).(*gossipv1.Upstream)
+	record.IdleSeconds = uint32(max(0, now.Sub(i.idle)) / time.Second)
+	return record
+}
+
+// Announce records an announcement that this instance received at now. It is
+// meant for announcements that the roster accepted. A zero confirmed does not
+// confirm.
+func (c *Core) Announce(a upstream.Announcement, confirmed, now time.Time) Effects {
+	c.last = later(c.last, now)
+	old, ok := c.items[a.ID]
+	if ok && uint64(a.Incarnation) < old.record.Incarnation {
+		return c.take()
+	}
+	if ok && uint64(a.Incarnation) == old.record.Incarnation {
+		c.renewOwn(old, a, confirmed, now)
+		return c.take()
+	}
+	record := describe(a)
+	record.Owner = c.self.hash
+	record.Slot = c.nextSlot()
+	i := c.place(record, now)
+	i.confirm(confirmed)
+	c.compact(now)
+	return c.take()
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func (c *Core) renewOwn(i *item, a upstream.Announcement, confirmed, now time.Time) {
+	i.confirm(confirmed)
+	if i.leaving() {
+		return
+	}
+	record := describe(a)
+	record.Owner, record.Slot = i.record.Owner, i.record.Slot
+	record.Sequence = i.record.Sequence
+	if proto.Equal(record, i.record) {
+		return
+	}
+	record.Sequence = uint64(a.Sequence)
+	c.place(record, now)
+}
+
+func (i *item) confirm(at time.Time) bool {
+	if i.leaving() || !at.After(i.confirmed) {
+		return false
+	}
+	i.confirmed = at
+	i.idle = later(i.idle, at)
+	return true
+}
+
+func describe(a upstream.Announcement) *gossipv1.Upstream {
+	return &gossipv1.Upstream{
+		Id: string(a.ID), Incarnation: uint64(a.Incarnation), Sequence: a.Sequence,
+		Kind: uint32(a.Kind), State: uint32(a.State), Address: a.Address, Pool: string(a.Pool),
+		Accelerator: a.Accelerator, Model: string(a.Model), Version: a.Version, Adapter: a.Adapter,
+		LayersFrom: uint32(a.Layers.From), LayersTo: uint32(a.Layers.To),
+		Fencing: uint32(a.Fencing), Slots: uint32(a.Slots),
+	}
+}
+
+func (c *Core) announcement(r *gossipv1.Upstream) upstream.Announcement {
+	return upstream.Announcement{
+		ID: fleet.UpstreamID(r.Id), Incarnation: fleet.Incarnation(r.Incarnation), Sequence: r.Sequence,
+		Kind: upstream.Kind(r.Kind), State: upstream.State(r.State), Address: r.Address,
+		DataCentre: fleet.DataCentreID(c.self.record.DataCentre), Pool: fleet.PoolID(r.Pool),
+		Accelerator: r.Accelerator, Model: fleet.ModelID(r.Model), Version: r.Version, Adapter: r.Adapter,
+		Layers:  upstream.LayerRange{From: fleet.Layer(r.LayersFrom), To: fleet.Layer(r.LayersTo)},
+		Fencing: upstream.FencePolicy(r.Fencing), Slots: int(r.Slots),
+	}
+}
+
+func (c *Core) nextSlot() uint32 {
+	t := c.tables[c.self.hash]
+	if t == nil {
+		return 0
+	}
+	return t.base + uint32(len(t.slots))
+}
+
+// place stores record, makes its slot stand for the upstream and spreads it.
+func (c *Core) place(record *gossipv1.Upstream, now time.Time) *item {
+	id := fleet.UpstreamID(record.Id)
+	i, ok := c.items[id]
+	if !ok || i.record.Incarnation != record.Incarnation {
+		if ok {
+			c.release(i)
+		}
+		i = &item{idle: now.Add(-time.Duration(record.IdleSeconds) * time.Second)}
+		c.items[id] = i
+	}
+	i.record = record
+	if i.leaving() {
+		i.idle = now.Add(-time.Duration(record.IdleSeconds) * time.Second)
+	}
+	t, ok := c.tables[record.Owner]
+	if !ok {
+		t = &table{}
+		c.tables[record.Owner] = t
+	}
+	t.set(record.Slot, i)
+	c.sums.stale = true
+	c.enqueue(upstreamKey(record.Id))
+	return i
+}
+
+// release frees all slots of i.
+func (c *Core) release(i *item) {
+	for owner, t := range c.tables {
+		for n := range t.slots {
+			if t.slots[n] == i {
+				t.slots[n] = nil
+			}
+		}
+		// The own table keeps its end, so that no slot is used twice.
+		if owner != c.self.hash {
+			t.trim()
+		}
+		if len(t.slots) == 0 {
+			delete(c.tables, owner)
+		}
+	}
+	c.sums.stale = true
+}
+
+// compact moves the oldest upstream of the own table to a new slot when less
+// than half of the window is in use, so that the window follows the upstreams.
+func (c *Core) compact(now time.Time) {
+	t := c.tables[c.self.hash]
+	for len(t.slots) > 0 && t.slots[0] == nil {
+		t.slots = t.slots[1:]
+		t.base++
+	}
+	live := 0
+	for _, i := range t.slots {
+		if i != nil {
+			live++
+		}
+	}
+	if len(t.slots) <= 2*live+32 {
+		return
+	}
+	record := proto.Clone(t.slots[0].record).(*gossipv1.Upstream)
+	t.slots[0] = nil
+	record.Owner, record.Slot = c.self.hash, c.nextSlot()
+	c.place(record, now)
+}
+
+// mergeUpstream applies a received description under the rules of the roster.
+func (c *Core) mergeUpstream(u *gossipv1.Upstream, now time.Time) {
+	if time.Duration(u.IdleSeconds)*time.Second > UpstreamRetention {
+		return
+	}
+	if t, ok := c.tables[u.Owner]; ok {
+		if held := t.get(u.Slot); !t.accepts(u.Slot) || (held != nil && held.record.Id != u.Id) {
+			return
+		}
+	}
+	i, ok := c.items[fleet.UpstreamID(u.Id)]
+	if ok && !supersedesItem(u, i) {
+		c.alias(u, i)
+		return
+	}
+	if ok && i.leaving() && u.Incarnation == i.record.Incarnation {
+		record := proto.Clone(u).(*gossipv1.Upstream)
+		record.State = uint32(upstream.Leaving)
+		u = record
+	}
+	i = c.place(u, now)
+	announced := Upstream{Announcement: c.announcement(u), Age: -1}
+	if !i.confirmed.IsZero() {
+		announced.Age = now.Sub(i.confirmed)
+	}
+	c.effects.Announced = append(c.effects.Announced, announced)
+}
+
+// alias makes a second slot stand for a known upstream. Two instances that heard
+// an upstream at the same time have given it one slot each.
+func (c *Core) alias(u *gossipv1.Upstream, i *item) {
+	if u.Incarnation != i.record.Incarnation {
+		return
+	}
+	t, ok := c.tables[u.Owner]
+	if !ok {
+		t = &table{}
+		c.tables[u.Owner] = t
+	}
+	t.set(u.Slot, i)
+}
+
+// supersedesItem orders descriptions: by incarnation, leaving over serving, by
+// sequence, and at last by slot, so that all instances use the same slot.
+func supersedesItem(u *gossipv1.Upstream, i *item) bool {
+	old := i.record
+	if u.Incarnation != old.Incarnation {
+		return u.Incarnation > old.Incarnation
+	}
+	if u.State != old.State {
+		return u.State > old.State
+	}
+	if u.Sequence != old.Sequence {
+		return u.Sequence > old.Sequence
+	}
+	if u.Owner != old.Owner {
+		return u.Owner > old.Owner
+	}
+	return u.Slot > old.Slot
+}
+
+func (c *Core) pruneUpstreams(now time.Time) {
+	for _, id := range sortedKeys(c.items) {
+		i := c.items[id]
+		if now.Sub(i.idle) > UpstreamRetention {
+			delete(c.items, id)
+			c.release(i)
+		}
+	}
+}
+
+// packBeats returns the beats of the members and, within the data centre, the
+// ages of the confirmations.
+func (c *Core) packBeats(ages bool, now time.Time) []byte {
+	entries := c.beatOrder()
+	var b []byte
+	for n := range entries {
+		e := entries[(c.beatOffset+n)%len(entries)]
+		before := len(b)
+		b = c.packBeat(b, e, ages, now)
+		if len(b) > maxBeats {
+			c.beatOffset = (c.beatOffset + n) % len(entries)
+			return b[:before]
+		}
+	}
+	return b
+}
+
+// beatOrder lists the hashes of present members and of other owners of slots.
+func (c *Core) beatOrder() []uint32 {
+	var hashes []uint32
+	for _, m := range c.byID() {
+		if m.present() && (!c.large || c.local(m.record.DataCentre)) {
+			hashes = append(hashes, m.hash)
+		}
+	}
+	for _, owner := range sortedKeys(c.tables) {
+		if m, ok := c.byHash[owner]; !ok || !m.present() {
+			hashes = append(hashes, owner)
+		}
+	}
+	return hashes
+}
+
+func (c *Core) packBeat(b []byte, hash uint32, ages bool, now time.Time) []byte {
+	b = binary.LittleEndian.AppendUint32(b, hash)
+	var lag, since uint64
+	if m, ok := c.byHash[hash]; ok && m.revision > 0 {
+		lag = 1 + uint64(c.highest-m.revision)
+		since = uint64(max(0, now.Sub(m.since)) / time.Second)
+	}
+	b = binary.AppendUvarint(b, lag)
+	b = binary.AppendUvarint(b, since)
+	t := c.tables[hash]
+	if !ages || t == nil {
+		return append(b, 0, 0)
+	}
+	return c.packAges(b, t, now)
+}
+
+func (c *Core) packAges(b []byte, t *table, now time.Time) []byte {
+	first, last := -1, -1
+	for n, i := range t.slots {
+		if i != nil && ageOf(i, now) != noAge {
+			if first < 0 {
+				first = n
+			}
+			last = n
+		}
+	}
+	if first < 0 {
+		return append(b, 0, 0)
+	}
+	b = binary.AppendUvarint(b, uint64(t.base)+uint64(first))
+	b = binary.AppendUvarint(b, uint64(last-first+1))
+	w := bitWriter{bytes: b}
+	for n := first; n <= last; n++ {
+		i := t.slots[n]
+		// An upstream with two slots is confirmed under one of them.
+		if i == nil || t.base+uint32(n) != i.record.Slot || c.tables[i.record.Owner] != t {
+			w.write(noAge)
+			continue
+		}
+		w.write(ageOf(i, now))
+	}
+	return w.flush()
+}
+
+func ageOf(i *item, now time.Time) uint32 {
+	if i.leaving() || i.confirmed.IsZero() {
+		return noAge
+	}
+	age := max(0, now.Sub(i.confirmed))
+	units := (age + ageUnit - 1) / ageUnit
+	return uint32(min(units, noAge))
+}
+
+// mergeBeats applies the beats of an answer to a ping that was sent at sent.
+func (c *Core) mergeBeats(b []byte, sent, now time.Time) {
+	r := beatReader{bytes: b}
+	for len(r.bytes) > 0 {
+		hash, lag, since := r.uint32(), r.uvarint(), r.uvarint()
+		base, count := r.uvarint(), r.uvarint()
+		if r.failed || count > maxWindow || base > math.MaxUint32 {
+			return
+		}
+		c.mergeRevision(hash, lag, since, now)
+		ages := r.take((int(count)*ageBits + 7) / 8)
+		if r.failed {
+			return
+		}
+		if t, ok := c.tables[hash]; ok {
+			c.mergeAges(t, uint32(base), int(count), ages, sent, now)
+		}
+	}
+}
+
+// mergeRevision takes the lag against the highest revision that the sender of
+// the answer knows of.
+func (c *Core) mergeRevision(hash uint32, lag, since uint64, now time.Time) {
+	m, ok := c.byHash[hash]
+	if !ok || m == c.self || lag == 0 || lag-1 > uint64(c.answered) {
+		return
+	}
+	revision := c.answered - fleet.Revision(lag-1)
+	if revision <= m.revision {
+		return
+	}
+	m.revision = revision
+	m.since = now.Add(-time.Duration(min(since, math.MaxInt32)) * time.Second)
+	c.changed(m)
+}
+
+func (c *Core) mergeAges(t *table, base uint32, count int, ages []byte, sent, now time.Time) {
+	r := bitReader{bytes: ages}
+	for n := range count {
+		age := r.read()
+		if age == noAge {
+			continue
+		}
+		i := t.get(base + uint32(n))
+		if i == nil || !i.confirm(sent.Add(-time.Duration(age)*ageUnit)) {
+			continue
+		}
+		c.effects.Renewed = append(c.effects.Renewed, Renewal{
+			ID: fleet.UpstreamID(i.record.Id), Incarnation: fleet.Incarnation(i.record.Incarnation),
+			Age: now.Sub(i.confirmed),
+		})
+	}
+}
+
+type bitWriter struct {
+	bytes []byte
+	value uint32
+	bits  int
+}
+
+func (w *bitWriter) write(v uint32) {
+	w.value |= v << w.bits
+	w.bits += ageBits
+	for w.bits >= 8 {
+		w.bytes = append(w.bytes, byte(w.value))
+		w.value >>= 8
+		w.bits -= 8
+	}
+}
+
+func (w *bitWriter) flush() []byte {
+	if w.bits > 0 {
+		w.bytes = append(w.bytes, byte(w.value))
+	}
+	return w.bytes
+}
+
+type bitReader struct {
+	bytes []byte
+	value uint32
+	bits  int
+}
+
+func (r *bitReader) read() uint32 {
+	if r.bits < ageBits {
+		r.value |= uint32(r.bytes[0]) << r.bits
+		r.bytes = r.bytes[1:]
+		r.bits += 8
+	}
+	v := r.value & noAge
+	r.value >>= ageBits
+	r.bits -= ageBits
+	return v
+}
+
+// beatReader reads fields until the bytes end. After a failure all reads return
+// zero.
+type beatReader struct {
+	bytes  []byte
+	failed bool
+}
+
+func (r *beatReader) take(n int) []byte {
+	if r.failed || n > len(r.bytes) {
+		r.failed = true
+		r.bytes = nil
+		return nil
+	}
+	taken := r.bytes[:n]
+	r.bytes = r.bytes[n:]
+	return taken
+}
+
+func (r *beatReader) uint32() uint32 {
+	if b := r.take(4); b != nil {
+		return binary.LittleEndian.Uint32(b)
+	}
+	return 0
+}
+
+func (r *beatReader) uvarint() uint64 {
+	v, n := binary.Uvarint(r.bytes)
+	if n <= 0 {
+		r.failed = true
+		return 0
+	}
+	r.take(n)
+	return v
+}
--- /dev/null
+++ b/internal/membership/gossip/centres.go
@@ -0,0 +1,390 @@
+package gossip
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	gossipv1 "github.com/bilberryrock/bilberryrock/api/gossip/v1"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+)
+
+const (
+	// summaryPeriod is the least time between two summaries of a data centre
+	// when its contacts change. Counts and revisions alone wait longer.
+	summaryPeriod     = 2 * time.Second
+	slowSummaryPeriod = 30 * time.Second
+	// usagePeriod is multiplied by the number of origins in a scope, so that the
+	// bytes for usages don't grow with their number.
+	usagePeriod    = 500 * time.Millisecond
+	usageRetention = time.Minute
+	// heartbeatRestart is the silence after which any other heartbeat counts as
+	// newer, because the 16 bits may have wrapped.
+	heartbeatRestart = time.Hour
+	centreBytes      = 6
+)
+
+// centre is what is known of one data centre.
+type centre struct {
+	heartbeat uint16
+	heard     time.Time
+	summary   *gossipv1.Summary
+	// address is the last address that a message from there came from.
+	address string
+}
+
+type usage struct {
+	record *gossipv1.Usage
+	heard  time.Time
+}
+
+// Centre is what is known of one data centre.
+type Centre struct {
+	ID fleet.DataCentreID
+	// Alive counts the live instances, and Highest and Lowest bound their
+	// revisions in force.
+	Alive           int
+	Highest, Lowest fleet.Revision
+	// Usable counts the usable upstreams of each pool.
+	Usable map[fleet.PoolID]int
+	// Silence is the time since the last heartbeat.
+	Silence time.Duration
+}
+
+// Centres returns the known data centres at now, ordered by ID.
+func (c *Core) Centres(now time.Time) []Centre {
+	var all []Centre
+	for _, id := range sortedKeys(c.centres) {
+		all = append(all, c.viewCentre(id, now))
+	}
+	return all
+}
+
+func (c *Core) viewCentre(id fleet.DataCentreID, now time.Time) Centre {
+	s := c.centres[id].summary
+	if id == fleet.DataCentreID(c.self.record.DataCentre) {
+		s = c.summarize()
+	}
+	v := Centre{
+		ID: id, Alive: int(s.GetAlive()), Highest: fleet.Revision(s.GetHighestRevision()),
+		Lowest: fleet.Revision(s.GetLowestRevision()), Usable: make(map[fleet.PoolID]int),
+		Silence: c.silence(id, now),
+	}
+	for _, p := range s.GetPools() {
+		v.Usable[fleet.PoolID(p.Id)] = int(p.Upstreams)
+	}
+	return v
+}
+
+// InstanceUsages returns the account usages of the instances of the data centre
+// by instance.
+func (c *Core) InstanceUsages() map[fleet.InstanceID][]byte {
+	return usagesOf[fleet.InstanceID](c, false)
+}
+
+// CentreUsages returns the account usages of all data centres.
+func (c *Core) CentreUsages() map[fleet.DataCentreID][]byte {
+	return usagesOf[fleet.DataCentreID](c, true)
+}
+
+func usagesOf[K ~string](c *Core, wide bool) map[K][]byte {
+	found := make(map[K][]byte)
+	for _, u := range c.usages {
+		if u.record.Wide == wide {
+			found[K(u.record.Origin)] = u.record.Data
+		}
+	}
+	return found
+}
+
+// chooseContacts returns the members with the highest rendezvous hashes.
+func chooseContacts(ring []*member) []*member {
+	contacts := slices.Clone(ring)
+	slices.SortFunc(contacts, func(a, b *member) int {
+		return cmp.Compare(rendezvous(b.record), rendezvous(a.record))
+	})
+	return contacts[:min(len(contacts), contactCount)]
+}
+
+func rendezvous(r *gossipv1.Member) uint64 {
+	return xxhash.Sum64String(r.DataCentre + "/" + r.Id)
+}
+
+func (c *Core) isContact(m *member) bool {
+	c.currentRing()
+	return slices.Contains(c.contacts, m)
+}
+
+// speaks reports whether this instance writes the summary and the heartbeat of
+// its data centre.
+func (c *Core) speaks() bool {
+	c.currentRing()
+	return len(c.contacts) > 0 && c.contacts[0] == c.self
+}
+
+func (c *Core) centre(id fleet.DataCentreID, now time.Time) *centre {
+	s, ok := c.centres[id]
+	if !ok {
+		s = &centre{heard: now}
+		c.centres[id] = s
+	}
+	return s
+}
+
+// noteSender keeps the address of a sender in another data centre to answer to.
+func (c *Core) noteSender(m *gossipv1.Message, address string, now time.Time) {
+	if m.DataCentre != "" && !c.local(m.DataCentre) {
+		c.centre(fleet.DataCentreID(m.DataCentre), now).address = address
+	}
+}
+
+// silence is the time since the last heartbeat of a data centre.
+func (c *Core) silence(id fleet.DataCentreID, now time.Time) time.Duration {
+	s, ok := c.centres[id]
+	if !ok || c.local(string(id)) {
+		return 0
+	}
+	return max(0, now.Sub(s.heard))
+}
+
+// fleetSize counts the live instances everywhere.
+func (c *Core) fleetSize() int {
+	size := len(c.currentRing())
+	counted := make(map[string]int)
+	for _, m := range c.members {
+		if m.present() && !c.local(m.record.DataCentre) {
+			counted[m.record.DataCentre]++
+		}
+	}
+	for id, s := range c.centres {
+		if c.local(string(id)) {
+			continue
+		}
+		if s.summary != nil {
+			size += int(s.summary.Alive)
+			continue
+		}
+		size += counted[string(id)]
+	}
+	return size
+}
+
+// beat advances the heartbeat, the summary and the usage of the data centre when
+// this instance speaks for it, and the usage of this instance.
+func (c *Core) beat(now time.Time) {
+	if now.Before(c.nextBeat) {
+		return
+	}
+	c.nextBeat = now.Add(heartbeatPeriod)
+	own := c.centre(fleet.DataCentreID(c.self.record.DataCentre), now)
+	c.publishUsage(now)
+	if !c.speaks() {
+		return
+	}
+	own.heartbeat = nextHeartbeat(own.heartbeat, now)
+	own.heard = now
+	c.publishSummary(own, now)
+}
+
+// nextHeartbeat follows the seconds of the clock, so that it also grows when all
+// instances of a data centre restart at once.
+func nextHeartbeat(h uint16, now time.Time) uint16 {
+	next := h + 1
+	if clock := uint16(now.Unix()); int16(clock-next) > 0 {
+		return clock
+	}
+	return next
+}
+
+func (c *Core) publishSummary(own *centre, now time.Time) {
+	s := c.summarize()
+	old := own.summary
+	if old != nil {
+		s.Version = old.Version
+	}
+	if old != nil && proto.Equal(s, old) {
+		return
+	}
+	if !c.summaryDue(s, old, now) {
+		return
+	}
+	c.nextSummary = now
+	s.Version = max(s.Version+1, uint64(now.UnixMilli()))
+	own.summary = s
+	c.sums.stale = true
+	c.enqueue(summaryKey(s.DataCentre))
+}
+
+func (c *Core) summaryDue(s, old *gossipv1.Summary, now time.Time) bool {
+	period := slowSummaryPeriod
+	if !c.large {
+		period = summaryPeriod * 2
+	}
+	if old == nil || !slices.EqualFunc(s.Contacts, old.Contacts, func(a, b *gossipv1.Contact) bool { return a.Id == b.Id }) {
+		period = summaryPeriod
+	}
+	return now.Sub(c.nextSummary) >= period
+}
+
+func (c *Core) summarize() *gossipv1.Summary {
+	ring := c.currentRing()
+	s := &gossipv1.Summary{DataCentre: c.self.record.DataCentre, Alive: uint32(len(ring))}
+	for n, m := range ring {
+		r := uint64(m.revision)
+		s.HighestRevision = max(s.HighestRevision, r)
+		if n == 0 || r < s.LowestRevision {
+			s.LowestRevision = r
+		}
+	}
+	for _, p := range sortedKeys(c.ownPools) {
+		s.Pools = append(s.Pools, &gossipv1.Pool{Id: string(p), Upstreams: uint32(c.ownPools[p])})
+	}
+	for _, m := range c.contacts {
+		s.Contacts = append(s.Contacts, &gossipv1.Contact{Id: m.record.Id, Gossip: m.record.Gossip})
+	}
+	return s
+}
+
+func (c *Core) mergeSummary(u *gossipv1.Summary, now time.Time) {
+	s := c.centre(fleet.DataCentreID(u.DataCentre), now)
+	if s.summary != nil && u.Version <= s.summary.Version {
+		return
+	}
+	s.summary = u
+	c.highest = max(c.highest, fleet.Revision(u.HighestRevision))
+	c.sums.stale = true
+	c.enqueue(summaryKey(u.DataCentre))
+}
+
+func (c *Core) publishUsage(now time.Time) {
+	for origin, u := range c.usages {
+		if now.Sub(u.heard) > usageRetention {
+			delete(c.usages, origin)
+		}
+	}
+	origins := max(len(c.currentRing()), len(c.centres))
+	if now.Before(c.nextUsage) {
+		return
+	}
+	c.nextUsage = now.Add(max(time.Second, usagePeriod*time.Duration(origins)))
+	if c.ownUsage != nil {
+		c.mergeUsage(&gossipv1.Usage{Origin: c.self.record.Id, Version: uint64(now.UnixMilli()), Data: c.ownUsage}, now)
+	}
+	if data := c.combined(); data != nil && c.speaks() {
+		c.mergeUsage(&gossipv1.Usage{Origin: c.self.record.DataCentre, Version: uint64(now.UnixMilli()), Data: data, Wide: true}, now)
+	}
+}
+
+func (c *Core) combined() []byte {
+	if c.combine == nil {
+		return c.ownUsage
+	}
+	var all [][]byte
+	for _, origin := range sortedKeys(c.usages) {
+		if u := c.usages[origin]; !u.record.Wide {
+			all = append(all, u.record.Data)
+		}
+	}
+	data := c.combine(all)
+	if len(data) > MaxUsage {
+		return nil
+	}
+	return data
+}
+
+func (c *Core) mergeUsage(u *gossipv1.Usage, now time.Time) {
+	key := "i" + u.Origin
+	if u.Wide {
+		key = "c" + u.Origin
+	}
+	old, ok := c.usages[key]
+	if len(u.Data) > MaxUsage || (ok && u.Version <= old.record.Version) {
+		return
+	}
+	c.usages[key] = &usage{record: u, heard: now}
+	c.enqueue(usageKey(key))
+}
+
+// probeCentres makes a contact exchange news with one other data centre.
+func (c *Core) probeCentres(now time.Time) {
+	if now.Before(c.nextCross) || !c.isContact(c.self) {
+		return
+	}
+	c.nextCross = now.Add(crossPeriod)
+	var others []fleet.DataCentreID
+	for _, id := range sortedKeys(c.centres) {
+		if !c.local(string(id)) {
+			others = append(others, id)
+		}
+	}
+	if len(others) == 0 {
+		return
+	}
+	rank := slices.Index(c.contacts, c.self)
+	c.centreTurn++
+	// Contacts start at different data centres.
+	id := others[(c.centreTurn+rank*len(others)/contactCount)%len(others)]
+	to, address := c.contactOf(id)
+	if address != "" {
+		c.ping(to, address, string(id), now, false)
+	}
+}
+
+// contactOf chooses an instance of another data centre: one of its contacts, a
+// known member, or the last sender from there.
+func (c *Core) contactOf(id fleet.DataCentreID) (fleet.InstanceID, string) {
+	s := c.centres[id]
+	if contacts := s.summary.GetContacts(); len(contacts) > 0 {
+		t := contacts[c.random.IntN(len(contacts))]
+		return fleet.InstanceID(t.Id), t.Gossip
+	}
+	var known []*member
+	for _, m := range c.byID() {
+		if m.record.DataCentre == string(id) && m.present() {
+			known = append(known, m)
+		}
+	}
+	if len(known) > 0 {
+		t := known[c.random.IntN(len(known))]
+		return t.id(), t.record.Gossip
+	}
+	return "", s.address
+}
+
+// packCentres returns, for each data centre, 4 bytes of the hash of its id and 2
+// bytes of its heartbeat.
+func (c *Core) packCentres() []byte {
+	b := make([]byte, 0, centreBytes*len(c.centres))
+	for _, id := range sortedKeys(c.centres) {
+		b = binary.LittleEndian.AppendUint32(b, hash32(string(id), 0))
+		b = binary.LittleEndian.AppendUint16(b, c.centres[id].heartbeat)
+	}
+	return b
+}
+
+func (c *Core) mergeCentres(b []byte, now time.Time) {
+	byHash := make(map[uint32]*centre, len(c.centres))
+	for id, s := range c.centres {
+		byHash[hash32(string(id), 0)] = s
+	}
+	for ; len(b) >= centreBytes; b = b[centreBytes:] {
+		s, ok := byHash[binary.LittleEndian.Uint32(b)]
+		if !ok {
+			continue
+		}
+		s.advance(binary.LittleEndian.Uint16(b[4:]), now)
+	}
+}
+
+func (s *centre) advance(heartbeat uint16, now time.Time) {
+	newer := int16(heartbeat-s.heartbeat) > 0
+	restarted := heartbeat != s.heartbeat && now.Sub(s.heard) > heartbeatRestart
+	if newer || restarted {
+		s.heartbeat = heartbeat
+		s.heard = now
+	}
+}
--- /dev/null
+++ b/internal/membership/gossip/members.go
@@ -0,0 +1,278 @@
+package gossip
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	gossipv1 "github.com/bilberryrock/bilberryrock/api/gossip/v1"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/membership"
+)
+
+// member is one instance. Its record is replaced and never changed, because
+// messages share it.
+type member struct {
+	record    *gossipv1.Member
+	hash      uint32
+	revision  fleet.Revision
+	since     time.Time
+	ended     time.Time // when the status became dead or left
+	suspicion *suspicion
+	// differs counts the answers in a row with other digests.
+	differs int
+}
+
+type suspicion struct {
+	started  time.Time
+	accusers map[uint32]bool
+}
+
+func (m *member) id() fleet.InstanceID { return fleet.InstanceID(m.record.Id) }
+
+func (m *member) present() bool {
+	return m.record.Status == gossipv1.Status_STATUS_ALIVE || m.record.Status == gossipv1.Status_STATUS_SUSPECT
+}
+
+func clone(r *gossipv1.Member) *gossipv1.Member {
+	return proto.Clone(r).(*gossipv1.Member)
+}
+
+func (c *Core) local(dataCentre string) bool { return dataCentre == c.self.record.DataCentre }
+
+// insert adds a member that is not known yet.
+func (c *Core) insert(r *gossipv1.Member) *member {
+	m := &member{record: r, hash: hash32(r.Id, r.Boot)}
+	c.members[m.id()] = m
+	c.byHash[m.hash] = m
+	c.stale()
+	return m
+}
+
+func (c *Core) remove(m *member) {
+	delete(c.members, m.id())
+	if c.byHash[m.hash] == m {
+		delete(c.byHash, m.hash)
+	}
+	delete(c.queue, memberKey(m.record.Id))
+	c.stale()
+}
+
+func (c *Core) stale() {
+	c.ringStale = true
+	c.sums.stale = true
+}
+
+// mergeMember applies a received record under the precedence of SWIM: a higher
+// incarnation wins, and of one incarnation alive < suspect < dead < left.
+func (c *Core) mergeMember(u *gossipv1.Member, now time.Time) {
+	if u.Id == c.self.record.Id {
+		c.refute(u, now)
+		return
+	}
+	if !c.wanted(u) {
+		return
+	}
+	m, ok := c.members[fleet.InstanceID(u.Id)]
+	if !ok {
+		c.mergeUnknown(u, now)
+		return
+	}
+	if u.Incarnation == m.record.Incarnation && u.Status == gossipv1.Status_STATUS_SUSPECT {
+		c.accuse(m, u.Accuser)
+	}
+	if supersedes(u, m.record) {
+		c.update(m, u, now)
+	}
+}
+
+// wanted reports whether the record is of a kind that this instance keeps.
+func (c *Core) wanted(u *gossipv1.Member) bool {
+	if ended(u) && time.Duration(u.AgeSeconds)*time.Second > DeadRetention {
+		return false
+	}
+	return c.local(u.DataCentre) || !c.large || u.Voter
+}
+
+func (c *Core) mergeUnknown(u *gossipv1.Member, now time.Time) {
+	c.centre(fleet.DataCentreID(u.DataCentre), now)
+	m := c.insert(&gossipv1.Member{Id: u.Id, DataCentre: u.DataCentre, Boot: u.Boot})
+	c.update(m, u, now)
+}
+
+func ended(u *gossipv1.Member) bool {
+	return u.Status == gossipv1.Status_STATUS_DEAD || u.Status == gossipv1.Status_STATUS_LEFT
+}
+
+func supersedes(u, old *gossipv1.Member) bool {
+	if u.Incarnation != old.Incarnation {
+		return u.Incarnation > old.Incarnation
+	}
+	return u.Status > old.Status
+}
+
+// update replaces the record of m, spreads it and reports the change.
+func (c *Core) update(m *member, u *gossipv1.Member, now time.Time) {
+	if u.Boot != m.record.Boot {
+		delete(c.byHash, m.hash)
+		m.hash = hash32(u.Id, u.Boot)
+		m.revision, m.since = 0, time.Time{}
+	}
+	c.byHash[m.hash] = m
+	m.record = u
+	m.suspicion = nil
+	if u.Status == gossipv1.Status_STATUS_SUSPECT {
+		m.suspicion = &suspicion{started: now, accusers: map[uint32]bool{u.Accuser: true}}
+	}
+	if ended(u) {
+		m.ended = now.Add(-time.Duration(u.AgeSeconds) * time.Second)
+	}
+	c.stale()
+	c.enqueue(memberKey(u.Id))
+	c.changed(m)
+}
+
+// accuse notes one more independent suspicion of m and spreads it, so that a
+// true suspicion ends sooner.
+func (c *Core) accuse(m *member, accuser uint32) {
+	s := m.suspicion
+	if s == nil || s.accusers[accuser] || len(s.accusers) > wantedAccusers {
+		return
+	}
+	s.accusers[accuser] = true
+	record := clone(m.record)
+	record.Accuser = accuser
+	m.record = record
+	c.enqueue(memberKey(record.Id))
+}
+
+// refute answers a record about this instance that is not true. A process that
+// restarted with an incarnation that is not higher gets above the old one here.
+func (c *Core) refute(u *gossipv1.Member, now time.Time) {
+	own := c.self.record
+	if c.leaving || u.Incarnation < own.Incarnation {
+		return
+	}
+	if u.Incarnation == own.Incarnation && u.Boot == own.Boot && u.Status == gossipv1.Status_STATUS_ALIVE {
+		return
+	}
+	if u.Status == gossipv1.Status_STATUS_SUSPECT {
+		c.score = min(c.score+1, maxScore)
+	}
+	record := clone(own)
+	record.Incarnation = u.Incarnation + 1
+	c.update(c.self, record, now)
+}
+
+func (c *Core) changed(m *member) {
+	c.effects.Members = append(c.effects.Members, c.view(m, c.last))
+}
+
+// wire returns the record of m as it is sent, with the age of its end.
+func (m *member) wire(now time.Time) *gossipv1.Member {
+	if !ended(m.record) {
+		return m.record
+	}
+	record := clone(m.record)
+	record.AgeSeconds = uint32(max(0, now.Sub(m.ended)) / time.Second)
+	return record
+}
+
+// Self returns this instance.
+func (c *Core) Self() membership.Member { return c.view(c.self, c.last) }
+
+// Members returns the known members at now, ordered by ID.
+func (c *Core) Members(now time.Time) []membership.Member {
+	all := make([]membership.Member, 0, len(c.members))
+	for _, m := range c.members {
+		all = append(all, c.view(m, now))
+	}
+	slices.SortFunc(all, func(a, b membership.Member) int {
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+	return all
+}
+
+func (c *Core) view(m *member, now time.Time) membership.Member {
+	r := m.record
+	return membership.Member{
+		ID: m.id(), Incarnation: fleet.Incarnation(r.Incarnation), Status: c.status(m, now),
+		DataCentre: fleet.DataCentreID(r.DataCentre), Gossip: r.Gossip, Peers: r.Peers, Voter: r.Voter,
+		Revision: m.revision, Since: m.since,
+	}
+}
+
+// status shows present members of a silent data centre as suspect or dead.
+func (c *Core) status(m *member, now time.Time) membership.Status {
+	recorded := membership.Status(m.record.Status)
+	if !m.present() || c.local(m.record.DataCentre) {
+		return recorded
+	}
+	silence := c.silence(fleet.DataCentreID(m.record.DataCentre), now)
+	if silence > silenceDead {
+		return membership.Dead
+	}
+	if silence > silenceSuspect {
+		return membership.Suspect
+	}
+	return recorded
+}
+
+// currentRing returns the present members of the data centre ordered by id.
+func (c *Core) currentRing() []*member {
+	if !c.ringStale {
+		return c.ring
+	}
+	c.ringStale = false
+	c.ring = c.ring[:0]
+	c.ordered = c.ordered[:0]
+	for _, m := range c.members {
+		c.ordered = append(c.ordered, m)
+	}
+	sortMembers(c.ordered)
+	for _, m := range c.ordered {
+		if m.present() && c.local(m.record.DataCentre) {
+			c.ring = append(c.ring, m)
+		}
+	}
+	c.contacts = chooseContacts(c.ring)
+	return c.ring
+}
+
+// byID returns all members ordered by id, so that equal seeds lead to equal runs.
+func (c *Core) byID() []*member {
+	c.currentRing()
+	return c.ordered
+}
+
+func sortMembers(members []*member) {
+	slices.SortFunc(members, func(a, b *member) int {
+		return strings.Compare(a.record.Id, b.record.Id)
+	})
+}
+
+// prune forgets what its retention has passed and members whose detail is no
+// longer kept.
+func (c *Core) prune(now time.Time) {
+	if now.Before(c.nextPrune) {
+		return
+	}
+	c.nextPrune = now.Add(time.Second)
+	c.sums.stale = true
+	c.large = c.fleetSize() > DetailLimit
+	for _, m := range slices.Clone(c.byID()) {
+		if m == c.self {
+			continue
+		}
+		if ended(m.record) && now.Sub(m.ended) > DeadRetention {
+			c.remove(m)
+			continue
+		}
+		if !c.wanted(m.record) {
+			c.remove(m)
+		}
+	}
+	c.pruneUpstreams(now)
+}
--- /dev/null
+++ b/internal/membership/gossip/repair.go
@@ -0,0 +1,178 @@
+package gossip
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	gossipv1 "github.com/bilberryrock/bilberryrock/api/gossip/v1"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+)
+
+// maxDiffering is the number of answers in a row with other digests after which
+// an instance reads all records again. News need fewer probe periods to spread,
+// so a difference that lasts longer is a loss.
+const maxDiffering = 8
+
+// repair is the reading of all records of one scope in key order.
+type repair struct {
+	active    bool
+	after     string
+	differing int
+}
+
+// digests are sums over all records of a scope, independent of their order.
+type digests struct {
+	stale         bool
+	local, global uint32
+	keys          [2][]string
+}
+
+func (c *Core) refreshSums() {
+	if !c.sums.stale {
+		return
+	}
+	c.sums = digests{}
+	for _, m := range c.members {
+		c.sumMember(m)
+	}
+	for id, s := range c.centres {
+		if s.summary != nil {
+			c.addSum(globalScope, summaryKey(string(id)), 0)
+		}
+	}
+	for _, i := range c.items {
+		if i.settled(c.last) {
+			continue
+		}
+		c.addSum(localScope, upstreamKey(i.record.Id), i.sum())
+	}
+}
+
+func (c *Core) sumMember(m *member) {
+	// Ended members leave the digest before they are forgotten, because
+	// instances forget at slightly different times.
+	if ended(m.record) && c.last.Sub(m.ended) > DeadRetention/2 {
+		return
+	}
+	status := m.record.Status
+	if status == gossipv1.Status_STATUS_SUSPECT {
+		status = gossipv1.Status_STATUS_ALIVE
+	}
+	version := m.record.Incarnation<<2 | uint64(status)
+	key := memberKey(m.record.Id)
+	if c.local(m.record.DataCentre) {
+		c.addSum(localScope, key, version)
+	}
+	if !c.large || m.record.Voter {
+		c.addSum(globalScope, key, version)
+	}
+}
+
+func (c *Core) addSum(scope int, key string, version uint64) {
+	d := xxhash.NewWithSeed(version)
+	_, _ = d.WriteString(key)
+	sum := uint32(d.Sum64())
+	if scope == localScope {
+		c.sums.local += sum
+	} else {
+		c.sums.global += sum
+	}
+	c.sums.keys[scope] = append(c.sums.keys[scope], key)
+}
+
+// askRepair makes m ask for the next records, if a repair goes on.
+func (c *Core) askRepair(m *gossipv1.Message, dataCentre string) {
+	if r := &c.repairs[localScope]; r.active && c.local(dataCentre) {
+		m.Repair = &gossipv1.Repair{After: r.after}
+		return
+	}
+	if r := &c.repairs[globalScope]; r.active {
+		m.Repair = &gossipv1.Repair{Global: true, After: r.after}
+	}
+}
+
+// serveRepair adds the asked records to an answer.
+func (c *Core) serveRepair(m, ping *gossipv1.Message, now time.Time) {
+	if ping.Repair == nil {
+		return
+	}
+	scope := localScope
+	if ping.Repair.Global {
+		scope = globalScope
+	} else if !c.local(ping.DataCentre) {
+		return
+	}
+	c.refreshSums()
+	keys := c.sums.keys[scope]
+	slices.Sort(keys)
+	at, found := slices.BinarySearch(keys, ping.Repair.After)
+	if found {
+		at++
+	}
+	next := &gossipv1.Repair{Global: ping.Repair.Global, After: ping.Repair.After}
+	m.Repair = next
+	room := MaxMessage - proto.Size(m) - maxKey
+	for ; at < len(keys); at++ {
+		size := c.attach(m, keys[at], room, now)
+		if size == 0 {
+			return
+		}
+		room -= size
+		next.After = keys[at]
+	}
+	next.Done = true
+}
+
+// maxKey is the space for the last key in an answer.
+const maxKey = 80
+
+// noteRepair moves a repair on, or starts one when digests keep differing.
+func (c *Core) noteRepair(ack *gossipv1.Message) {
+	sameCentre := c.local(ack.DataCentre)
+	c.refreshSums()
+	localDiffers := sameCentre && ack.Local != c.sums.local
+	globalDiffers := ack.Global != c.sums.global
+	if m, ok := c.members[fleet.InstanceID(ack.From)]; ok {
+		m.differs++
+		if !localDiffers && !globalDiffers {
+			m.differs = 0
+		}
+	}
+	if ack.Repair != nil {
+		c.advanceRepair(ack.Repair)
+		return
+	}
+	if sameCentre {
+		c.repairs[localScope].note(localDiffers)
+	}
+	c.repairs[globalScope].note(globalDiffers)
+}
+
+func (c *Core) advanceRepair(served *gossipv1.Repair) {
+	r := &c.repairs[localScope]
+	if served.Global {
+		r = &c.repairs[globalScope]
+	}
+	if !r.active {
+		return
+	}
+	if served.Done {
+		*r = repair{}
+		return
+	}
+	r.after = served.After
+}
+
+func (r *repair) note(differs bool) {
+	if !differs {
+		r.differing = 0
+		return
+	}
+	r.differing++
+	if r.differing > maxDiffering && !r.active {
+		*r = repair{active: true}
+	}
+}
--- /dev/null
+++ b/internal/membership/gossip/world_test.go
@@ -0,0 +1,345 @@
+package gossip_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	gossipv1 "github.com/bilberryrock/bilberryrock/api/gossip/v1"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/fakeclock"
+	"github.com/bilberryrock/bilberryrock/internal/membership"
+	"github.com/bilberryrock/bilberryrock/internal/membership/gossip"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/roster"
+)
+
+const step = 50 * time.Millisecond
+
+// world runs many cores over a fake network. Everything follows from its seed.
+type world struct {
+	t       testing.TB
+	now     time.Time
+	random  *rand.Rand
+	hosts   []*host
+	queue   deliveries
+	order   uint64
+	loss    float64
+	repeat  float64
+	jitter  time.Duration
+	cut     func(from, to *host) bool
+	deaths  int // suspicions of a running host that ended in a death
+	encode  func(h *host, m *gossipv1.Message) []byte
+	decode  func(h *host, data []byte) *gossipv1.Message
+	horizon time.Time
+}
+
+// host is one simulated process, or the place of one that ended.
+type host struct {
+	index  int
+	id     fleet.InstanceID
+	centre fleet.DataCentreID
+	core   *gossip.Core
+	roster *roster.Roster
+	up     bool
+	frozen bool
+	slow   time.Duration // added to each message that it gets
+	inbox  []delivery    // messages that arrived while it was frozen
+	boots  int
+	sent   struct{ messages, bytes int }
+	busy   time.Duration
+	state  any
+}
+
+type delivery struct {
+	at    time.Time
+	order uint64
+	from  *host
+	to    *host
+	data  []byte
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	if d[i].at.Equal(d[j].at) {
+		return d[i].order < d[j].order
+	}
+	return d[i].at.Before(d[j].at)
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+func newWorld(t testing.TB, seed uint64, centres, perCentre int) *world {
+	w := &world{
+		t: t, now: fakeclock.Start, random: rand.New(rand.NewPCG(seed, 2)),
+		cut: func(_, _ *host) bool { return false },
+		encode: func(_ *host, m *gossipv1.Message) []byte {
+			data, _ := proto.Marshal(m)
+			return data
+		},
+		decode: func(_ *host, data []byte) *gossipv1.Message {
+			var m gossipv1.Message
+			if proto.Unmarshal(data, &m) != nil {
+				return nil
+			}
+			return &m
+		},
+	}
+	for i := range centres * perCentre {
+		w.hosts = append(w.hosts, &host{
+			index: i, id: fleet.InstanceID(fmt.Sprintf("i%03d", i)),
+			centre: fleet.DataCentreID(fmt.Sprintf("dc%02d", i%centres)),
+		})
+	}
+	return w
+}
+
+// boot starts a process on h with a higher incarnation than before.
+func (w *world) boot(h *host) {
+	h.boots++
+	h.up, h.frozen, h.inbox = true, false, nil
+	h.roster, _ = roster.New()
+	self := membership.Member{
+		ID: h.id, Incarnation: fleet.Incarnation(w.now.UnixMilli()) + fleet.Incarnation(h.boots), DataCentre: h.centre,
+		Gossip: h.address(), Peers: "127.0.0.1:1", Voter: h.index < 3,
+	}
+	h.core = gossip.New(self, []string{w.hosts[0].address(), w.hosts[1].address()}, gossip.WithRandom(uint64(h.index)))
+	h.roster.Listen(func(a upstream.Announcement, confirmed, now time.Time) {
+		w.apply(h, h.core.Announce(a, confirmed, now))
+	})
+}
+
+func (w *world) bootAll() {
+	for _, h := range w.hosts {
+		w.boot(h)
+	}
+}
+
+func (h *host) address() string { return fmt.Sprintf("10.0.%d.%d:7000", h.index/250, h.index%250) }
+
+func (w *world) at(address string) *host {
+	var high, low int
+	if n, _ := fmt.Sscanf(address, "10.0.%d.%d:7000", &high, &low); n != 2 {
+		return nil
+	}
+	return w.hosts[high*250+low]
+}
+
+// run advances the time by d in steps and calls each after every step.
+func (w *world) run(d time.Duration, each ...func()) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(step)
+		w.deliver()
+		for _, h := range w.hosts {
+			if h.up && !h.frozen {
+				w.apply(h, w.timed(h, func() gossip.Effects { return h.core.Tick(w.now) }))
+			}
+		}
+		for _, f := range each {
+			f()
+		}
+	}
+}
+
+func (w *world) deliver() {
+	now := w.now
+	for len(w.queue) > 0 && !w.queue[0].at.After(now) {
+		d := heap.Pop(&w.queue).(delivery)
+		w.now = d.at
+		w.hand(d)
+	}
+	w.now = now
+}
+
+func (w *world) hand(d delivery) {
+	if !d.to.up {
+		return
+	}
+	if d.to.frozen {
+		d.to.inbox = append(d.to.inbox, d)
+		return
+	}
+	e := w.timed(d.to, func() gossip.Effects {
+		m := w.decode(d.to, d.data)
+		if m == nil {
+			return gossip.Effects{}
+		}
+		return d.to.core.Receive(m, d.from.address(), w.now)
+	})
+	w.apply(d.to, e)
+}
+
+func (w *world) timed(h *host, f func() gossip.Effects) gossip.Effects {
+	start := time.Now()
+	e := f()
+	h.busy += time.Since(start)
+	return e
+}
+
+// thaw lets a frozen host read what has queued up, and run again.
+func (w *world) thaw(h *host) {
+	h.frozen = false
+	for _, d := range h.inbox {
+		w.hand(d)
+	}
+	h.inbox = nil
+}
+
+func (w *world) apply(h *host, e gossip.Effects) {
+	for _, s := range e.Send {
+		w.send(h, s)
+	}
+	for _, m := range e.Members {
+		if m.Status == membership.Dead {
+			w.countDeath(m.ID)
+		}
+	}
+	if e.Resumed {
+		h.roster.Resume(w.now)
+	}
+	for _, a := range e.Announced {
+		h.roster.Merge([]roster.Confirmation{{Announcement: a.Announcement, Age: a.Age}}, w.now)
+	}
+	for _, r := range e.Renewed {
+		h.roster.Renew([]roster.Renewal{roster.Renewal(r)}, w.now)
+	}
+}
+
+func (w *world) countDeath(id fleet.InstanceID) {
+	for _, h := range w.hosts {
+		if h.id == id && h.up && !h.frozen {
+			w.deaths++
+		}
+	}
+}
+
+func (w *world) send(h *host, s gossip.Envelope) {
+	start := time.Now()
+	data := w.encode(h, s.Message)
+	h.busy += time.Since(start)
+	h.sent.messages++
+	h.sent.bytes += len(data)
+	if len(data) > 1400 {
+		w.t.Fatalf("a message has %d bytes", len(data))
+	}
+	to := w.at(s.Address)
+	if to == nil || w.cut(h, to) || w.random.Float64() < w.loss {
+		return
+	}
+	copies := 1
+	if w.random.Float64() < w.repeat {
+		copies = 2
+	}
+	for range copies {
+		delay := 250*time.Microsecond + to.slow
+		if w.jitter > 0 {
+			delay += time.Duration(w.random.Int64N(int64(w.jitter)))
+		}
+		w.order++
+		heap.Push(&w.queue, delivery{at: w.now.Add(delay), order: w.order, from: h, to: to, data: data})
+	}
+}
+
+func (w *world) status(at, of *host) (membership.Status, bool) {
+	for _, m := range at.core.Members(w.now) {
+		if m.ID == of.id {
+			return m.Status, true
+		}
+	}
+	return 0, false
+}
+
+// agreed reports whether every running host sees every running host as alive.
+func (w *world) agreed() bool {
+	for _, h := range w.hosts {
+		if !h.up {
+			continue
+		}
+		alive := make(map[fleet.InstanceID]bool)
+		for _, m := range h.core.Members(w.now) {
+			alive[m.ID] = m.Status == membership.Alive
+		}
+		for _, o := range w.hosts {
+			if o.up && !alive[o.id] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// runUntil runs until f holds and returns the time that it took. It fails the
+// test after limit.
+func (w *world) runUntil(limit time.Duration, f func() bool, each ...func()) time.Duration {
+	w.t.Helper()
+	start := w.now
+	for !f() {
+		if w.now.Sub(start) >= limit {
+			w.t.Fatalf("not reached within %v", limit)
+		}
+		w.run(step, each...)
+	}
+	return w.now.Sub(start)
+}
+
+// announcer is a simulated upstream that announces itself every second to one
+// host, and to another one when that is down or cut off.
+type announcer struct {
+	upstream.Announcement
+	host *host
+	next time.Time
+	// rotate makes it choose another host every time.
+	rotate bool
+	left   time.Time
+}
+
+func (w *world) announcer(n int, centre fleet.DataCentreID) *announcer {
+	return &announcer{Announcement: upstream.Announcement{
+		ID: fleet.UpstreamID(fmt.Sprintf("u%05d", n)), Incarnation: 1, Address: fmt.Sprintf("10.1.%d.%d:9000", n/250, n%250),
+		DataCentre: centre, Pool: "p", Model: "model-a", Version: "v1", Accelerator: "kind-a", Slots: 8,
+	}, next: w.now.Add(time.Duration(w.random.Int64N(int64(time.Second))))}
+}
+
+func (w *world) announce(a *announcer) {
+	if w.now.Before(a.next) || !a.left.IsZero() {
+		return
+	}
+	a.next = a.next.Add(time.Second)
+	w.say(a)
+}
+
+func (w *world) say(a *announcer) {
+	if a.host == nil || a.rotate || !a.host.up || a.host.frozen {
+		a.host = w.pick(a.DataCentre)
+	}
+	if a.host == nil {
+		return
+	}
+	a.Sequence++
+	is.New(w.t).NoErr(a.host.roster.Announce(a.Announcement, w.now))
+}
+
+func (w *world) pick(centre fleet.DataCentreID) *host {
+	var up []*host
+	for _, h := range w.hosts {
+		if h.up && !h.frozen && h.centre == centre {
+			up = append(up, h)
+		}
+	}
+	if len(up) == 0 {
+		return nil
+	}
+	return up[w.random.IntN(len(up))]
+}
--- /dev/null
+++ b/internal/membership/packet/node.go
@@ -0,0 +1,421 @@
+// Package packet runs the gossip core over UDP.
+//
+// A Node joins by seeds, keeps the membership and feeds the roster of upstreams:
+//
+//	r, err := roster.New(roster.WithDataCentre(self.DataCentre))
+//	node, err := packet.New(self,
+//		packet.WithSecret(secret),
+//		packet.WithSeeds(seeds...),
+//		packet.WithClock(systemclock.Clock{}),
+//		packet.WithLogger(logger),
+//		packet.WithRoster(r),
+//		packet.WithRevisionHook(func(highest fleet.Revision) { follower.Wake(highest) }),
+//	)
+//	defer node.Close()
+//	node.SetRevision(config.Revision, clock.Now()) // whenever one gets into force
+//	members := node.Members()                      // membership.View
+//	err = node.Leave(ctx)                          // graceful stop
+//
+// self.Gossip is the address to listen on; with port 0 the system chooses one,
+// and node.Self().Gossip tells which. self.Incarnation must be higher than that
+// of any earlier process of the instance; the start time in milliseconds will
+// do. A roster that is given must not be shared by two nodes.
+package packet
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
+	"github.com/bilberryrock/bilberryrock/internal/membership"
+	"github.com/bilberryrock/bilberryrock/internal/membership/gossip"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/roster"
+)
+
+const (
+	tickPeriod  = 50 * time.Millisecond
+	poolPeriod  = time.Second
+	sweepPeriod = time.Minute
+	// leaveRepeats is the number of times that a leaving node tells others, in
+	// case a datagram is lost.
+	leaveRepeats = 3
+)
+
+// Cut decides whether a message from one instance to another is dropped.
+type Cut func(from, to fleet.InstanceID) bool
+
+// Stats counts the traffic of a node.
+type Stats struct {
+	SentMessages, SentBytes         uint64
+	ReceivedMessages, ReceivedBytes uint64
+	// Refused counts datagrams with a wrong code, Repeated those that were
+	// received before, and Failed those that could not be sent.
+	Refused, Repeated, Failed uint64
+}
+
+// Node is one instance in the membership. It is safe for concurrent use.
+type Node struct {
+	clock    fleet.Clock
+	logger   *zap.Logger
+	secret   []byte
+	seeds    []string
+	roster   *roster.Roster
+	cut      Cut
+	combine  func([][]byte) []byte
+	onHigher func(fleet.Revision)
+	onMember func(membership.Member)
+
+	connection *net.UDPConn
+	codec      *Codec
+	done       chan struct{}
+	close      sync.Once
+	running    sync.WaitGroup
+
+	mu       sync.Mutex
+	core     *gossip.Core
+	reported fleet.Revision
+
+	sentMessages, sentBytes         atomic.Uint64
+	receivedMessages, receivedBytes atomic.Uint64
+	refused, repeated, failed       atomic.Uint64
+}
+
+var _ membership.View = (*Node)(nil)
+
+// Option changes a setting of a Node.
+type Option func(*Node)
+
+// WithClock sets the clock. The default is the system clock.
+func WithClock(c fleet.Clock) Option { return func(n *Node) { n.clock = c } }
+
+// WithLogger sets the logger. The default logs nothing.
+func WithLogger(l *zap.Logger) Option {
+	return func(n *Node) { n.logger = l.Named("membership") }
+}
+
+// WithSecret sets the secret that all instances share, at least MinSecret bytes.
+func WithSecret(secret []byte) Option { return func(n *Node) { n.secret = secret } }
+
+// WithSeeds sets the gossip addresses of instances to join by.
+func WithSeeds(seeds ...string) Option { return func(n *Node) { n.seeds = seeds } }
+
+// WithRoster connects the roster of the data centre: its announcements are
+// gossiped, and those of other instances are merged into it.
+func WithRoster(r *roster.Roster) Option { return func(n *Node) { n.roster = r } }
+
+// WithCut sets a function that drops received messages, for tests.
+func WithCut(c Cut) Option { return func(n *Node) { n.cut = c } }
+
+// WithCombine sets the function that makes the account usage of the data centre
+// from the usages of its instances.
+func WithCombine(f func([][]byte) []byte) Option { return func(n *Node) { n.combine = f } }
+
+// WithRevisionHook sets a function that is called with every higher revision
+// that is in force anywhere. It must not block.
+func WithRevisionHook(f func(highest fleet.Revision)) Option {
+	return func(n *Node) { n.onHigher = f }
+}
+
+// WithMemberHook sets a function that is called with every changed member. It
+// must not block.
+func WithMemberHook(f func(membership.Member)) Option {
+	return func(n *Node) { n.onMember = f }
+}
+
+// New listens on self.Gossip and starts the node.
+func New(self membership.Member, options ...Option) (*Node, error) {
+	n := &Node{clock: systemclock.Clock{}, logger: zap.NewNop(), done: make(chan struct{})}
+	for _, o := range options {
+		o(n)
+	}
+	var err error
+	if n.codec, err = NewCodec(n.secret, uint64(self.Incarnation)); err != nil {
+		return nil, err
+	}
+	address, err := netip.ParseAddrPort(self.Gossip)
+	if err != nil {
+		return nil, errors.Wrapf(err, "gossip address %q", self.Gossip)
+	}
+	n.connection, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for gossip")
+	}
+	self.Gossip = n.connection.LocalAddr().String()
+	n.core = gossip.New(self, n.seeds, gossip.WithCombine(n.combine))
+	if n.roster != nil {
+		n.roster.Listen(n.announced)
+	}
+	n.start()
+	return n, nil
+}
+
+func (n *Node) start() {
+	n.running.Go(func() {
+		buffer := make([]byte, MaxPacket+1)
+		for {
+			size, from, err := n.connection.ReadFromUDPAddrPort(buffer)
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil {
+				n.logger.Warn("Receiving failed.", zap.Error(err))
+				continue
+			}
+			n.receive(buffer[:size], from)
+		}
+	})
+	n.running.Go(func() {
+		var pools, sweep time.Time
+		for {
+			now := n.clock.Now()
+			n.do(func() gossip.Effects { return n.core.Tick(now) })
+			pools = n.every(poolPeriod, pools, now, n.countPools)
+			sweep = n.every(sweepPeriod, sweep, now, n.sweep)
+			select {
+			case <-n.done:
+				return
+			case <-n.clock.After(tickPeriod):
+			}
+		}
+	})
+}
+
+// every calls f when the period has passed since last, and returns the time of
+// the last call.
+func (n *Node) every(period time.Duration, last, now time.Time, f func(time.Time)) time.Time {
+	if now.Sub(last) < period {
+		return last
+	}
+	f(now)
+	return now
+}
+
+func (n *Node) countPools(now time.Time) {
+	if n.roster == nil {
+		return
+	}
+	counts := n.roster.Counts(now)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.core.SetPools(counts)
+}
+
+func (n *Node) sweep(now time.Time) {
+	n.codec.Forget(gossip.DeadRetention, now)
+	if n.roster != nil {
+		n.roster.Sweep(now)
+	}
+}
+
+func (n *Node) receive(packet []byte, from netip.AddrPort) {
+	n.receivedMessages.Add(1)
+	n.receivedBytes.Add(uint64(len(packet)))
+	now := n.clock.Now()
+	m, err := n.codec.Decode(packet, now)
+	if err != nil {
+		n.countRefusal(err, from)
+		return
+	}
+	if n.cut != nil && n.cut(fleet.InstanceID(m.From), n.Self().ID) {
+		return
+	}
+	address := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
+	n.do(func() gossip.Effects { return n.core.Receive(m, address, now) })
+}
+
+func (n *Node) countRefusal(err error, from netip.AddrPort) {
+	if errors.Is(err, errRepeated) {
+		n.repeated.Add(1)
+		return
+	}
+	n.refused.Add(1)
+	n.logger.Debug("Refused a datagram.", zap.Stringer("from", from), zap.Error(err))
+}
+
+// do runs a step of the core and carries out its effects.
+func (n *Node) do(step func() gossip.Effects) {
+	n.mu.Lock()
+	e := step()
+	highest := n.core.Highest()
+	higher := highest > n.reported
+	n.reported = max(n.reported, highest)
+	n.mu.Unlock()
+	n.sendAll(e.Send)
+	n.feedRoster(e)
+	for _, m := range e.Members {
+		n.logger.Debug("Member changed.", zap.String("member", string(m.ID)), zap.Stringer("status", m.Status),
+			zap.Uint64("incarnation", uint64(m.Incarnation)), zap.Uint64("revision", uint64(m.Revision)))
+		if n.onMember != nil {
+			n.onMember(m)
+		}
+	}
+	if higher && n.onHigher != nil {
+		n.onHigher(highest)
+	}
+}
+
+func (n *Node) feedRoster(e gossip.Effects) {
+	if n.roster == nil {
+		return
+	}
+	now := n.clock.Now()
+	if e.Resumed {
+		n.logger.Warn("The process did not run for a while.")
+		n.roster.Resume(now)
+	}
+	if len(e.Announced) > 0 {
+		n.mergeAnnounced(e.Announced, now)
+	}
+	if len(e.Renewed) > 0 {
+		n.renew(e.Renewed, now)
+	}
+}
+
+func (n *Node) mergeAnnounced(announced []gossip.Upstream, now time.Time) {
+	all := make([]roster.Confirmation, len(announced))
+	for i, a := range announced {
+		all[i] = roster.Confirmation{Announcement: a.Announcement, Age: a.Age}
+	}
+	if refused := n.roster.Merge(all, now); refused > 0 {
+		n.logger.Warn("The roster refused announcements of other instances.", zap.Int("refused", refused))
+	}
+}
+
+func (n *Node) renew(renewed []gossip.Renewal, now time.Time) {
+	all := make([]roster.Renewal, len(renewed))
+	for i, r := range renewed {
+		all[i] = roster.Renewal(r)
+	}
+	n.roster.Renew(all, now)
+}
+
+func (n *Node) announced(a upstream.Announcement, confirmed, now time.Time) {
+	n.do(func() gossip.Effects { return n.core.Announce(a, confirmed, now) })
+}
+
+func (n *Node) sendAll(envelopes []gossip.Envelope) {
+	for _, e := range envelopes {
+		if err := n.send(e); err != nil {
+			n.failed.Add(1)
+			n.logger.Debug("Sending failed.", zap.String("to", e.Address), zap.Error(err))
+		}
+	}
+}
+
+func (n *Node) send(e gossip.Envelope) error {
+	address, err := netip.ParseAddrPort(e.Address)
+	if err != nil {
+		return errors.Wrapf(err, "address of %q", e.To)
+	}
+	packet, err := n.codec.Encode(e.Message)
+	if err != nil {
+		return err
+	}
+	if _, err := n.connection.WriteToUDPAddrPort(packet, address); err != nil {
+		return errors.Wrap(err, "write datagram")
+	}
+	n.sentMessages.Add(1)
+	n.sentBytes.Add(uint64(len(packet)))
+	return nil
+}
+
+// Self returns this instance.
+func (n *Node) Self() membership.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.Self()
+}
+
+// Members returns the known members, this instance included, ordered by ID.
+func (n *Node) Members() []membership.Member {
+	now := n.clock.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.Members(now)
+}
+
+// Centres returns what is known of each data centre, ordered by ID.
+func (n *Node) Centres() []gossip.Centre {
+	now := n.clock.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.Centres(now)
+}
+
+// Highest returns the highest revision in force anywhere that is known.
+func (n *Node) Highest() fleet.Revision {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.Highest()
+}
+
+// SetRevision tells the others the configuration in force on this instance.
+func (n *Node) SetRevision(r fleet.Revision, since time.Time) {
+	n.do(func() gossip.Effects { return n.core.SetRevision(r, since) })
+}
+
+// SetUsage tells the others the account usage of this instance. It reports false
+// for more than gossip.MaxUsage bytes.
+func (n *Node) SetUsage(data []byte) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.SetUsage(data)
+}
+
+// InstanceUsages returns the account usages of the instances of this data centre.
+func (n *Node) InstanceUsages() map[fleet.InstanceID][]byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.InstanceUsages()
+}
+
+// CentreUsages returns the account usages of all data centres.
+func (n *Node) CentreUsages() map[fleet.DataCentreID][]byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.CentreUsages()
+}
+
+// Stats returns the counters of the traffic.
+func (n *Node) Stats() Stats {
+	return Stats{
+		SentMessages: n.sentMessages.Load(), SentBytes: n.sentBytes.Load(),
+		ReceivedMessages: n.receivedMessages.Load(), ReceivedBytes: n.receivedBytes.Load(),
+		Refused: n.refused.Load(), Repeated: n.repeated.Load(), Failed: n.failed.Load(),
+	}
+}
+
+// Leave tells the others that this instance leaves and then closes the node. An
+// ended ctx cuts the repeats short.
+func (n *Node) Leave(ctx context.Context) error {
+	for range leaveRepeats {
+		now := n.clock.Now()
+		n.do(func() gossip.Effects { return n.core.Leave(now) })
+		select {
+		case <-ctx.Done():
+			return n.Close()
+		case <-n.clock.After(tickPeriod):
+		}
+	}
+	return n.Close()
+}
+
+// Close stops the node without telling the others.
+func (n *Node) Close() error {
+	var err error
+	n.close.Do(func() {
+		close(n.done)
+		err = n.connection.Close()
+		n.running.Wait()
+	})
+	return errors.Wrap(err, "close gossip")
+}
--- /dev/null
+++ b/internal/membership/packet/packet_test.go
@@ -0,0 +1,187 @@
+package packet_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	gossipv1 "github.com/bilberryrock/bilberryrock/api/gossip/v1"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/fakeclock"
+	"github.com/bilberryrock/bilberryrock/internal/membership"
+	"github.com/bilberryrock/bilberryrock/internal/membership/packet"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/roster"
+)
+
+var secret = []byte("a secret of the fleet")
+
+// TestCodec guards against forged, changed, repeated and oversized datagrams.
+func TestCodec(t *testing.T) {
+	is := is.New(t)
+	now := fakeclock.Start
+	sender, err := packet.NewCodec(secret, 7)
+	is.NoErr(err)
+	receiver, err := packet.NewCodec(secret, 1)
+	is.NoErr(err)
+	var sent [][]byte
+	for range 70 {
+		data, err := sender.Encode(&gossipv1.Message{From: "a", Kind: gossipv1.Kind_KIND_PING})
+		is.NoErr(err)
+		sent = append(sent, data)
+	}
+	accepts := func(data []byte) bool {
+		_, err := receiver.Decode(data, now)
+		return err == nil
+	}
+	is.True(accepts(sent[1]))
+	is.True(accepts(sent[0]))   // late
+	is.True(!accepts(sent[0]))  // repeated
+	is.True(!accepts(sent[1]))  // repeated
+	is.True(accepts(sent[69]))  // skips ahead
+	is.True(!accepts(sent[1]))  // repeated, beyond the window
+	is.True(!accepts(sent[2]))  // too old
+	is.True(accepts(sent[60]))  // late, within the window
+	is.True(!accepts(sent[60])) // repeated
+	sent[68][len(sent[68])-1] ^= 1
+	is.True(!accepts(sent[68])) // changed
+
+	stranger, err := packet.NewCodec([]byte("another secret, guessed"), 9)
+	is.NoErr(err)
+	data, err := stranger.Encode(&gossipv1.Message{From: "a"})
+	is.NoErr(err)
+	is.True(!accepts(data)) // forged
+
+	restarted, err := packet.NewCodec(secret, 8)
+	is.NoErr(err)
+	data, err = restarted.Encode(&gossipv1.Message{From: "a"})
+	is.NoErr(err)
+	is.True(accepts(data))
+	is.True(!accepts(sent[65])) // from the process before
+
+	_, err = sender.Encode(&gossipv1.Message{Beats: make([]byte, packet.MaxPacket)})
+	is.True(err != nil)
+	_, err = packet.NewCodec([]byte("short"), 1)
+	is.True(err != nil)
+}
+
+type fleetOfNodes struct {
+	t       *testing.T
+	clock   *fakeclock.Clock
+	nodes   []*packet.Node
+	rosters []*roster.Roster
+}
+
+// until advances the clock until f holds. The wall-clock limit only ends a test
+// that would never succeed.
+func (f *fleetOfNodes) until(what string, ok func() bool) {
+	f.t.Helper()
+	for start := time.Now(); !ok(); {
+		if time.Since(start) > time.Minute {
+			f.t.Fatalf("never happened: %s", what)
+		}
+		f.clock.Advance(50 * time.Millisecond)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (f *fleetOfNodes) start(i int, options ...packet.Option) {
+	is := is.New(f.t)
+	r, err := roster.New(roster.WithDataCentre("dc1"))
+	is.NoErr(err)
+	self := membership.Member{
+		ID: fleet.InstanceID(fmt.Sprintf("i%d", i)), Incarnation: fleet.Incarnation(f.clock.Now().UnixMilli()),
+		DataCentre: "dc1", Gossip: "127.0.0.1:0", Peers: "127.0.0.1:1",
+	}
+	options = append(options, packet.WithSecret(secret), packet.WithClock(f.clock), packet.WithRoster(r))
+	if i > 0 {
+		options = append(options, packet.WithSeeds(f.nodes[0].Self().Gossip))
+	}
+	n, err := packet.New(self, options...)
+	is.NoErr(err)
+	f.nodes = append(f.nodes, n)
+	f.rosters = append(f.rosters, r)
+}
+
+func (f *fleetOfNodes) see(i int, id fleet.InstanceID, s membership.Status) bool {
+	for _, m := range f.nodes[i].Members() {
+		if m.ID == id {
+			return m.Status == s
+		}
+	}
+	return false
+}
+
+// TestNode guards against nodes that don't join, confirm, spread a revision, or
+// leave over real sockets, and against goroutines that outlive a node.
+func TestNode(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	f := &fleetOfNodes{t: t, clock: fakeclock.New(fakeclock.Start)}
+	highest := make(chan fleet.Revision, 100)
+	f.start(0, packet.WithRevisionHook(func(r fleet.Revision) { highest <- r }))
+	f.start(1)
+	f.start(2)
+	f.until("join", func() bool {
+		return f.see(0, "i1", membership.Alive) && f.see(1, "i2", membership.Alive) && f.see(2, "i1", membership.Alive)
+	})
+
+	a := upstream.Announcement{ID: "u", Incarnation: 1, Address: "127.0.0.1:9", DataCentre: "dc1", Pool: "p", Slots: 1}
+	f.until("confirmation", func() bool {
+		a.Sequence++
+		is.NoErr(f.rosters[2].Announce(a, f.clock.Now()))
+		return len(f.rosters[0].Usable("p", f.clock.Now())) == 1
+	})
+	a.State = upstream.Leaving
+	is.NoErr(f.rosters[1].Announce(a, f.clock.Now()))
+	f.until("leaving", func() bool {
+		u, _ := f.rosters[0].Get("u")
+		return u.State == upstream.Leaving
+	})
+
+	f.nodes[2].SetRevision(5, f.clock.Now())
+	f.until("revision", func() bool { return f.nodes[0].Highest() == 5 })
+	is.Equal(<-highest, fleet.Revision(5))
+
+	// Leave waits on the fake clock; an ended context keeps it from waiting.
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.NoErr(f.nodes[2].Leave(ended))
+	f.until("leave", func() bool { return f.see(0, "i2", membership.Left) && f.see(1, "i2", membership.Left) })
+	is.True(f.nodes[0].Stats().SentBytes > 0)
+	is.NoErr(f.nodes[0].Close())
+	is.NoErr(f.nodes[1].Close())
+}
+
+// TestCut guards against a cut that is not seen as a failure, and against a
+// partition that does not heal.
+func TestCut(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	f := &fleetOfNodes{t: t, clock: fakeclock.New(fakeclock.Start)}
+	cut := make(chan bool, 1)
+	cut <- false
+	drop := packet.WithCut(func(from, to fleet.InstanceID) bool {
+		c := <-cut
+		cut <- c
+		return c && (from == "i1" || to == "i1")
+	})
+	for i := range 3 {
+		f.start(i, drop)
+	}
+	together := func() bool { return f.see(0, "i1", membership.Alive) && f.see(1, "i2", membership.Alive) }
+	f.until("join", together)
+	<-cut
+	cut <- true
+	f.until("death", func() bool { return f.see(0, "i1", membership.Dead) && f.see(1, "i2", membership.Dead) })
+	<-cut
+	cut <- false
+	f.until("heal", together)
+	for _, n := range f.nodes {
+		is.NoErr(n.Close())
+	}
+}
--- a/internal/upstream/roster/roster.go
+++ b/internal/upstream/roster/roster.go
@@ -78,6 +78,7 @@
 	version    atomic.Uint64
 	conflicts  atomic.Uint64
 	resumed    atomic.Pointer[time.Time]
+	listener   func(a upstream.Announcement, confirmed, now time.Time)
 }
 
 // entry is one upstream. The lock of its shard guards writes.
@@ -152,7 +153,20 @@
 	if resumed := r.resumed.Load(); resumed != nil && now.Sub(*resumed) < resumeGuard {
 		confirmed = time.Time{}
 	}
-	return r.store(a, confirmed, now, false)
+	if err := r.store(a, confirmed, now, false); err != nil {
+		return err
+	}
+	if r.listener != nil {
+		r.listener(a, confirmed, now)
+	}
+	return nil
+}
+
+// Listen makes the roster call f for every announcement that this instance
+// received and accepted. The time of confirmation is zero when the announcement
+// does not confirm. Listen must be called before the first announcement.
+func (r *Roster) Listen(f func(a upstream.Announcement, confirmed, now time.Time)) {
+	r.listener = f
 }
 
 // Merge records announcements that other instances received and returns the
