--- a/internal/admission/gate/gate.go
+++ b/internal/admission/gate/gate.go
@@ -9,7 +9,7 @@
 // the places of all pools together.
 //
 //	g := gate.New(clock, limiter, gate.WithBound(governor))
-//	g.SetCapacity(poolID, gate.Capacity{Slots: 320, Instances: 15})
+//	g.SetCapacity(poolID, lane.Capacity{Slots: 320, Instances: 15})
 //	ticket, err := g.Enter(ctx, ask)
 //	if err != nil {
 //		return err // not run
@@ -21,9 +21,9 @@
 	"context"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/admission"
+	"github.com/bilberryrock/bilberryrock/internal/admission/lane"
 	"github.com/bilberryrock/bilberryrock/internal/admission/share"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
@@ -32,26 +32,15 @@
 // defaultQueue is the number of requests that may wait for one pool.
 const defaultQueue = 1024
 
-// Bound limits the work in progress of all pools together. Implementations are
-// safe for concurrent use; quiet/governor has one.
-type Bound interface {
-	// Start returns whether work of the expected time may start at now. When it
-	// may, end is called once when the work has ended.
-	Start(now time.Time, expected time.Duration) (end func(), ok bool)
-	// Retry returns the time until work may start again, or zero when there is
-	// no bound now.
-	Retry(now time.Time) time.Duration
-}
-
 // Gate admits requests. It is safe for concurrent use.
 type Gate struct {
 	clock fleet.Clock
 	limit *share.Limiter
-	bound Bound
+	bound lane.Bound
 	queue int
 
 	mu       sync.RWMutex // guards lanes
-	lanes    map[fleet.PoolID]*lane
+	lanes    map[fleet.PoolID]*guarded
 	stopping atomic.Bool
 	pending  atomic.Int64  // requests that wait or run
 	idle     chan struct{} // has an element after pending fell to zero
@@ -63,7 +52,7 @@
 type Option func(*Gate)
 
 // WithBound sets the quiet-hours bound. The default is none.
-func WithBound(b Bound) Option { return func(g *Gate) { g.bound = b } }
+func WithBound(b lane.Bound) Option { return func(g *Gate) { g.bound = b } }
 
 // WithQueue sets the number of requests that may wait for one pool.
 func WithQueue(n int) Option { return func(g *Gate) { g.queue = n } }
@@ -74,7 +63,7 @@
 		clock: clock,
 		limit: limit,
 		queue: defaultQueue,
-		lanes: make(map[fleet.PoolID]*lane),
+		lanes: make(map[fleet.PoolID]*guarded),
 		idle:  make(chan struct{}, 1),
 	}
 	for _, o := range options {
@@ -96,18 +85,19 @@
 		g.leave()
 		return nil, err
 	}
-	t, err := g.lane(a.Pool).enter(ctx, a, now)
+	l := g.lane(a.Pool)
+	w, err := l.enter(ctx, a, now)
 	if err != nil {
 		g.limit.Refund(a.Account)
 		g.leave()
 		return nil, err
 	}
-	return t, nil
+	return &ticket{gate: g, lane: l, waiter: w, account: a.Account, began: g.clock.Now()}, nil
 }
 
 // SetCapacity tells what a pool can run. A controller calls it whenever new
 // reports have come.
-func (g *Gate) SetCapacity(p fleet.PoolID, c Capacity) { g.lane(p).adapt(c) }
+func (g *Gate) SetCapacity(p fleet.PoolID, c lane.Capacity) { g.lane(p).adapt(c) }
 
 // Wake hands out places again after the bound changed. A controller calls it a
 // few times a second while a bound may change.
@@ -133,7 +123,7 @@
 }
 
 // Counters returns the sums and states of a pool.
-func (g *Gate) Counters(p fleet.PoolID) Counters { return g.lane(p).counters() }
+func (g *Gate) Counters(p fleet.PoolID) lane.Counters { return g.lane(p).counters() }
 
 // Pools returns the pools that have had a request or a capacity.
 func (g *Gate) Pools() []fleet.PoolID {
@@ -159,7 +149,7 @@
 	}
 }
 
-func (g *Gate) lane(p fleet.PoolID) *lane {
+func (g *Gate) lane(p fleet.PoolID) *guarded {
 	g.mu.RLock()
 	l := g.lanes[p]
 	g.mu.RUnlock()
@@ -169,16 +159,16 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if l = g.lanes[p]; l == nil {
-		l = newLane(g, p)
+		l = &guarded{clock: g.clock, lane: lane.New(p, g.queue, g.bound)}
 		g.lanes[p] = l
 	}
 	return l
 }
 
-func (g *Gate) all() []*lane {
+func (g *Gate) all() []*guarded {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
-	lanes := make([]*lane, 0, len(g.lanes))
+	lanes := make([]*guarded, 0, len(g.lanes))
 	for _, l := range g.lanes {
 		lanes = append(lanes, l)
 	}
--- a/internal/admission/gate/gate_test.go
+++ b/internal/admission/gate/gate_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/bilberryrock/bilberryrock/internal/admission"
 	"github.com/bilberryrock/bilberryrock/internal/admission/gate"
+	"github.com/bilberryrock/bilberryrock/internal/admission/lane"
 	"github.com/bilberryrock/bilberryrock/internal/admission/share"
 	"github.com/bilberryrock/bilberryrock/internal/document"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
@@ -23,7 +24,7 @@
 	limit := share.New(1)
 	limit.Configure(map[fleet.AccountID]document.Account{"limited": {ID: "limited", MaxInFlight: 1}})
 	g := gate.New(systemclock.Clock{}, limit)
-	g.SetCapacity("pool", gate.Capacity{Slots: slots, Instances: 1})
+	g.SetCapacity("pool", lane.Capacity{Slots: slots, Instances: 1})
 	return g
 }
 
--- /dev/null
+++ b/internal/admission/lane/lane.go
@@ -0,0 +1,220 @@
+// Package lane admits the requests of one pool: a fair queue with deadlines in
+// front of a number of places that adapts to what the pool can run.
+//
+// Lane is pure state. The caller passes the time, holds a lock when it needs
+// one, and gets the outcome of a wait by a callback:
+//
+//	l := lane.New(pool, 1024, nil)
+//	w, err := l.Join(ask, now, func(err error) { granted <- err })
+//	...
+//	l.Finish(w, took, now)
+package lane
+
+import (
+	"time"
+
+	"github.com/bilberryrock/bilberryrock/internal/admission"
+	"github.com/bilberryrock/bilberryrock/internal/admission/queue"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+)
+
+const (
+	// serviceWeight is the weight of the newest piece of work in the mean time
+	// of work.
+	serviceWeight = 0.05
+	// minRetry is the shortest time after which a refused caller is asked to
+	// come back.
+	minRetry = 100 * time.Millisecond
+)
+
+// Bound limits the work in progress of all pools together. Implementations are
+// safe for concurrent use; quiet/governor has one.
+type Bound interface {
+	// Start returns whether work of the expected time may start at now. When it
+	// may, end is called once when the work has ended.
+	Start(now time.Time, expected time.Duration) (end func(), ok bool)
+	// Retry returns the time until work may start again, or zero when there is
+	// no bound now.
+	Retry(now time.Time) time.Duration
+}
+
+// Counters are sums since the start of a Lane, and its state now.
+type Counters struct {
+	Admitted          uint64
+	RefusedOverloaded uint64
+	RefusedDeadline   uint64
+	RefusedQuietHours uint64
+	Abandoned         uint64 // the caller went away while waiting
+	Waiting           int
+	Running           int
+	Places            float64
+}
+
+// Lane admits the requests of one pool. It is not safe for concurrent use.
+type Lane struct {
+	pool    fleet.PoolID
+	bound   Bound
+	waiting *queue.Queue
+	running int
+	places  places
+	service time.Duration // mean time of work
+	counts  Counters
+}
+
+// Waiter is a request that waits or runs.
+type Waiter struct {
+	item   queue.Item
+	notify func(error)
+	end    func() // of the bound, or nil
+}
+
+// New returns a Lane for a pool with room for so many waiting requests. bound
+// may be nil.
+func New(p fleet.PoolID, room int, bound Bound) *Lane {
+	return &Lane{pool: p, bound: bound, waiting: queue.New(room), places: newPlaces()}
+}
+
+// Join lets a request wait for a place. notify is called once, perhaps before
+// Join returns, with nil when the request has a place or with the error of a
+// refusal. It is not called when Join returns an error or after Leave.
+func (l *Lane) Join(a admission.Ask, now time.Time, notify func(error)) (*Waiter, error) {
+	expected := a.Expected
+	if expected == 0 {
+		expected = l.service
+	}
+	w := &Waiter{notify: notify}
+	w.item = queue.Item{
+		Account:  a.Account,
+		Weight:   a.Weight,
+		Priority: a.Priority,
+		Expected: expected,
+		Deadline: a.Deadline,
+		Owner:    w,
+	}
+	if err := l.hopeless(w, now); err != nil {
+		return nil, err
+	}
+	if !l.waiting.Push(&w.item) {
+		l.counts.RefusedOverloaded++
+		return nil, refusal.New(refusal.Overloaded, "queue of pool %q has no room for account %q", l.pool, a.Account).After(l.retry(l.wait(w)))
+	}
+	l.Wake(now)
+	return w, nil
+}
+
+// LatestStart returns the time after which the work of w cannot finish before
+// its deadline. Without a deadline it is zero.
+func (w *Waiter) LatestStart() time.Time {
+	if w.item.Deadline.IsZero() {
+		return time.Time{}
+	}
+	return w.item.LatestStart()
+}
+
+// Leave takes w out of the queue because its caller went away. It returns false
+// when w does not wait any more.
+func (l *Lane) Leave(w *Waiter) bool {
+	l.counts.Abandoned++
+	return l.waiting.Remove(&w.item)
+}
+
+// Finish returns the place of w. took is the time of the work, or zero when it
+// was not run.
+func (l *Lane) Finish(w *Waiter, took time.Duration, now time.Time) {
+	if w.end != nil {
+		w.end()
+	}
+	l.running--
+	if l.service == 0 {
+		l.service = took
+	}
+	if took > 0 {
+		l.service += time.Duration(serviceWeight * float64(took-l.service))
+	}
+	l.Wake(now)
+}
+
+// Adapt takes over what is known of the pool.
+func (l *Lane) Adapt(c Capacity, now time.Time) {
+	l.places.adapt(c)
+	l.Wake(now)
+}
+
+// Wake refuses requests that became late and hands out free places.
+func (l *Lane) Wake(now time.Time) {
+	for i := l.waiting.Expire(now); i != nil; i = l.waiting.Expire(now) {
+		i.Owner.(*Waiter).notify(l.late(now))
+	}
+	start := func(i *queue.Item) bool { return l.begin(i, now) }
+	for float64(l.running+1) <= l.places.limit {
+		i := l.waiting.Pop(start)
+		if i == nil {
+			break
+		}
+		l.running++
+		l.counts.Admitted++
+		i.Owner.(*Waiter).notify(nil)
+	}
+	l.places.binding = l.places.binding || l.waiting.Len() > 0
+}
+
+// Counters returns the sums and the state.
+func (l *Lane) Counters() Counters {
+	c := l.counts
+	c.Waiting = l.waiting.Len()
+	c.Running = l.running
+	c.Places = l.places.limit
+	return c
+}
+
+// hopeless returns an error when the work could not finish in time.
+func (l *Lane) hopeless(w *Waiter, now time.Time) error {
+	if w.item.Deadline.IsZero() {
+		return nil
+	}
+	if now.After(w.item.LatestStart()) {
+		l.counts.RefusedDeadline++
+		return refusal.New(refusal.Deadline, "work of %v cannot finish before the deadline, not started", w.item.Expected)
+	}
+	wait := l.wait(w)
+	if !now.Add(wait).After(w.item.LatestStart()) {
+		return nil
+	}
+	l.counts.RefusedOverloaded++
+	return refusal.New(refusal.Overloaded, "pool %q has %v of work waiting, too much for the deadline", l.pool, wait).After(l.retry(wait))
+}
+
+func (l *Lane) wait(w *Waiter) time.Duration {
+	if float64(l.running+1) <= l.places.limit {
+		return 0
+	}
+	return l.waiting.Wait(w.item.Account, w.item.Weight, w.item.Priority, l.places.limit)
+}
+
+// begin asks the bound for one more piece of work.
+func (l *Lane) begin(i *queue.Item, now time.Time) bool {
+	if l.bound == nil {
+		return true
+	}
+	end, ok := l.bound.Start(now, i.Expected)
+	i.Owner.(*Waiter).end = end
+	return ok
+}
+
+// late returns the error of work that waited until it could not finish any more.
+func (l *Lane) late(now time.Time) error {
+	if l.bound != nil {
+		if d := l.bound.Retry(now); d > 0 {
+			l.counts.RefusedQuietHours++
+			return refusal.New(refusal.QuietHours, "quiet hours bound the work in progress").After(d)
+		}
+	}
+	l.counts.RefusedOverloaded++
+	return refusal.New(refusal.Overloaded, "pool %q had no free place before the deadline, not started", l.pool).After(l.retry(0))
+}
+
+// retry returns the time after which a place is likely to be free.
+func (l *Lane) retry(wait time.Duration) time.Duration {
+	return max(wait, l.service, minRetry)
+}
--- a/internal/admission/gate/places.go
+++ b/internal/admission/lane/places.go
@@ -1,4 +1,4 @@
-package gate
+package lane
 
 const (
 	// unknownPlaces holds until the capacity of a pool is known.
--- a/internal/routing/pool/members.go
+++ b/internal/routing/pool/members.go
@@ -14,13 +14,27 @@
 	nodes []*node
 	byID  map[fleet.UpstreamID]*node
 	peers int
-	slots float64
+	load  Load
 	// probability and alias form an alias table (Walker 1977): a node is drawn
 	// in constant time, in proportion to its weight.
 	probability []float64
 	alias       []int
 }
 
+// Load is what is known of a pool as a whole.
+type Load struct {
+	// Slots is the sum over the usable upstreams, each scaled by its health.
+	Slots float64
+	// Reported is the sum of running and waiting work in recent reports, and
+	// Known the slots of the upstreams that it covers.
+	Reported float64
+	Known    float64
+	// Reports counts the reports so far. It tells whether there are new ones.
+	Reports uint64
+	// Upstreams is the number of usable upstreams.
+	Upstreams int
+}
+
 // judge takes over the healths. When more upstreams are out than a pool may
 // have out, all are taken to be sound.
 func (m *members) judge(now time.Time) {
@@ -55,13 +69,13 @@
 	n.ejections.Add(1)
 }
 
-// weigh builds the alias table. The weight of a node is its slots
+// weigh sums the load up and builds the alias table. The weight of a node is its slots
 // per service time, scaled by its health.
-func (m *members) weigh() {
+func (m *members) weigh(now int64) {
 	weights := make([]float64, len(m.nodes))
 	total := 0.0
 	for i, n := range m.nodes {
-		m.slots += float64(n.slots.Load()) * n.health()
+		m.load.add(n, now)
 		weights[i] = n.weight()
 		total += weights[i]
 	}
@@ -70,6 +84,18 @@
 	}
 }
 
+func (l *Load) add(n *node, now int64) {
+	slots := float64(n.slots.Load())
+	l.Slots += slots * n.health()
+	l.Reports += n.reports.Load()
+	l.Upstreams++
+	if now-n.reportedAt.Load() > int64(recentReport) || n.reportedAt.Load() == noReport {
+		return
+	}
+	l.Reported += float64(n.reported.Load())
+	l.Known += slots
+}
+
 // fill builds the alias table with the method of Vose (1991).
 func (m *members) fill(weights []float64, scale float64) {
 	m.probability = weights
--- a/internal/routing/pool/pool.go
+++ b/internal/routing/pool/pool.go
@@ -43,6 +43,8 @@
 	// confirmationLimit is the age of the last confirmation at which an upstream
 	// gets no new work, even when Refresh is late.
 	confirmationLimit = 3 * time.Second
+	// recentReport is the age up to which a report is part of Load.
+	recentReport = 5 * time.Second
 )
 
 // Ask describes the work that needs an upstream.
@@ -122,7 +124,7 @@
 	}
 	p.relax(next, now)
 	next.judge(now)
-	next.weigh()
+	next.weigh(p.offset(now))
 	p.retire(old, next)
 	p.refreshed = now
 	p.members.Store(next)
@@ -186,12 +188,8 @@
 	return int(n.inFlight.Load())
 }
 
-// Capacity returns the slots of the sound upstreams, each scaled by its health,
-// and the number of usable upstreams.
-func (p *Pool) Capacity() (slots float64, upstreams int) {
-	m := p.members.Load()
-	return m.slots, len(m.nodes)
-}
+// Load returns what the last Refresh knew of the pool as a whole.
+func (p *Pool) Load() Load { return p.members.Load().load }
 
 func (p *Pool) collect(s *scratch, m *members, a *Ask, now time.Time) {
 	if len(m.nodes) <= sampleSize {
