--- a/internal/admission/lane/lane.go
+++ b/internal/admission/lane/lane.go
@@ -21,8 +21,12 @@
 
 const (
 	// serviceWeight is the weight of the newest piece of work in the mean time
-	// of work.
+	// of work and in its deviation.
 	serviceWeight = 0.05
+	// safety is the number of mean deviations by which work may take longer
+	// than the mean and still end before its deadline. With 0, 11% of the work
+	// of an overloaded pool was lost to deadlines.
+	safety = 3
 	// minRetry is the shortest time after which a refused caller is asked to
 	// come back.
 	minRetry = 100 * time.Millisecond
@@ -59,6 +63,7 @@
 	running int
 	places  places
 	service time.Duration // mean time of work
+	spread  time.Duration // mean deviation from it
 	counts  Counters
 }
 
@@ -79,9 +84,9 @@
 // Join returns, with nil when the request has a place or with the error of a
 // refusal. It is not called when Join returns an error or after Leave.
 func (l *Lane) Join(a admission.Ask, now time.Time, notify func(error)) (*Waiter, error) {
-	expected := a.Expected
+	expected, reserve := a.Expected, time.Duration(0)
 	if expected == 0 {
-		expected = l.service
+		expected, reserve = l.service, safety*l.spread
 	}
 	w := &Waiter{notify: notify}
 	w.item = queue.Item{
@@ -89,6 +94,7 @@
 		Weight:   a.Weight,
 		Priority: a.Priority,
 		Expected: expected,
+		Reserve:  reserve,
 		Deadline: a.Deadline,
 		Owner:    w,
 	}
@@ -126,18 +132,24 @@
 		w.end()
 	}
 	l.running--
-	if l.service == 0 {
-		l.service = took
-	}
 	if took > 0 {
-		l.service += time.Duration(serviceWeight * float64(took-l.service))
+		l.learn(took)
 	}
 	l.Wake(now)
 }
 
+func (l *Lane) learn(took time.Duration) {
+	if l.service == 0 {
+		l.service = took
+	}
+	off := took - l.service
+	l.service += time.Duration(serviceWeight * float64(off))
+	l.spread += time.Duration(serviceWeight * float64(max(off, -off)-l.spread))
+}
+
 // Adapt takes over what is known of the pool.
 func (l *Lane) Adapt(c Capacity, now time.Time) {
-	l.places.adapt(c)
+	l.places.adapt(c, now)
 	l.Wake(now)
 }
 
--- a/internal/admission/lane/places.go
+++ b/internal/admission/lane/places.go
@@ -1,16 +1,26 @@
 package lane
 
+import "time"
+
 const (
+	// adaptEvery is the time between changes. Upstreams report once a second, so
+	// a change shows before the next one.
+	adaptEvery = time.Second
 	// unknownPlaces holds until the capacity of a pool is known.
 	unknownPlaces = 32
 	// firstHeadroom lets an instance use more than its even part from the
 	// start, because the load is never spread evenly.
 	firstHeadroom = 1.25
-	// fullLoad is the reported load per slot that is aimed at. It is above 1 so
-	// that a slot that becomes free finds the next work waiting.
-	fullLoad = 1.1
+	// fullLoad is the reported load per slot that is aimed at. It is above 1
+	// because instances that do not see each other's choices leave slots of one
+	// upstream idle while work waits at another one. 40 upstreams reached 94.8%
+	// of the bound with 1.4 and 98.1% with 1.8.
+	fullLoad = 1.8
 	// growth is the part of the even part that is added at a time.
 	growth = 0.05
+	// minGrowth is in places. Without it an even part of 0.8 places, as in a
+	// pool of 12 slots and 15 instances, grows by one place in 25 s only.
+	minGrowth = 0.2
 	// maxCut is the largest part that is taken away at a time.
 	maxCut = 0.2
 	// minPart is the part of the even part that is always kept.
@@ -37,12 +47,13 @@
 type places struct {
 	limit   float64
 	known   bool
+	adapted time.Time
 	binding bool // work has waited since the last change
 }
 
 func newPlaces() places { return places{limit: unknownPlaces} }
 
-func (p *places) adapt(c Capacity) {
+func (p *places) adapt(c Capacity, now time.Time) {
 	if c.Slots <= 0 {
 		return
 	}
@@ -51,10 +62,11 @@
 		p.known = true
 		p.limit = part * firstHeadroom
 	}
-	if c.Known > 0 {
+	if c.Known > 0 && now.Sub(p.adapted) >= adaptEvery {
 		p.follow(c.Reported/c.Known, part)
+		p.adapted = now
+		p.binding = false
 	}
-	p.binding = false
 	p.limit = min(max(p.limit, part*minPart, 1), max(c.Slots*fullLoad, 1))
 }
 
@@ -64,6 +76,6 @@
 		return
 	}
 	if p.binding {
-		p.limit += part * growth
+		p.limit += max(part*growth, minGrowth)
 	}
 }
--- a/internal/admission/queue/queue.go
+++ b/internal/admission/queue/queue.go
@@ -35,8 +35,11 @@
 	Account  fleet.AccountID
 	Weight   int
 	Priority fleet.Priority
-	// Expected is the expected time of the work once started.
+	// Expected is the mean time of such work, by which accounts are charged.
 	Expected time.Duration
+	// Reserve is the time that such work may take beyond Expected. It counts for
+	// the deadline only.
+	Reserve time.Duration
 	// Deadline is the time by which the work has to be done. Zero means none.
 	Deadline time.Time
 	// Owner is for the caller.
@@ -49,7 +52,7 @@
 
 // LatestStart returns the time after which the work cannot finish before its
 // deadline.
-func (i *Item) LatestStart() time.Time { return i.Deadline.Add(-i.Expected) }
+func (i *Item) LatestStart() time.Time { return i.Deadline.Add(-i.Expected - i.Reserve) }
 
 func (i *Item) late(now time.Time) bool {
 	return !i.Deadline.IsZero() && now.After(i.LatestStart())
--- /dev/null
+++ b/internal/routing/measures_test.go
@@ -0,0 +1,161 @@
+package routing_test
+
+import (
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// accountShares are the parts of the load of the accounts: two large ones and
+// six small ones.
+var accountShares = []float64{0.4, 0.3, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05}
+
+// measures are the figures of one run, taken from the requests that arrived
+// after the warm-up and early enough to end before the run does.
+type measures struct {
+	w                    *world
+	bound                float64 // requests a second that the hardware can do
+	arrivals, good       int
+	refusals, justified  int
+	ranButRefused        int
+	losses               int
+	byAccount            [2][8]float64 // arrivals, good
+	latency, first, next *hdrhistogram.Histogram
+	wasted, used         time.Duration
+	hits, lookups        int
+	second               [2][]float64 // arrivals and good by second of arrival
+}
+
+func (m *measures) init(w *world) {
+	m.w = w
+	for _, s := range w.speeds {
+		m.bound += float64(w.slots) / (meanService.Seconds() * s)
+	}
+	newHistogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3) }
+	m.latency, m.first, m.next = newHistogram(), newHistogram(), newHistogram()
+	m.second[0] = make([]float64, int(w.length/time.Second)+2)
+	m.second[1] = make([]float64, int(w.length/time.Second)+2)
+}
+
+func (m *measures) counts(r *request) bool {
+	return r.arrived >= m.w.warmUp && r.arrived < m.w.length-callerDeadline
+}
+
+func (m *measures) offered(r *request) {
+	m.second[0][r.arrived/time.Second]++
+	if m.counts(r) {
+		m.arrivals++
+		m.byAccount[0][r.account]++
+	}
+}
+
+func (m *measures) served(a *attempt) {
+	m.used += a.service
+	m.second[1][a.arrived/time.Second]++
+	if !m.counts(a.request) {
+		return
+	}
+	m.good++
+	m.byAccount[1][a.account]++
+	micro := func(d time.Duration) int64 { return int64(d / time.Microsecond) }
+	_ = m.latency.RecordValue(micro(m.w.now - a.arrived))
+	_ = m.first.RecordValue(micro(a.started + a.first + a.to.link - a.arrived))
+	_ = m.next.RecordValue(micro(a.service-a.first) / tokensPerWork)
+}
+
+func (m *measures) refused(r *request) {
+	if r.ran {
+		m.ranButRefused++
+	}
+	if !m.counts(r) {
+		return
+	}
+	m.refusals++
+	busy, slots := 0, 0
+	for _, k := range m.w.workers {
+		if !k.dead && !k.frozen {
+			busy += k.busy
+			slots += k.slots
+		}
+	}
+	if float64(busy) >= 0.95*float64(slots) {
+		m.justified++
+	}
+}
+
+func (m *measures) lost(r *request) {
+	if m.counts(r) {
+		m.losses++
+	}
+}
+
+func (m *measures) waste(d time.Duration) { m.wasted += d }
+
+// goodput returns good requests as a part of the lower of offered load and
+// bound.
+func (m *measures) goodput() float64 {
+	seconds := (m.w.length - callerDeadline - m.w.warmUp).Seconds()
+	return float64(m.good) / min(float64(m.arrivals), m.bound*seconds)
+}
+
+// utilisation returns the part of the slot time that was used, over the whole
+// run.
+func (m *measures) utilisation() float64 {
+	slots := float64(m.w.slots * len(m.w.workers))
+	return (m.used + m.wasted).Seconds() / (slots * m.w.length.Seconds())
+}
+
+// fairness returns the lowest ratio over all accounts of what an account got to
+// its max-min fair part of the bound.
+func (m *measures) fairness() float64 {
+	seconds := (m.w.length - callerDeadline - m.w.warmUp).Seconds()
+	parts := maxMin(m.byAccount[0][:], m.bound*seconds)
+	lowest := math.Inf(1)
+	for i, p := range parts {
+		if p > 0 {
+			lowest = min(lowest, m.byAccount[1][i]/p)
+		}
+	}
+	return lowest
+}
+
+func maxMin(demands []float64, capacity float64) []float64 {
+	parts := make([]float64, len(demands))
+	for range demands {
+		open := 0
+		for i := range demands {
+			if parts[i] < demands[i] {
+				open++
+			}
+		}
+		if open == 0 || capacity <= 1e-9 {
+			break
+		}
+		each := capacity / float64(open)
+		for i := range demands {
+			if add := min(each, demands[i]-parts[i]); add > 0 {
+				parts[i] += add
+				capacity -= add
+			}
+		}
+	}
+	return parts
+}
+
+// recovery returns the time from the fault until the end of the last second in
+// which fewer than 95% of the requests that could be served were.
+func (m *measures) recovery() time.Duration {
+	last := m.w.faultAt
+	for s := int(m.w.faultAt / time.Second); s < int((m.w.length-callerDeadline)/time.Second); s++ {
+		possible := min(m.second[0][s], m.bound)
+		if m.second[1][s] < 0.95*possible {
+			last = time.Duration(s+1) * time.Second
+		}
+	}
+	return last - m.w.faultAt
+}
+
+func milliseconds(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
--- /dev/null
+++ b/internal/routing/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package routing_test
+
+const raceEnabled = false
--- a/internal/routing/pool/counters.go
+++ b/internal/routing/pool/counters.go
@@ -13,7 +13,9 @@
 	Succeeded uint64
 	Failed    uint64
 	Canceled  uint64
-	Ejections uint64
+	// Unreachable counts work of which not one byte was sent.
+	Unreachable uint64
+	Ejections   uint64
 }
 
 func (c *Counters) add(n *node) {
@@ -21,6 +23,7 @@
 	c.Succeeded += n.succeeded.Load()
 	c.Failed += n.failed.Load()
 	c.Canceled += n.canceled.Load()
+	c.Unreachable += n.missed.Load()
 	c.Ejections += n.ejections.Load()
 }
 
--- a/internal/routing/pool/lease.go
+++ b/internal/routing/pool/lease.go
@@ -21,6 +21,8 @@
 	// Canceled means that the work ended for a reason that says nothing about
 	// the upstream, such as a caller that went away.
 	Canceled // canceled
+	// Unreachable means that not one byte of the work was sent.
+	Unreachable // unreachable
 )
 
 // Lease is one piece of work on a chosen upstream.
@@ -48,10 +50,14 @@
 	case Succeeded:
 		n.learn(now.Sub(l.began), l.slowdown, l.work)
 		n.ejection.Succeed()
+	case Unreachable:
+		n.unreachable.Store(l.pool.offset(now.Add(unreachableHold)))
 	case Failed:
+		n.learnAtLeast(now.Sub(l.began), l.slowdown, l.work)
 		if n.ejection.Fail(now) {
 			l.pool.members.Load().eject(n)
 		}
 	case Canceled:
+		n.learnAtLeast(now.Sub(l.began), l.slowdown, l.work)
 	}
 }
--- a/internal/routing/pool/node.go
+++ b/internal/routing/pool/node.go
@@ -40,13 +40,17 @@
 	ejection  ejection.State
 	healthBit atomic.Uint64
 
-	picked, succeeded, failed, canceled atomic.Uint64
-	ejections                           atomic.Uint64
+	// unreachable is the time until which the upstream is passed over.
+	unreachable atomic.Int64
+
+	picked, succeeded, failed, canceled, missed atomic.Uint64
+	ejections                                   atomic.Uint64
 }
 
 func newNode(u *upstream.Upstream, kind *speed.Estimate) *node {
 	n := &node{id: u.ID, incarnation: u.Incarnation, kind: kind, cache: affinity.NewSource(u.ID)}
 	n.reportedAt.Store(noReport)
+	n.unreachable.Store(math.MinInt64)
 	n.setHealth(1)
 	return n
 }
@@ -87,6 +91,8 @@
 		n.failed.Add(1)
 	case Canceled:
 		n.canceled.Add(1)
+	case Unreachable:
+		n.missed.Add(1)
 	}
 }
 
@@ -99,6 +105,15 @@
 	n.sampled.Store(true)
 }
 
+// learnAtLeast takes work that ended without an answer as a sample when it took
+// longer than expected, so that an upstream that answers nothing in time does
+// not keep the speed of better days.
+func (n *node) learnAtLeast(elapsed time.Duration, slowdown, work float64) {
+	if float64(elapsed) > float64(n.serviceTime(work, 0))*slowdown {
+		n.learn(elapsed, slowdown, work)
+	}
+}
+
 // serviceTime returns the expected time of one unit of work. An upstream that
 // has work and shows no progress is taken to be at least as slow as the time
 // since its last progress.
--- a/internal/routing/pool/pool.go
+++ b/internal/routing/pool/pool.go
@@ -43,6 +43,9 @@
 	// confirmationLimit is the age of the last confirmation at which an upstream
 	// gets no new work, even when Refresh is late.
 	confirmationLimit = 3 * time.Second
+	// unreachableHold is the time for which an upstream that could not be
+	// reached is passed over while there are others.
+	unreachableHold = time.Second
 	// recentReport is the age up to which a report is part of Load.
 	recentReport = 5 * time.Second
 )
@@ -203,8 +206,12 @@
 	if s.count > 0 {
 		return
 	}
-	// The draws met only upstreams that are out of use. A scan from a random
-	// place finds one that is not.
+	p.scan(s, m, a, now)
+}
+
+// scan offers the first usable node from a random place on, for when the draws
+// met none. When none is sound it offers one that is out of use.
+func (p *Pool) scan(s *scratch, m *members, a *Ask, now time.Time) {
 	from := int(p.draw() % uint64(max(len(m.nodes), 1)))
 	for i := range m.nodes {
 		p.offer(s, m, m.nodes[(from+i)%len(m.nodes)], a, now)
@@ -212,6 +219,13 @@
 			return
 		}
 	}
+	for i := range m.nodes {
+		n := m.nodes[(from+i)%len(m.nodes)]
+		if p.confirmed(n, now) && !avoided(a.Avoid, n.id) {
+			s.add(n, n.candidate(m, a, n.health(), p.offset(now)))
+			return
+		}
+	}
 }
 
 func (p *Pool) sample(s *scratch, m *members, a *Ask, now time.Time) {
@@ -225,10 +239,10 @@
 
 // offer adds n to the candidates when it may get the work.
 func (p *Pool) offer(s *scratch, m *members, n *node, a *Ask, now time.Time) {
-	if s.has(n) || avoided(a.Avoid, n.id) {
+	if s.has(n) || avoided(a.Avoid, n.id) || !p.confirmed(n, now) {
 		return
 	}
-	if p.offset(now)-n.confirmed.Load() > int64(confirmationLimit) {
+	if p.offset(now) < n.unreachable.Load() {
 		return
 	}
 	health := n.health()
@@ -238,6 +252,10 @@
 	s.add(n, n.candidate(m, a, health, p.offset(now)))
 }
 
+func (p *Pool) confirmed(n *node, now time.Time) bool {
+	return p.offset(now)-n.confirmed.Load() <= int64(confirmationLimit)
+}
+
 func (p *Pool) offerHolders(s *scratch, m *members, a *Ask, now time.Time) {
 	if len(a.Prefix) == 0 {
 		return
--- a/internal/routing/pool/result_string.go
+++ b/internal/routing/pool/result_string.go
@@ -11,11 +11,12 @@
 	_ = x[Succeeded-0]
 	_ = x[Failed-1]
 	_ = x[Canceled-2]
+	_ = x[Unreachable-3]
 }
 
-const _Result_name = "succeededfailedcanceled"
+const _Result_name = "succeededfailedcanceledunreachable"
 
-var _Result_index = [...]uint8{0, 9, 15, 23}
+var _Result_index = [...]uint8{0, 9, 15, 23, 34}
 
 func (i Result) String() string {
 	idx := int(i) - 0
