--- a/internal/routing/reported/reported.go
+++ b/internal/routing/reported/reported.go
@@ -3,18 +3,36 @@
 // use.
 package reported
 
-import "github.com/bilberryrock/bilberryrock/internal/routing"
+import (
+	"math/rand/v2"
+
+	"github.com/bilberryrock/bilberryrock/internal/routing"
+)
 
 // Policy implements routing.Chooser.
-type Policy struct{}
+type Policy struct {
+	// Uint64 is the source of randomness. Nil stands for math/rand/v2.
+	Uint64 func() uint64
+}
 
-// Choose returns the first candidate with the least reported load per slot.
-func (Policy) Choose(candidates []routing.Candidate) routing.Choice {
+// Choose returns a random one of the candidates with the least reported load per
+// slot.
+func (p Policy) Choose(candidates []routing.Candidate) routing.Choice {
 	best := routing.Choice{Index: -1, Reason: "no candidate"}
-	least := 0.0
+	draw := p.Uint64
+	if draw == nil {
+		draw = rand.Uint64
+	}
+	least, ties := 0.0, uint64(1)
 	for i := range candidates {
 		load := float64(candidates[i].Reported) / float64(max(candidates[i].Slots, 1))
+		if best.Index >= 0 && load == least {
+			ties++
+		}
 		if best.Index < 0 || load < least {
+			ties = 1
+		}
+		if best.Index < 0 || load < least || load == least && draw()%ties == 0 {
 			least = load
 			best = routing.Choice{Index: i, Reason: "least reported load"}
 		}
