Learn the time of unanswered work without blaming other work for it

Cause: a worker that became ten times slower was learned as fast, because the estimated work of other instances explained its slowness.

Tried and dropped: a cap on the extrapolated work of the other instances of 0.5, 1 or 2 batches.

--- a/internal/routing/pool/node.go
+++ b/internal/routing/pool/node.go
@@ -99,18 +99,23 @@
 // learn takes the time without waiting for one unit of work as a sample.
 func (n *node) learn(elapsed time.Duration, slowdown, work float64) {
 	onUpstream := max(elapsed-2*time.Duration(n.link.Load()), 0)
-	sample := time.Duration(float64(onUpstream) / (slowdown * work))
+	sample := time.Duration(float64(onUpstream) / (min(slowdown, maxSlowdown) * work))
 	n.service.Observe(sample)
 	n.kind.Observe(sample)
 	n.sampled.Store(true)
 }
 
+// maxSlowdown bounds the part of a measured time that is put down to other work.
+// The estimate of that work is rough, and without a bound a slow upstream that
+// is taken to be crowded is learned as a fast one.
+const maxSlowdown = 2.5
+
 // learnAtLeast takes work that ended without an answer as a sample when it took
 // longer than expected, so that an upstream that answers nothing in time does
 // not keep the speed of better days.
 func (n *node) learnAtLeast(elapsed time.Duration, slowdown, work float64) {
 	if float64(elapsed) > float64(n.serviceTime(work, 0))*slowdown {
-		n.learn(elapsed, slowdown, work)
+		n.learn(elapsed, 1, work)
 	}
 }
 
