--- a/internal/routing/ejection/ejection_test.go
+++ b/internal/routing/ejection/ejection_test.go
@@ -37,7 +37,8 @@
 			case "mixed":
 				for range n {
 					s.Succeed()
-					if s.Fail(now) || s.Fail(now) {
+					first, second := s.Fail(now), s.Fail(now)
+					if first || second {
 						fmt.Fprintf(&b, "ejected at %v\n", now.Sub(fakeclock.Start))
 					}
 				}
