--- a/internal/admission/gate/gate_test.go
+++ b/internal/admission/gate/gate_test.go
@@ -17,6 +17,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
+	"github.com/bilberryrock/bilberryrock/internal/quiet/governor"
 )
 
 // Inside of synctest.Test the system clock is a fake one.
@@ -68,6 +69,46 @@
 	})
 }
 
+// Guards against work in progress over the quiet-hours bound, against refusals
+// that hide the reason, and against a gate that stays shut after the window.
+func TestQuietHours(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		start := time.Now().UTC()
+		bound := governor.New(0)
+		bound.SetWindows([]document.Window{{
+			Name:        "quiet",
+			Days:        []time.Weekday{start.Weekday()},
+			From:        start.Sub(start.Truncate(24*time.Hour)) + time.Minute,
+			To:          start.Sub(start.Truncate(24*time.Hour)) + 2*time.Minute,
+			MaxInFlight: 2,
+		}})
+		g := gate.New(systemclock.Clock{}, share.New(1), gate.WithBound(bound))
+		g.SetCapacity("pool", lane.Capacity{Slots: 10, Instances: 1})
+		enter := func() (admission.Ticket, error) {
+			return g.Enter(context.Background(), ask("a", 5*time.Second, 3*time.Second))
+		}
+		time.Sleep(58 * time.Second) // work of 3 s would run into the window
+		var running []admission.Ticket
+		for range 2 {
+			ticket, err := enter()
+			is.NoErr(err)
+			running = append(running, ticket)
+		}
+		_, err := enter()
+		is.Equal(refusal.KindOf(err), refusal.QuietHours)
+		is.True(err.(*refusal.Error).RetryAfter > 0)
+		for _, r := range running {
+			r.Done()
+		}
+		time.Sleep(2 * time.Minute)
+		for range 10 {
+			_, err = enter()
+			is.NoErr(err)
+		}
+	})
+}
+
 // Guards against places that leak when callers go away while they wait.
 func TestCancelWhileWaiting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/routing/pool/pool_test.go
+++ b/internal/routing/pool/pool_test.go
@@ -67,6 +67,26 @@
 	is.Equal(p.Counters(), pool.Counters{Picked: 1, Failed: 1})
 }
 
+// Guards against work for an upstream that was just out of reach while others
+// are there, and against an empty pool when none is in reach.
+func TestUnreachable(t *testing.T) {
+	is := is.New(t)
+	c := fakeclock.New(fakeclock.Start)
+	p := pool.New(c, scoring.Policy{}, seeded(1))
+	p.Refresh(usable(3, c.Now()), 14)
+	seen := map[fleet.UpstreamID]bool{}
+	for range 3 {
+		l, err := p.Pick(pool.Ask{})
+		is.NoErr(err)
+		u := l.Upstream()
+		is.True(!seen[u.ID])
+		seen[u.ID] = true
+		l.Done(pool.Unreachable)
+	}
+	_, err := p.Pick(pool.Ask{})
+	is.NoErr(err)
+}
+
 // Guards against a bad signal that takes a whole pool out of use.
 func TestEjectionKeepsFloor(t *testing.T) {
 	is := is.New(t)
@@ -113,3 +133,17 @@
 		})
 	}
 }
+
+func BenchmarkRefresh(b *testing.B) {
+	for _, n := range []int{40, 600, 12000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := systemclock.Clock{}
+			p := pool.New(c, scoring.Policy{})
+			us := usable(n, c.Now().Add(time.Hour))
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Refresh(us, 14)
+			}
+		})
+	}
+}
