Count the others' work since a report with the square root of their number

Cause: one piece of own work since a report counted as one of each of 14 others. In a pool of 3 with one slow that made the sound ones look crowded and sent work to the slow one.

Tried and dropped: learning the time of unanswered work with a weight of 0.6.

--- a/internal/routing/scoring/scoring.go
+++ b/internal/routing/scoring/scoring.go
@@ -4,9 +4,11 @@
 // The load of a candidate is estimated from two sources. The instance knows its
 // own work exactly. The work of the other instances is known from a lagged
 // report, whose weight falls with its age. What the report cannot show yet is
-// extrapolated: the other instances are assumed to do as this one did since.
-// Therefore work sent to a candidate that reported idle counts at once as if
-// every instance had sent some, and an idle candidate is not overrun.
+// extrapolated from what this instance did since. The others decide on their
+// own, so their sum counts with the square root of their number, as a sum of
+// independent choices does. Therefore work sent to a candidate that reported
+// idle counts at once as if several instances had sent some, and an idle
+// candidate is not overrun.
 //
 //	var p scoring.Policy
 //	choice := p.Choose(candidates)
@@ -97,7 +99,7 @@
 		mean := c.PoolLoad * float64(max(c.Slots, 1)*c.Peers) / float64(c.Peers+1)
 		shown = reportTrust*shown + (1-reportTrust)*mean
 	}
-	others := max(shown+float64(c.Peers)*since, 0)
+	others := max(shown+math.Sqrt(float64(c.Peers))*since, 0)
 	weight := 1 / (1 + float64(c.ReportAge)/float64(reportHalfLife))
 	return own + weight*others + (1-weight)*alike
 }
