--- a/internal/admission/gate/gate_test.go
+++ b/internal/admission/gate/gate_test.go
@@ -200,3 +200,17 @@
 		is.True(served["small"]+served["large"] >= 760) // 95% of 4 places * 10/s * 20 s
 	})
 }
+
+func BenchmarkEnter(b *testing.B) {
+	g := gate.New(systemclock.Clock{}, share.New(1))
+	g.SetCapacity("pool", lane.Capacity{Slots: 1000, Instances: 1})
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			ticket, err := g.Enter(context.Background(), admission.Ask{Account: "a", Pool: "pool", Deadline: time.Now().Add(time.Second)})
+			if err == nil {
+				ticket.Done()
+			}
+		}
+	})
+}
--- a/internal/admission/share/exchange.go
+++ b/internal/admission/share/exchange.go
@@ -15,6 +15,8 @@
 const (
 	// maxEntries bounds a summary to 64 accounts, less than 1 KB.
 	maxEntries = 64
+	// headerSize is in bytes: number of instances.
+	headerSize = 2
 	// entrySize is in bytes: hash of the account, demand, share with asksBit.
 	entrySize = 8 + 4 + 2
 	shareUnit = 1<<15 - 1
@@ -31,17 +33,71 @@
 	asks bool
 }
 
+// peer is another instance, or another data centre as a whole.
 type peer struct {
-	at      time.Time
-	entries map[uint64]entry
+	at        time.Time
+	instances int
+	remote    bool // a data centre
+	entries   map[uint64]entry
 }
 
 // Summary returns the demand and the shares of the hot accounts for the other
 // instances. Its form is private to this package.
 func (l *Limiter) Summary() []byte {
+	return encode(1, l.hot())
+}
+
+// GroupSummary returns the sums over this instance and the ones that it hears of
+// by Absorb, those of its data centre. One instance of a data centre sends it to
+// the other data centres.
+func (l *Limiter) GroupSummary(now time.Time) []byte {
 	hot := l.hot()
-	data := make([]byte, 0, len(hot)*entrySize)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	local := l.local(now)
+	instances := 1
+	sums := make(map[uint64]entry)
+	for _, p := range local {
+		instances += p.instances
+		for sum := range p.entries {
+			sums[sum] = entry{hash: sum}
+		}
+	}
 	for _, e := range hot {
+		sums[e.hash] = e
+	}
+	for sum := range sums {
+		sums[sum] = l.sum(sums[sum], local)
+	}
+	all := make([]entry, 0, len(sums))
+	for _, e := range sums {
+		all = append(all, e)
+	}
+	sortByDemand(all)
+	return encode(instances, all[:min(len(all), maxEntries)])
+}
+
+// sum adds what the other instances of the data centre say of an account.
+func (l *Limiter) sum(e entry, local []*peer) entry {
+	if e.share == 0 {
+		e.share = l.part()
+	}
+	for _, p := range local {
+		o, ok := p.entries[e.hash]
+		if !ok {
+			o.share = l.part()
+		}
+		e.demand += o.demand
+		e.share += o.share
+		e.asks = e.asks || o.asks
+	}
+	return e
+}
+
+func encode(instances int, entries []entry) []byte {
+	data := make([]byte, 0, headerSize+len(entries)*entrySize)
+	data = binary.BigEndian.AppendUint16(data, uint16(min(instances, math.MaxUint16)))
+	for _, e := range entries {
 		data = binary.BigEndian.AppendUint64(data, e.hash)
 		data = binary.BigEndian.AppendUint32(data, math.Float32bits(float32(e.demand)))
 		data = binary.BigEndian.AppendUint16(data, e.packedShare())
@@ -58,11 +114,23 @@
 	return packed
 }
 
-// Absorb takes over the summary of another instance.
+// Absorb takes over the Summary of another instance. In a fleet with group
+// summaries it is one of the same data centre.
 func (l *Limiter) Absorb(from fleet.InstanceID, data []byte, now time.Time) error {
-	if len(data)%entrySize != 0 || len(data) > maxEntries*entrySize {
+	return l.absorb(string(from), false, data, now)
+}
+
+// AbsorbGroup takes over the GroupSummary of another data centre.
+func (l *Limiter) AbsorbGroup(from fleet.DataCentreID, data []byte, now time.Time) error {
+	return l.absorb(string(from), true, data, now)
+}
+
+func (l *Limiter) absorb(from string, remote bool, data []byte, now time.Time) error {
+	if len(data) < headerSize || (len(data)-headerSize)%entrySize != 0 || len(data) > headerSize+maxEntries*entrySize {
 		return errors.Errorf("usage summary of %q has %d bytes", from, len(data))
 	}
+	instances := int(binary.BigEndian.Uint16(data))
+	data = data[headerSize:]
 	entries := make(map[uint64]entry, len(data)/entrySize)
 	for ; len(data) > 0; data = data[entrySize:] {
 		e := entry{
@@ -77,7 +145,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.peers[from] = &peer{at: now, entries: entries}
+	l.peers[origin{from, remote}] = &peer{at: now, instances: instances, remote: remote, entries: entries}
 	return nil
 }
 
@@ -120,28 +188,54 @@
 		}
 		h.mu.Unlock()
 	}
+	sortByDemand(all)
+	return all[:min(len(all), maxEntries)]
+}
+
+func sortByDemand(all []entry) {
 	sort.Slice(all, func(i, j int) bool {
 		if all[i].demand != all[j].demand {
 			return all[i].demand > all[j].demand
 		}
 		return all[i].hash < all[j].hash
 	})
-	return all[:min(len(all), maxEntries)]
 }
 
-// fresh returns the peers that were heard lately and forgets those long silent.
+// fresh returns the peers that were heard lately, in a fixed order, and forgets
+// those long silent.
 func (l *Limiter) fresh(now time.Time) []*peer {
-	var fresh []*peer
-	for id, p := range l.peers {
+	var heard []origin
+	for o, p := range l.peers {
 		if now.Sub(p.at) <= silence {
-			fresh = append(fresh, p)
+			heard = append(heard, o)
 			continue
 		}
-		delete(l.peers, id)
+		delete(l.peers, o)
+	}
+	sort.Slice(heard, func(i, j int) bool {
+		if heard[i].remote != heard[j].remote {
+			return heard[j].remote
+		}
+		return heard[i].id < heard[j].id
+	})
+	fresh := make([]*peer, len(heard))
+	for i, o := range heard {
+		fresh[i] = l.peers[o]
 	}
 	return fresh
 }
 
+// local returns the fresh peers of the same data centre.
+func (l *Limiter) local(now time.Time) []*peer {
+	var local []*peer
+	for _, p := range l.fresh(now) {
+		if !p.remote {
+			local = append(local, p)
+		}
+	}
+	return local
+}
+
 // track starts state for accounts that are hot elsewhere, so that this instance
 // gives up what it does not need.
 func (l *Limiter) track(fresh []*peer, now time.Time) {
@@ -202,29 +296,32 @@
 
 func (l *Limiter) view(id fleet.AccountID, a *account, fresh []*peer) view {
 	part := l.part()
-	absent := max(float64(l.instances.Load())-1-float64(len(fresh)), 0)
-	group := float64(len(fresh) + 1)
+	group := 1.0
+	for _, p := range fresh {
+		group += float64(p.instances)
+	}
+	absent := max(float64(l.instances.Load())-group, 0)
 	v := view{used: absent * part}
 	demand := a.demand
 	for _, p := range fresh {
 		demand += p.entries[hash(id)].demand
 	}
 	divided := max(1-absent*part-group*floorShare*part, 0)
-	target := func(own float64) float64 {
+	target := func(own, instances float64) float64 {
 		if demand <= 0 {
-			return part
+			return part * instances
 		}
-		return floorShare*part + divided*own/demand
+		return floorShare*part*instances + divided*own/demand
 	}
-	v.target = target(a.demand)
+	v.target = target(a.demand, 1)
 	v.wanted = max(v.target-a.share, 0)
 	for _, p := range fresh {
 		e, ok := p.entries[hash(id)]
 		if !ok {
-			e.share = part
+			e.share = part * float64(p.instances)
 		}
 		v.used += e.share
-		v.wanted += max(target(e.demand)-e.share, 0)
+		v.wanted += max(target(e.demand, float64(p.instances))-e.share, 0)
 	}
 	return v
 }
--- a/internal/admission/share/share.go
+++ b/internal/admission/share/share.go
@@ -11,6 +11,9 @@
 // stays at the limit but for the time that a summary takes. An instance that
 // hears nobody falls back to one part, and the others assume that it did.
 //
+// In a large fleet an instance hears the others of its data centre one by one and
+// each other data centre as a group, so the messages do not grow with the fleet.
+//
 // Rounding adds a bounded error: every instance may have one request in
 // progress, and save up one request of the rate.
 //
@@ -77,7 +80,7 @@
 	shards    [shardCount]shard
 
 	mu     sync.Mutex // guards the fields below
-	peers  map[fleet.InstanceID]*peer
+	peers  map[origin]*peer
 	hashes map[uint64]fleet.AccountID
 	ticked time.Time
 
@@ -102,9 +105,15 @@
 	asks     bool // near its even share here
 }
 
+// origin is the sender of a summary, an instance or a data centre.
+type origin struct {
+	id     string
+	remote bool
+}
+
 // New returns a Limiter for one of a number of instances.
 func New(instances int) *Limiter {
-	l := &Limiter{peers: make(map[fleet.InstanceID]*peer)}
+	l := &Limiter{peers: make(map[origin]*peer)}
 	l.SetInstances(instances)
 	l.Configure(nil)
 	for i := range l.shards {
--- a/internal/admission/share/share_test.go
+++ b/internal/admission/share/share_test.go
@@ -23,14 +23,19 @@
 // of which arrives a second late.
 type fleetOf struct {
 	random   *rand.Rand
+	groups   int // data centres that exchange group summaries, or 0
 	now      time.Time
 	limiters []*share.Limiter
 	late     [][]byte
+	// lateGroups holds the group summaries; the first instance of each data
+	// centre sends it.
+	lateGroups [][]byte
 }
 
 func newFleet(seed uint64) *fleetOf {
 	f := &fleetOf{random: rand.New(rand.NewPCG(seed, 3)), now: fakeclock.Start}
 	f.late = make([][]byte, instances)
+	f.lateGroups = make([][]byte, instances)
 	for range instances {
 		l := share.New(instances)
 		l.Configure(map[fleet.AccountID]document.Account{"a": {ID: "a", RequestRate: limitRate, Burst: 300}})
@@ -76,14 +81,20 @@
 func (f *fleetOf) exchange(cut int) {
 	for i, l := range f.limiters {
 		for j := range f.limiters {
-			if i != j && (i < cut) == (j < cut) && f.late[j] != nil {
+			if i == j || (i < cut) != (j < cut) || f.late[j] == nil {
+				continue
+			}
+			if f.groups == 0 || i%f.groups == j%f.groups {
 				_ = l.Absorb(fleet.InstanceID(fmt.Sprint(j)), f.late[j], f.now)
+			} else if j < f.groups {
+				_ = l.AbsorbGroup(fleet.DataCentreID(fmt.Sprint(j)), f.lateGroups[j], f.now)
 			}
 		}
 		l.Tick(f.now)
 	}
 	for i, l := range f.limiters {
 		f.late[i] = l.Summary()
+		f.lateGroups[i] = l.GroupSummary(f.now)
 	}
 }
 
@@ -91,8 +102,9 @@
 // instances are cut off from each other, and against shares that stay where
 // there is no demand.
 func TestSharesFollowDemand(t *testing.T) {
-	for seed := range uint64(5) {
+	for seed := range uint64(6) {
 		f := newFleet(seed)
+		f.groups = 3 * int(seed%2)
 		phases := []struct {
 			name    string
 			length  time.Duration
@@ -111,7 +123,7 @@
 		}
 		for _, p := range phases {
 			mean, peak := f.run(p.length, p.rate, p.to, p.cut)
-			t.Logf("seed %d, %s: mean %.3f, highest %.3f of the limit", seed, p.name, mean, peak)
+			t.Logf("seed %d, %d groups, %s: mean %.3f, highest %.3f of the limit", seed, f.groups, p.name, mean, peak)
 			if mean < p.low || peak > p.high {
 				t.Errorf("seed %d, %s: mean %.3f, goal at least %.2f; highest %.3f, goal at most %.2f", seed, p.name, mean, p.low, peak, p.high)
 			}
@@ -157,3 +169,16 @@
 		l.Release("a")
 	}
 }
+
+func BenchmarkTickAt42000Accounts(b *testing.B) {
+	l := share.New(instances)
+	now := time.Now()
+	for i := range 42000 {
+		_ = l.Take(fleet.AccountID(fmt.Sprint(i)), now)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Second)
+		l.Tick(now)
+	}
+}
