Complete the stand-in: faults, commands, prefix cache, KV and checks

Adds a prefix cache with late and lost events, KV export and import, cancel and resume, lagged load reports, commands with and without fencing, a rate-limited weight store and faults by flag or POST /faults. CheckSteps and CheckOnce judge the record files of several stand-ins together.

--- a/cmd/bilberryrock-standin/main.go
+++ b/cmd/bilberryrock-standin/main.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -30,6 +31,8 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	drainPoll         = 20 * time.Millisecond
+	// diedStatus is the exit status after the fault "die".
+	diedStatus = 70
 )
 
 type options struct {
@@ -53,7 +56,19 @@
 	Announce    string        `long:"announce" description:"base URLs of instances, separated by commas"`
 	Token       string        `long:"token" description:"bearer token of announcements"`
 	Record      string        `long:"record" description:"file to which everything that ran is appended"`
-	Drain       time.Duration `long:"drain" default:"1m" description:"longest time to finish work in progress after SIGTERM"`
+	KVTokens    int           `long:"kvTokens" description:"KV-cache memory in positions; no limit when 0"`
+	Prefix      int           `long:"prefixBlocks" description:"size of the prefix cache in blocks of 16 positions"`
+	EventLag    time.Duration `long:"cacheEventLag" description:"time until a cache event can be seen"`
+	EventLoss   float64       `long:"cacheEventLoss" description:"share of cache events that are lost"`
+	LoadLag     time.Duration `long:"loadLag" description:"age of the reported load"`
+	Session     time.Duration `long:"sessionTimeout" default:"1m" description:"time after which an unused request is dropped"`
+	WeightRate  int64         `long:"weightRate" description:"rate of the weight store in bytes per second; no limit when 0"`
+	LayerBytes  int64         `long:"layerBytes" description:"weights of one layer in bytes"`
+	OncePaths   []string      `long:"oncePath" description:"path prefix of a service that may not be repeated; may be given several times"`
+	LeaveGrace  time.Duration `long:"leaveGrace" default:"4s" description:"time after SIGTERM in which new requests are still taken"`
+	Seed        uint64        `long:"seed" description:"seed of faults and lost events"`
+	Faults      string        `long:"faults" description:"faults at the start, as the JSON that POST /faults takes"`
+	Drain       time.Duration `long:"drain" default:"1m" description:"longest time to finish work in progress after the grace time"`
 }
 
 func main() {
@@ -108,18 +123,19 @@
 	case <-term.Done():
 	}
 	<-announced
-	return leave(s, server, announcer, o.Drain)
+	return leave(s, server, announcer, o.LeaveGrace, o.Drain)
 }
 
-// leave tells the instances, finishes the work in progress and closes the
-// listener.
-func leave(s *standin.Standin, server *http.Server, announcer *standin.Announcer, drain time.Duration) error {
-	ctx, cancel := context.WithTimeout(context.Background(), drain)
+// leave tells the instances, takes new work for the grace time, finishes the
+// work in progress and closes the listener.
+func leave(s *standin.Standin, server *http.Server, announcer *standin.Announcer, grace, drain time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), grace+drain)
 	defer cancel()
 	s.Leave()
 	announcer.Announce(ctx)
 	go announcer.Run(ctx)
-	for s.Busy() > 0 && ctx.Err() == nil {
+	end := time.Now().Add(grace)
+	for (s.Busy() > 0 || time.Now().Before(end)) && ctx.Err() == nil {
 		time.Sleep(drainPoll)
 	}
 	return server.Shutdown(ctx)
@@ -144,9 +160,21 @@
 	if _, err := fmt.Sscanf(o.Layers, "%d:%d", &a.Layers.From, &a.Layers.To); err != nil {
 		return standin.Config{}, errors.Wrapf(err, "layers %q", o.Layers)
 	}
+	var faults standin.Faults
+	if o.Faults != "" {
+		if err := json.Unmarshal([]byte(o.Faults), &faults); err != nil {
+			return standin.Config{}, errors.Wrapf(err, "faults %q", o.Faults)
+		}
+	}
 	return standin.Config{
 		Announcement: a, TotalLayers: fleet.Layer(o.TotalLayers),
 		StepTime: o.StepTime, PositionTime: o.Position, CallTime: o.CallTime,
+		KVTokens: o.KVTokens, PrefixBlocks: o.Prefix,
+		CacheEventLag: o.EventLag, CacheEventLoss: o.EventLoss, LoadLag: o.LoadLag,
+		SessionTimeout: o.Session, LeaveGrace: o.LeaveGrace,
+		Weights: &standin.WeightStore{BytesPerSecond: o.WeightRate}, LayerBytes: o.LayerBytes,
+		OncePaths: o.OncePaths, Faults: faults, Seed: o.Seed,
+		Exit: func() { os.Exit(diedStatus) },
 	}, nil
 }
 
--- /dev/null
+++ b/internal/upstream/cache.go
@@ -0,0 +1,49 @@
+package upstream
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+)
+
+// BlockPositions is the number of positions in one block of a prefix cache.
+const BlockPositions = 16
+
+// Block identifies the content of a block and of all blocks before it.
+type Block uint64
+
+// CacheEvent tells that an engine stored or evicted a block of its prefix cache.
+type CacheEvent struct {
+	// Sequence numbers the events of one incarnation, starting at 1. A missing
+	// number is an event that was lost.
+	Sequence uint64 `json:"sequence"`
+	Evicted  bool   `json:"evicted,omitempty"`
+	Block    Block  `json:"block"`
+}
+
+// CacheEvents is an answer to a question for cache events.
+type CacheEvents struct {
+	Incarnation fleet.Incarnation `json:"incarnation"`
+	Events      []CacheEvent      `json:"events"`
+	// Next is the sequence number to ask after next time.
+	Next uint64 `json:"next"`
+}
+
+// Blocks returns the identities of the full blocks of a prompt in order.
+func Blocks(prompt []uint64) []Block {
+	blocks := make([]Block, 0, len(prompt)/BlockPositions)
+	var b [8 * (BlockPositions + 1)]byte
+	var parent Block
+	for len(prompt) >= BlockPositions {
+		binary.LittleEndian.PutUint64(b[:], uint64(parent))
+		for i, id := range prompt[:BlockPositions] {
+			binary.LittleEndian.PutUint64(b[8*(i+1):], id)
+		}
+		parent = Block(xxhash.Sum64(b[:]))
+		blocks = append(blocks, parent)
+		prompt = prompt[BlockPositions:]
+	}
+	return blocks
+}
--- a/internal/upstream/standin/announcer.go
+++ b/internal/upstream/standin/announcer.go
@@ -41,7 +41,9 @@
 // Run announces every second until ctx ends.
 func (a *Announcer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		a.Announce(ctx)
+		if !a.standin.faults.get().Frozen {
+			a.Announce(ctx)
+		}
 		select {
 		case <-ctx.Done():
 		case <-a.standin.clock.After(AnnounceInterval):
--- a/internal/upstream/standin/engine.go
+++ b/internal/upstream/standin/engine.go
@@ -34,10 +34,14 @@
 
 	mu       sync.Mutex
 	sessions map[fleet.RequestID]*session
+	swept    time.Time
 	queue    []*job
 	running  int
 	arrivals uint64
 	seeds    map[seedKey]uint64
+	commands commands
+
+	prefix *prefixCache
 }
 
 type seedKey struct {
@@ -49,6 +53,8 @@
 // session is the KV cache of one request.
 type session struct {
 	epoch fleet.Epoch
+	// ended tells that epoch was cancelled. A newer epoch opens the session again.
+	ended bool
 	// states holds, for each layer, the state after each position.
 	states map[fleet.Layer][]uint64
 	// last holds the newest result for each layer range of the current epoch.
@@ -61,6 +67,7 @@
 	ctx     context.Context
 	step    upstream.Step
 	arrival uint64
+	cached  int // positions that came out of the prefix cache
 	result  upstream.StepResult
 	err     error
 	ready   chan struct{}
@@ -74,7 +81,14 @@
 		ended:    make(chan struct{}),
 		sessions: make(map[fleet.RequestID]*session),
 		seeds:    make(map[seedKey]uint64),
+		prefix:   newPrefixCache(s.config),
+		commands: commands{
+			known: make(map[string]upstream.Command),
+			local: make(map[role]bool),
+		},
 	}
+	a := s.config.Announcement
+	e.commands.local[role{a.Model, a.Version, a.Adapter, a.Layers}] = true
 	go func() {
 		defer close(e.ended)
 		for {
@@ -124,7 +138,7 @@
 	if len(batch) == 0 {
 		return false
 	}
-	if !e.pause(e.batchTime(batch)) {
+	if !e.pause(e.batchTime(batch)) || !e.standin.faults.wait() {
 		return false
 	}
 	for _, j := range batch {
@@ -133,6 +147,7 @@
 	}
 	e.mu.Lock()
 	e.running = 0
+	e.sweep()
 	e.mu.Unlock()
 	return true
 }
@@ -158,7 +173,11 @@
 	config := e.standin.config
 	total := config.StepTime
 	for _, j := range batch {
-		total += time.Duration(len(j.step.Input)-1) * config.PositionTime
+		if j.step.Position == 0 {
+			j.cached = e.prefix.touch(j.step.Input)
+		}
+		fresh := max(len(j.step.Input)-1-j.cached, 0)
+		total += time.Duration(fresh) * config.PositionTime
 	}
 	return total
 }
@@ -186,31 +205,34 @@
 	if err := e.check(s); err != nil {
 		return upstream.StepResult{}, err
 	}
-	n := e.session(s.Request)
-	n.used = e.standin.clock.Now()
-	if s.Epoch < n.epoch {
-		return upstream.StepResult{}, refuse(http.StatusConflict, "staleEpoch", "epoch %d is older than %d", s.Epoch, n.epoch)
+	n, err := e.session(s.Request, s.Epoch)
+	if err != nil {
+		return upstream.StepResult{}, err
 	}
-	if s.Epoch > n.epoch {
-		n.epoch = s.Epoch
-		n.last = make(map[upstream.LayerRange]upstream.StepResult)
-	} else if last, ok := n.last[s.Layers]; ok && last.Position == s.Position {
+	n.used = e.standin.clock.Now()
+	n.open(s.Epoch)
+	last, begun := n.last[s.Layers]
+	if begun && last.Position == s.Position && len(last.Output) == len(s.Input) {
 		return last, nil
 	}
-	if err := n.seek(s); err != nil {
+	if err := n.seek(s, begun); err != nil {
+		if len(n.states) == 0 {
+			delete(e.sessions, s.Request)
+		}
 		return upstream.StepResult{}, err
 	}
 	result := e.run(n, s)
 	n.last[s.Layers] = result
 	e.standin.config.Recorder.add(Run{
 		What: "step", Upstream: e.standin.config.Announcement.ID, Request: s.Request,
-		Epoch: s.Epoch, Position: s.Position, Count: len(s.Input), Layers: s.Layers,
+		Epoch: s.Epoch, Position: s.Position, Count: len(s.Input), Cached: j.cached, Layers: s.Layers,
 	})
 	return result, nil
 }
 
 // check refuses a step that does not fit what the engine holds.
 func (e *engine) check(s upstream.Step) error {
+	e.settle()
 	a := e.standin.current()
 	if len(s.Input) == 0 || s.Position < 0 || s.Epoch == 0 {
 		return refuse(http.StatusBadRequest, "badRequest", "step without input, position or epoch")
@@ -218,29 +240,49 @@
 	if s.Model != a.Model || s.Version != a.Version || s.Adapter != a.Adapter {
 		return refuse(http.StatusConflict, "wrongModel", "engine holds %s/%s/%s", a.Model, a.Version, a.Adapter)
 	}
+	limit := e.standin.config.KVTokens
+	if limit > 0 && e.kvTokens()+len(s.Input) > limit {
+		return refuse(http.StatusServiceUnavailable, "overloaded", "KV-cache memory of %d positions is full", limit)
+	}
 	if !contains(a.Layers, s.Layers) {
 		return refuse(http.StatusConflict, "wrongLayers", "engine holds layers %d:%d", a.Layers.From, a.Layers.To)
 	}
 	return nil
 }
 
-func (e *engine) session(r fleet.RequestID) *session {
+// session returns the session of r for an epoch, or a new one.
+func (e *engine) session(r fleet.RequestID, epoch fleet.Epoch) (*session, error) {
 	n, ok := e.sessions[r]
 	if !ok {
-		n = &session{
-			states: make(map[fleet.Layer][]uint64),
-			last:   make(map[upstream.LayerRange]upstream.StepResult),
+		if e.standin.refusesNew() {
+			return nil, refuse(http.StatusServiceUnavailable, "stopping", "engine is leaving")
 		}
+		n = &session{states: make(map[fleet.Layer][]uint64)}
 		e.sessions[r] = n
 	}
-	return n
+	if epoch < n.epoch {
+		return nil, refuse(http.StatusConflict, "staleEpoch", "epoch %d is older than %d", epoch, n.epoch)
+	}
+	if n.ended && epoch == n.epoch {
+		return nil, refuse(http.StatusConflict, "cancelled", "epoch %d was cancelled", epoch)
+	}
+	return n, nil
+}
+
+// open moves the session to an epoch.
+func (n *session) open(epoch fleet.Epoch) {
+	if epoch == n.epoch {
+		return
+	}
+	n.epoch = epoch
+	n.ended = false
+	n.last = make(map[upstream.LayerRange]upstream.StepResult)
 }
 
 // seek prepares the cache for a step: the first step of a layer range in an
 // epoch may start anywhere within the cache, which drops what follows. Further
 // steps have to continue at its end.
-func (n *session) seek(s upstream.Step) error {
-	_, begun := n.last[s.Layers]
+func (n *session) seek(s upstream.Step, begun bool) error {
 	for l := s.Layers.From; l < s.Layers.To; l++ {
 		have := fleet.Position(len(n.states[l]))
 		if s.Position > have || (begun && s.Position != have) {
@@ -286,20 +328,74 @@
 	return seed
 }
 
-func (e *engine) cancel(r fleet.RequestID) {
+// cancel ends the current epoch of r. Its cache stays when keep is set, so that
+// a newer epoch can go on with it.
+func (e *engine) cancel(r fleet.RequestID, keep bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.sessions, r)
+	n, ok := e.sessions[r]
+	if !ok {
+		return
+	}
+	n.ended = true
+	n.used = e.standin.clock.Now()
+	if !keep {
+		clear(n.states)
+	}
+}
+
+// sweep drops the sessions that were not used for the session timeout.
+func (e *engine) sweep() {
+	now, timeout := e.standin.clock.Now(), e.standin.config.SessionTimeout
+	if now.Sub(e.swept) < timeout/4 {
+		return
+	}
+	e.swept = now
+	for r, n := range e.sessions {
+		if now.Sub(n.used) >= timeout {
+			delete(e.sessions, r)
+		}
+	}
 }
 
+// busy counts the requests in progress.
 func (e *engine) busy() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.sessions) + len(e.queue) + e.running
+	e.sweep()
+	count := len(e.queue) + e.running
+	for _, n := range e.sessions {
+		if !n.ended {
+			count++
+		}
+	}
+	return count
 }
 
-func (e *engine) load() (running, waiting int) {
+func (e *engine) load() upstream.Load {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.running, len(e.queue)
+	e.settle()
+	return upstream.Load{
+		At: e.standin.clock.Now(), Running: e.running, Waiting: len(e.queue),
+		FreeKV: max(e.standin.config.KVTokens-e.kvTokens(), 0),
+	}
+}
+
+// kvTokens counts the positions in KV-cache memory.
+func (e *engine) kvTokens() int {
+	total := 0
+	for _, n := range e.sessions {
+		total += n.positions()
+	}
+	return total
+}
+
+// positions returns the number of positions of the longest layer.
+func (n *session) positions() int {
+	longest := 0
+	for _, states := range n.states {
+		longest = max(longest, len(states))
+	}
+	return longest
 }
--- a/internal/upstream/standin/protocol.go
+++ b/internal/upstream/standin/protocol.go
@@ -21,6 +21,8 @@
 	r.Get("/v1/requests/{id}/kv", e.serveExport)
 	r.Put("/v1/requests/{id}/kv", e.serveImport)
 	r.Get("/v1/description", e.serveDescription)
+	r.Get("/v1/cache-events", e.serveCacheEvents)
+	r.Post("/v1/commands", e.serveCommand)
 }
 
 func (e *engine) serveStep(w http.ResponseWriter, r *http.Request) {
@@ -33,7 +35,8 @@
 }
 
 func (e *engine) serveCancel(w http.ResponseWriter, r *http.Request) {
-	e.cancel(fleet.RequestID(chi.URLParam(r, "id")))
+	keep := r.URL.Query().Get("keep") == "true"
+	e.cancel(fleet.RequestID(chi.URLParam(r, "id")), keep)
 	respond(w, struct{}{}, nil)
 }
 
@@ -56,9 +59,23 @@
 }
 
 func (e *engine) serveDescription(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	e.settle()
+	e.mu.Unlock()
 	respond(w, e.standin.current(), nil)
 }
 
+func (e *engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "badRequest", "after is not a number")
+		return
+	}
+	events := e.prefix.since(after)
+	events.Incarnation = e.standin.config.Announcement.Incarnation
+	respond(w, events, nil)
+}
+
 func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEngineBody)).Decode(v)
 	if err != nil {
@@ -83,9 +100,9 @@
 
 // export returns the cache of r: for each layer, 8 bytes a position.
 func (e *engine) export(r fleet.RequestID) (upstream.KV, error) {
-	a := e.standin.current()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	a := e.standin.current()
 	n, ok := e.sessions[r]
 	if !ok || len(n.states) == 0 {
 		return upstream.KV{}, refuse(http.StatusNotFound, "notFound", "request %q has no cache", r)
@@ -119,6 +136,9 @@
 
 // takeOver takes over an exported cache under a new epoch.
 func (e *engine) takeOver(epoch fleet.Epoch, kv upstream.KV) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle()
 	a := e.standin.current()
 	if kv.Model != a.Model || kv.Version != a.Version || kv.Adapter != a.Adapter {
 		return refuse(http.StatusConflict, "wrongModel", "engine holds %s/%s/%s", a.Model, a.Version, a.Adapter)
@@ -126,13 +146,11 @@
 	if len(kv.Data) != 8*kv.Layers.Len()*int(kv.Positions) {
 		return refuse(http.StatusBadRequest, "badRequest", "cache of %d bytes does not fit its layers and positions", len(kv.Data))
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	n := e.session(kv.Request)
-	if epoch < n.epoch {
-		return refuse(http.StatusConflict, "staleEpoch", "epoch %d is older than %d", epoch, n.epoch)
+	n, err := e.session(kv.Request, epoch)
+	if err != nil {
+		return err
 	}
-	n.epoch = epoch
+	n.open(epoch)
 	n.used = e.standin.clock.Now()
 	n.last = make(map[upstream.LayerRange]upstream.StepResult)
 	data := kv.Data
--- a/internal/upstream/standin/record.go
+++ b/internal/upstream/standin/record.go
@@ -27,10 +27,12 @@
 
 	// Method, Path, Key and Digest belong to a call. Key is the value of the
 	// Idempotency-Key header, Digest the SHA-256 of the body in hexadecimal.
+	// Once marks a path that may not be repeated.
 	Method string `json:"method,omitempty"`
 	Path   string `json:"path,omitempty"`
 	Key    string `json:"key,omitempty"`
 	Digest string `json:"digest,omitempty"`
+	Once   bool   `json:"once,omitempty"`
 
 	// Command and Fence belong to a command.
 	Command string      `json:"command,omitempty"`
--- a/internal/upstream/standin/service.go
+++ b/internal/upstream/standin/service.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 )
 
@@ -39,6 +40,10 @@
 		return
 	}
 	config := s.standin.config
+	if s.standin.refusesNew() {
+		writeError(w, http.StatusServiceUnavailable, "stopping", "service is leaving")
+		return
+	}
 	if config.CallTime > 0 {
 		<-s.standin.clock.After(config.CallTime)
 	}
@@ -48,6 +53,7 @@
 	config.Recorder.add(Run{
 		What: "call", Upstream: id, Method: r.Method, Path: r.URL.Path,
 		Key: r.Header.Get("Idempotency-Key"), Digest: digest,
+		Once: s.once(r.URL.Path),
 	})
 	writeJSON(w, http.StatusOK, callAnswer{
 		Upstream: string(id), Method: r.Method, Path: r.URL.Path,
@@ -55,6 +61,15 @@
 	})
 }
 
+func (s *service) once(path string) bool {
+	for _, prefix := range s.standin.config.OncePaths {
+		if strings.HasPrefix(path, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *service) enter(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/upstream/standin/standin.go
+++ b/internal/upstream/standin/standin.go
@@ -40,13 +40,43 @@
 	// each position after the first one of a sequence.
 	StepTime     time.Duration
 	PositionTime time.Duration
+	// KVTokens is the KV-cache memory in positions; zero means no limit.
+	KVTokens int
+	// PrefixBlocks is the size of the prefix cache in blocks.
+	PrefixBlocks int
+	// CacheEventLag is the time until a cache event can be seen, and
+	// CacheEventLoss the share of events that never can.
+	CacheEventLag  time.Duration
+	CacheEventLoss float64
+	// LoadLag is the age of the reported load.
+	LoadLag time.Duration
+	// SessionTimeout is the time after which an unused request is dropped; zero
+	// means DefaultSessionTimeout.
+	SessionTimeout time.Duration
+	// LeaveGrace is the time after Leave in which new requests are still taken.
+	LeaveGrace time.Duration
+	// Weights gives the weights of LayerBytes for each layer; nil has no limit.
+	Weights    *WeightStore
+	LayerBytes int64
 	// CallTime is the time of one call of a service.
 	CallTime time.Duration
-	Recorder *Recorder
+	// OncePaths are the path prefixes of a service that may not be repeated.
+	OncePaths []string
+	Recorder  *Recorder
+	// Faults are the faults at the start. Exit ends the process for the fault
+	// "die".
+	Faults Faults
+	Exit   func()
+	// Seed feeds the random numbers of faults and lost events.
+	Seed uint64
 	// Clock is the clock of the operating system when nil.
 	Clock fleet.Clock
 }
 
+// DefaultSessionTimeout is the time after which an engine drops an unused
+// request.
+const DefaultSessionTimeout = time.Minute
+
 // DefaultSlots is the batch limit of an engine that does not set Slots.
 const DefaultSlots = 16
 
@@ -55,11 +85,14 @@
 	config Config
 	clock  fleet.Clock
 	router chi.Router
+	faults *injector
 	engine *engine
 	calls  *service
 
 	mu           sync.Mutex
 	announcement upstream.Announcement
+	left         time.Time
+	loads        []upstream.Load // not yet reported, the oldest first
 }
 
 // New returns a running Standin. Close ends it.
@@ -76,13 +109,19 @@
 		router:       chi.NewRouter(),
 		announcement: c.Announcement,
 	}
+	if c.SessionTimeout == 0 {
+		s.config.SessionTimeout = DefaultSessionTimeout
+	}
+	s.faults = newInjector(s)
+	s.router.Post("/faults", s.faults.serveFaults)
+	protocol := s.router.With(s.faults.wrap)
 	if c.Announcement.Kind == upstream.Engine {
 		s.engine = newEngine(s)
-		s.engine.routes(s.router)
+		s.engine.routes(protocol)
 		return s
 	}
 	s.calls = &service{standin: s}
-	s.router.HandleFunc("/*", s.calls.serve)
+	protocol.HandleFunc("/*", s.calls.serve)
 	return s
 }
 
@@ -93,27 +132,44 @@
 
 // Close ends the goroutines of s. Work in progress is dropped.
 func (s *Standin) Close() {
+	close(s.faults.done)
 	if s.engine != nil {
 		s.engine.close()
 	}
 }
 
+// SetFaults replaces the faults of s, like POST /faults.
+func (s *Standin) SetFaults(f Faults) { s.faults.set(f) }
+
 // Announce returns the next announcement, with a new sequence number and the
-// current load.
+// load as it was LoadLag ago.
 func (s *Standin) Announce() upstream.Announcement {
-	running, waiting := s.load()
+	load := s.load()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.announcement.Sequence++
-	s.announcement.Load = upstream.Load{At: s.clock.Now(), Running: running, Waiting: waiting}
+	s.loads = append(s.loads, load)
+	for len(s.loads) > 0 && load.At.Sub(s.loads[0].At) >= s.config.LoadLag {
+		s.announcement.Load = s.loads[0]
+		s.loads = s.loads[1:]
+	}
 	return s.announcement
 }
 
-// Leave makes all further announcements say that the stand-in leaves.
+// Leave makes all further announcements say that the stand-in leaves. Requests
+// in progress go on; new ones are refused after LeaveGrace.
 func (s *Standin) Leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.announcement.State = upstream.Leaving
+	s.left = s.clock.Now()
+}
+
+// refusesNew tells whether new requests are refused.
+func (s *Standin) refusesNew() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.announcement.State == upstream.Leaving && s.clock.Now().Sub(s.left) >= s.config.LeaveGrace
 }
 
 // Busy returns the number of requests in progress.
@@ -124,11 +180,11 @@
 	return s.calls.busy()
 }
 
-func (s *Standin) load() (running, waiting int) {
+func (s *Standin) load() upstream.Load {
 	if s.engine != nil {
 		return s.engine.load()
 	}
-	return s.calls.busy(), 0
+	return upstream.Load{At: s.clock.Now(), Running: s.calls.busy()}
 }
 
 // current returns the announcement as it was last changed.
--- /dev/null
+++ b/internal/upstream/standin/standin_test.go
@@ -0,0 +1,160 @@
+package standin_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet/fakeclock"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/standin"
+)
+
+// TestScripts runs the requests of testdata against one stand-in each. It guards
+// against a step that runs twice, a stale epoch or fencing token that is
+// accepted, and events, loads and roles that are visible too early.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		clock := fakeclock.New(fakeclock.Start)
+		var record bytes.Buffer
+		var s *standin.Standin
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "new":
+				var c standin.Config
+				decode(t, d, &c)
+				c.Recorder, c.Clock = standin.NewRecorder(&record), clock
+				s = standin.New(c)
+				t.Cleanup(s.Close)
+				return ""
+			case "advance":
+				var seconds int
+				d.ScanArgs(t, "s", &seconds)
+				clock.Advance(time.Duration(seconds) * time.Second)
+				return ""
+			case "leave":
+				s.Leave()
+				return ""
+			case "announce":
+				a := s.Announce()
+				return fmt.Sprintf("seq %d %s %s/%s %d:%d running %d age %s\n", a.Sequence, a.State,
+					a.Model, a.Version, a.Layers.From, a.Layers.To, a.Load.Running, age(clock, a))
+			case "record":
+				runs, err := standin.ReadRuns(bytes.NewReader(record.Bytes()))
+				if err != nil {
+					t.Fatal(err)
+				}
+				text := record.String() + fmt.Sprintf("steps %v, once %v\n", standin.CheckSteps(runs), standin.CheckOnce(runs))
+				return text
+			default:
+				return request(s, d)
+			}
+		})
+	})
+}
+
+func decode(t *testing.T, d *datadriven.TestData, v any) {
+	decoder := json.NewDecoder(strings.NewReader(d.Input))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(v); err != nil {
+		d.Fatalf(t, "%v", err)
+	}
+}
+
+func age(clock *fakeclock.Clock, a upstream.Announcement) string {
+	if a.Load.At.IsZero() {
+		return "none"
+	}
+	return clock.Now().Sub(a.Load.At).String()
+}
+
+// request sends the input to the path of the command's only argument.
+func request(s *standin.Standin, d *datadriven.TestData) (text string) {
+	defer func() {
+		if recover() != nil {
+			text = "connection closed\n"
+		}
+	}()
+	r := httptest.NewRequest(strings.ToUpper(d.Cmd), d.CmdArgs[0].String(), strings.NewReader(d.Input))
+	if len(d.CmdArgs) > 1 {
+		r.Header.Set("Idempotency-Key", d.CmdArgs[1].Key)
+	}
+	r.RemoteAddr = "127.0.0.1:1"
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	return fmt.Sprintf("%d %s", w.Code, w.Body)
+}
+
+// TestBatches guards against a batch that grows beyond its limit and against a
+// low priority that goes before a high one.
+func TestBatches(t *testing.T) {
+	is := is.New(t)
+	clock := fakeclock.New(fakeclock.Start)
+	var record bytes.Buffer
+	a := upstream.Announcement{ID: "e", Slots: 2, Layers: upstream.LayerRange{To: 1}}
+	s := standin.New(standin.Config{
+		Announcement: a, TotalLayers: 1, StepTime: time.Second,
+		Clock: clock, Recorder: standin.NewRecorder(&record),
+	})
+	defer s.Close()
+	done := make(chan int, 8)
+	send := func(request string, priority int) {
+		body := fmt.Sprintf(`{"request":%q,"epoch":1,"layers":{"to":1},"priority":%d,"input":[1]}`, request, priority)
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/steps", strings.NewReader(body)))
+		done <- w.Code
+	}
+	go send("first", 0)
+	waitFor(func() bool { return clock.Waiters() == 1 })
+	for i, request := range []string{"low1", "low2", "high1", "high2"} {
+		go send(request, i/2)
+		waitFor(func() bool { return s.Busy() == i+2 })
+	}
+	for _, batch := range []int{1, 2, 2} {
+		waitFor(func() bool { return clock.Waiters() == 1 })
+		clock.Advance(time.Second)
+		for range batch {
+			is.Equal(<-done, http.StatusOK)
+		}
+	}
+	runs, err := standin.ReadRuns(&record)
+	is.NoErr(err)
+	var order []string
+	for _, r := range runs {
+		order = append(order, string(r.Request))
+	}
+	is.Equal(order, []string{"first", "high1", "high2", "low1", "low2"})
+}
+
+// waitFor polls for a state that another goroutine is about to reach.
+func waitFor(reached func() bool) {
+	for !reached() {
+		time.Sleep(100 * time.Microsecond)
+	}
+}
+
+// TestChecks guards against checks that overlook a repeated position, a missing
+// one, or an order that ran twice.
+func TestChecks(t *testing.T) {
+	is := is.New(t)
+	step := func(epoch, position, count int) standin.Run {
+		var r standin.Run
+		line := fmt.Sprintf(`{"what":"step","request":"r","epoch":%d,"position":%d,"count":%d,"layers":{"to":2}}`, epoch, position, count)
+		is.NoErr(json.Unmarshal([]byte(line), &r))
+		return r
+	}
+	is.NoErr(standin.CheckSteps([]standin.Run{step(1, 0, 3), step(2, 0, 4), step(1, 3, 1)}))
+	is.True(standin.CheckSteps([]standin.Run{step(1, 0, 3), step(1, 2, 1)}) != nil) // repeated
+	is.True(standin.CheckSteps([]standin.Run{step(1, 0, 3), step(1, 4, 1)}) != nil) // gap
+	call := standin.Run{What: "call", Method: "POST", Path: "/orders", Key: "k", Once: true}
+	is.NoErr(standin.CheckOnce([]standin.Run{call}))
+	is.True(standin.CheckOnce([]standin.Run{call, call}) != nil)
+}
