--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -71,6 +71,14 @@
 	return a, err
 }
 
+// CacheEvents returns the events of the prefix cache after a sequence number.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) (upstream.CacheEvents, error) {
+	var events upstream.CacheEvents
+	path := "/v1/cache-events?after=" + strconv.FormatUint(after, 10)
+	err := c.pool.exchange(ctx, http.MethodGet, path, nil, &events)
+	return events, err
+}
+
 func requestPath(r fleet.RequestID) string {
 	return "/v1/requests/" + url.PathEscape(string(r))
 }
--- a/internal/upstream/standin/standin_test.go
+++ b/internal/upstream/standin/standin_test.go
@@ -113,13 +113,13 @@
 		done <- w.Code
 	}
 	go send("first", 0)
-	waitFor(func() bool { return clock.Waiters() == 1 })
+	waitFor(t, func() bool { return clock.Waiters() == 1 })
 	for i, request := range []string{"low1", "low2", "high1", "high2"} {
 		go send(request, i/2)
-		waitFor(func() bool { return s.Busy() == i+2 })
+		waitFor(t, func() bool { return s.Busy() == i+2 })
 	}
 	for _, batch := range []int{1, 2, 2} {
-		waitFor(func() bool { return clock.Waiters() == 1 })
+		waitFor(t, func() bool { return clock.Waiters() == 1 })
 		clock.Advance(time.Second)
 		for range batch {
 			is.Equal(<-done, http.StatusOK)
@@ -134,11 +134,17 @@
 	is.Equal(order, []string{"first", "high1", "high2", "low1", "low2"})
 }
 
-// waitFor polls for a state that another goroutine is about to reach.
-func waitFor(reached func() bool) {
-	for !reached() {
+// waitFor polls for a state that another goroutine is about to reach. It gives
+// up only when the test would hang for ever.
+func waitFor(t *testing.T, reached func() bool) {
+	t.Helper()
+	for range 10_000 {
+		if reached() {
+			return
+		}
 		time.Sleep(100 * time.Microsecond)
 	}
+	t.Fatal("state was never reached")
 }
 
 // TestChecks guards against checks that overlook a repeated position, a missing
