--- /dev/null
+++ b/internal/pipeline/inflight/inflight.go
@@ -0,0 +1,41 @@
+// Package inflight counts the sequences that this instance has on each upstream.
+// The zero value of Counts is ready for use:
+//
+//	var counts inflight.Counts
+//	counts.Add(id, 1)
+//	defer counts.Add(id, -1)
+package inflight
+
+import (
+	"sync/atomic"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/board"
+)
+
+// Counts implements pipeline.Gauge.
+type Counts struct {
+	counters board.Shards[fleet.UpstreamID, *atomic.Int64]
+}
+
+// Of returns the counter of an upstream, which stays the same until Forget.
+func (c *Counts) Of(id fleet.UpstreamID) *atomic.Int64 {
+	if n, ok := c.counters.Get(id); ok {
+		return n
+	}
+	var counter *atomic.Int64
+	c.counters.Update(id, func(n *atomic.Int64, ok bool) (*atomic.Int64, bool) {
+		if !ok {
+			n = new(atomic.Int64)
+		}
+		counter = n
+		return n, true
+	})
+	return counter
+}
+
+// Add implements pipeline.Gauge.
+func (c *Counts) Add(id fleet.UpstreamID, n int) { c.Of(id).Add(int64(n)) }
+
+// Forget drops the counter of an upstream that is gone.
+func (c *Counts) Forget(id fleet.UpstreamID) { c.counters.Delete(id) }
