--- a/internal/entry/daemon/control.go
+++ b/internal/entry/daemon/control.go
@@ -20,6 +20,7 @@
 		d.round()
 		select {
 		case <-d.clock.After(controlInterval):
+		case <-d.woken:
 		case <-d.ended:
 			return
 		}
@@ -39,20 +40,4 @@
 }
 
 // members returns the known instances.
-func (d *Daemon) members() []membership.Member {
-	d.state.mu.Lock()
-	since := d.state.since
-	d.state.mu.Unlock()
-	list := []membership.Member{{
-		ID: d.settings.Instance.ID, DataCentre: d.settings.Instance.DataCentre,
-		Status: membership.Alive, Voter: d.settings.Instance.Votes,
-		Peers:    d.settings.Listeners.Peers,
-		Revision: d.revision(), Since: since,
-	}}
-	for _, v := range d.settings.Quorum.Voters {
-		if v.Instance != d.settings.Instance.ID {
-			list = append(list, membership.Member{ID: v.Instance, Peers: v.Address, Voter: true, Revision: d.revision()})
-		}
-	}
-	return list
-}
+func (d *Daemon) members() []membership.Member { return d.node.Members() }
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/settings"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
+	"github.com/bilberryrock/bilberryrock/internal/membership/packet"
 )
 
 // Daemon is a running entry instance.
@@ -43,6 +44,8 @@
 	grpc     *grpc.Server
 	servers  []*server
 
+	faults    *faults
+	node      *packet.Node
 	state     *state
 	decisions *decisions
 	requests  *requests
@@ -50,6 +53,7 @@
 
 	failed chan error
 	ended  chan struct{}
+	woken  chan struct{}
 	loops  sync.WaitGroup
 }
 
@@ -68,11 +72,13 @@
 		metrics:  prometheus.NewRegistry(),
 		failed:   make(chan error, 8),
 		ended:    make(chan struct{}),
+		woken:    make(chan struct{}, 1),
+		faults:   &faults{self: s.Instance.ID},
 	}
 	for _, option := range options {
 		option(d)
 	}
-	for _, step := range []func() error{d.secure, d.openState, d.openDecisions, d.openRequests, d.listen} {
+	for _, step := range []func() error{d.secure, d.openState, d.openDecisions, d.openMembership, d.openRequests, d.listen} {
 		if err := step(); err != nil {
 			return nil, errors.Wrap(err, "start daemon")
 		}
@@ -127,6 +133,9 @@
 	}
 	close(d.ended)
 	d.loops.Wait()
+	if e := d.node.Leave(ctx); err == nil {
+		err = errors.Wrap(e, "leave membership")
+	}
 	if e := d.state.stop(ctx); err == nil {
 		err = e
 	}
--- a/internal/entry/daemon/decisions.go
+++ b/internal/entry/daemon/decisions.go
@@ -7,11 +7,16 @@
 
 	"github.com/bilberryrock/bilberryrock/internal/admission/budget"
 	"github.com/bilberryrock/bilberryrock/internal/admission/gate"
+	"github.com/bilberryrock/bilberryrock/internal/admission/lane"
 	"github.com/bilberryrock/bilberryrock/internal/admission/share"
 	"github.com/bilberryrock/bilberryrock/internal/document"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/membership"
+	"github.com/bilberryrock/bilberryrock/internal/pipeline"
 	"github.com/bilberryrock/bilberryrock/internal/pipeline/courier"
+	"github.com/bilberryrock/bilberryrock/internal/pipeline/inflight"
+	"github.com/bilberryrock/bilberryrock/internal/pipeline/planner"
+	"github.com/bilberryrock/bilberryrock/internal/pipeline/speeds"
 	"github.com/bilberryrock/bilberryrock/internal/quiet/governor"
 	"github.com/bilberryrock/bilberryrock/internal/routing/dispatch"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/engine"
@@ -22,6 +27,13 @@
 // windows allow for.
 const clockError = 2 * time.Second
 
+// firstSpeed is the speed of an engine of which nothing is known yet.
+var firstSpeed = pipeline.Speed{
+	Fixed:    time.Millisecond,
+	Layer:    500 * time.Microsecond,
+	Position: 50 * time.Microsecond,
+}
+
 // decisions holds the controllers of routing, admission, quiet hours and
 // pipelines.
 type decisions struct {
@@ -31,6 +43,7 @@
 	governor   *governor.Governor
 	gate       *gate.Gate
 	dispatcher *dispatch.Dispatcher
+	counts     inflight.Counts
 	courier    *courier.Courier
 }
 
@@ -50,11 +63,22 @@
 	}
 	c.gate = gate.New(d.clock, c.limiter, gate.WithQueue(d.settings.Requests.QueueLength), gate.WithBound(c.governor))
 	c.dispatcher = dispatch.New(r, c.dialer, d.clock, dispatch.WithBudget(budget.New()), dispatch.WithTrail(d.state.trail))
-	c.courier = courier.New(firstFit{d}, c.dialer)
+	plan := planner.New(r, d.model, speeds.New(firstSpeed), d.clock, planner.WithCounts(&c.counts))
+	c.courier = courier.New(plan, c.dialer)
 	d.decisions = c
 	return nil
 }
 
+// model returns a model of the configuration in force.
+func (d *Daemon) model(id fleet.ModelID) (document.Model, bool) {
+	config := d.state.config.Load()
+	if config == nil {
+		return document.Model{}, false
+	}
+	m, known := config.Models[id]
+	return m, known
+}
+
 // steer hands the configuration, the members and the reports of the upstreams to
 // the controllers.
 func (d *Daemon) steer(members []membership.Member) {
@@ -66,26 +90,21 @@
 	alive := aliveIn(members, d.settings.Instance.DataCentre)
 	c.limiter.Configure(config.Accounts)
 	c.limiter.SetInstances(max(len(aliveIn(members, "")), 1))
-	c.limiter.Tick(now)
+	d.exchangeUsage(now)
 	c.governor.SetWindows(windowsOf(config, d.settings.Instance.DataCentre))
 	c.governor.SetFleet(d.settings.Instance.ID, d.settings.Instance.FleetSize, alive)
 	c.dispatcher.Refresh(config, max(len(alive)-1, 0))
 	for id := range config.Pools {
-		c.gate.SetCapacity(id, d.capacity(id, len(alive), now))
+		c.gate.SetCapacity(id, d.capacity(id, len(alive)))
 	}
 	c.gate.Wake()
 	c.roster.Sweep(now)
 }
 
-// capacity sums the slots and reports of a pool.
-func (d *Daemon) capacity(id fleet.PoolID, instances int, now time.Time) gate.Capacity {
-	slots, _ := d.decisions.dispatcher.Pool(id).Capacity()
-	c := gate.Capacity{Slots: slots, Instances: instances}
-	for _, u := range d.decisions.roster.Usable(id, now) {
-		c.Known += float64(u.Slots)
-		c.Reported += float64(u.Load.Running + u.Load.Waiting)
-	}
-	return c
+// capacity returns what the pool can run.
+func (d *Daemon) capacity(id fleet.PoolID, instances int) lane.Capacity {
+	load := d.decisions.dispatcher.Pool(id).Load()
+	return lane.Capacity{Slots: load.Slots, Instances: instances, Reported: load.Reported, Known: load.Known}
 }
 
 // aliveIn returns the live members of a data centre, or of all for "".
--- a/internal/entry/daemon/requests.go
+++ b/internal/entry/daemon/requests.go
@@ -6,15 +6,23 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bilberryrock/bilberryrock/internal/document"
 	"github.com/bilberryrock/bilberryrock/internal/entry/caller"
 	"github.com/bilberryrock/bilberryrock/internal/entry/operator"
 	"github.com/bilberryrock/bilberryrock/internal/entry/platform"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/order"
+	"github.com/bilberryrock/bilberryrock/internal/order/desk"
+	"github.com/bilberryrock/bilberryrock/internal/routing/dispatch"
+	"github.com/bilberryrock/bilberryrock/internal/routing/pool"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/roster"
 )
 
 // requests holds the APIs.
 type requests struct {
 	daemon    *Daemon
+	desk      *desk.Desk
 	callers   http.Handler
 	operators http.Handler
 	upstreams http.Handler
@@ -22,7 +30,7 @@
 }
 
 func (d *Daemon) openRequests() error {
-	r := &requests{daemon: d}
+	r := &requests{daemon: d, desk: desk.New(d.state.ledger, d.clock, d.settings.Instance.ID, d.log)}
 	d.requests = r
 	s := d.settings
 	r.callers = caller.New(caller.Parts{
@@ -45,7 +53,11 @@
 		Log:       d.log.Named("operator"),
 	}, operator.WithLimits(s.Limits), operator.WithTimeout(2*s.Quorum.ProposalTimeout)).Handler()
 	r.upstreams = roster.NewHandler(d.decisions.roster, d.clock, roster.WithToken(string(s.Upstreams.Token)))
-	r.platform = platform.Handler(&d.health, d.metrics)
+	var injection http.Handler
+	if s.Faults.Injection {
+		injection = d.faults
+	}
+	r.platform = platform.Handler(&d.health, d.metrics, injection)
 	return nil
 }
 
@@ -72,5 +84,45 @@
 
 // drain refuses new requests and waits for those in progress.
 func (r *requests) drain(ctx context.Context) error {
-	return errors.Wrap(r.daemon.decisions.gate.Close(ctx), "drain requests")
+	if err := r.daemon.decisions.gate.Close(ctx); err != nil {
+		return errors.Wrap(err, "drain requests")
+	}
+	return errors.Wrap(r.desk.Close(ctx), "drain orders")
+}
+
+// Order implements caller.Orders.
+func (r *requests) Order(ctx context.Context, id fleet.RequestID, k order.Key, p document.Pool, c upstream.Call) (upstream.Answer, error) {
+	picks := &picks{daemon: r.daemon, request: id, pool: p.ID}
+	return r.desk.Run(ctx, desk.Order{Key: k, Request: id, Call: c, Timeout: p.Timeout, Pick: picks.next})
+}
+
+// picks chooses the upstreams of one order, each of them once.
+type picks struct {
+	daemon  *Daemon
+	request fleet.RequestID
+	pool    fleet.PoolID
+	tried   []fleet.UpstreamID
+}
+
+func (p *picks) next(context.Context) (upstream.ServiceClient, error) {
+	lease, err := p.daemon.decisions.dispatcher.Pick(p.request, p.pool, p.tried)
+	if err != nil {
+		return nil, err
+	}
+	u := lease.Upstream()
+	p.tried = append(p.tried, u.ID)
+	return &leased{client: p.daemon.decisions.dialer.Service(u), lease: lease}, nil
+}
+
+// leased is a client that gives its lease back after the call.
+type leased struct {
+	client upstream.ServiceClient
+	lease  pool.Lease
+}
+
+// Call implements upstream.ServiceClient.
+func (l *leased) Call(ctx context.Context, c upstream.Call) (upstream.Answer, error) {
+	answer, err := l.client.Call(ctx, c)
+	l.lease.Done(dispatch.Result(ctx, answer, err))
+	return answer, err
 }
--- a/internal/entry/daemon/state.go
+++ b/internal/entry/daemon/state.go
@@ -22,6 +22,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
 	"github.com/bilberryrock/bilberryrock/internal/quorum/voter"
 	"github.com/bilberryrock/bilberryrock/internal/report"
+	"github.com/bilberryrock/bilberryrock/internal/report/trail"
 )
 
 // state holds the replicated logs, their clients and the configuration in force.
@@ -44,7 +45,7 @@
 // openState starts the replicated logs, or the client of those of other
 // instances.
 func (d *Daemon) openState() error {
-	d.state = &state{newer: make(chan struct{}), trail: &memoryTrail{}}
+	d.state = &state{newer: make(chan struct{}), trail: trail.New()}
 	if err := d.openQuorum(); err != nil {
 		return err
 	}
@@ -90,6 +91,7 @@
 		voter.AttemptTimeout(s.Quorum.ProposalTimeout),
 		voter.Dial(grpc.WithTransportCredentials(d.security.Client)),
 		voter.Logger(d.log),
+		voter.Cut(d.faults.cut),
 	}
 }
 
@@ -159,6 +161,7 @@
 		return
 	}
 	if after := d.revision(); after != before {
+		d.node.SetRevision(after, d.clock.Now())
 		d.log.Info("Configuration in force.", zap.Uint64("revision", uint64(after)))
 	}
 }
--- a/internal/entry/platform/platform.go
+++ b/internal/entry/platform/platform.go
@@ -38,8 +38,9 @@
 	return "starting"
 }
 
-// Handler returns the handler of all paths.
-func Handler(h *Health, metrics prometheus.Gatherer) http.Handler {
+// Handler returns the handler of all paths. With a handler for faults it also
+// serves POST /faults, which is for tests only.
+func Handler(h *Health, metrics prometheus.Gatherer, faults http.Handler) http.Handler {
 	r := chi.NewRouter()
 	r.Get("/live", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("live\n"))
@@ -52,5 +53,8 @@
 		_, _ = w.Write([]byte("ready\n"))
 	})
 	r.Method(http.MethodGet, "/metrics", promhttp.HandlerFor(metrics, promhttp.HandlerOpts{}))
+	if faults != nil {
+		r.Method(http.MethodPost, "/faults", faults)
+	}
 	return r
 }
--- a/internal/fleet/settings/keys.go
+++ b/internal/fleet/settings/keys.go
@@ -50,7 +50,8 @@
 	all = append(all, limitKeys()...)
 	all = append(all, requestKeys()...)
 	all = append(all, orderKeys()...)
-	return append(all, logKeys()...)
+	all = append(all, logKeys()...)
+	return append(all, faultKeys()...)
 }
 
 func instanceKeys() []Key {
@@ -82,8 +83,7 @@
 	const section = "membership"
 	return []Key{
 		list(section, "seeds", "gossip addresses of other instances, separated by commas", func(s *Settings) *[]string { return &s.Membership.Seeds }),
-		secret(section, "secretFile", "file with the secret that authenticates gossip", func(s *Settings) *[]byte { return &s.Membership.Secret }),
-		duration(section, "period", "500ms", 50*time.Millisecond, 10*time.Second, "time between two probes", func(s *Settings) *time.Duration { return &s.Membership.Period }),
+		secret(section, "secretFile", "file with the secret that authenticates gossip, at least 16 bytes", func(s *Settings) *[]byte { return &s.Membership.Secret }).required(),
 	}
 }
 
@@ -163,6 +163,12 @@
 	}
 }
 
+func faultKeys() []Key {
+	return []Key{
+		flag("faults", "injection", "false", "whether the platform listener accepts POST /faults; for tests only", func(s *Settings) *bool { return &s.Faults.Injection }),
+	}
+}
+
 func setVoters(s *Settings, value string) error {
 	s.Quorum.Voters = nil
 	for _, item := range splitList(value) {
--- a/internal/fleet/settings/load.go
+++ b/internal/fleet/settings/load.go
@@ -139,7 +139,7 @@
 // checkTogether checks the settings that depend on each other.
 func checkTogether(name string, s Settings) error {
 	checks := []func(Settings) (section, key, problem string){
-		checkVoting, checkVoterSet, checkOperatorTLS, checkPeerTLS, checkDeadlines, checkListeners,
+		checkVoting, checkSecret, checkVoterSet, checkOperatorTLS, checkPeerTLS, checkDeadlines, checkListeners,
 	}
 	for _, check := range checks {
 		if section, key, problem := check(s); problem != "" {
@@ -156,6 +156,16 @@
 	return "", "", ""
 }
 
+// minSecret is the least length of the gossip secret in bytes.
+const minSecret = 16
+
+func checkSecret(s Settings) (section, key, problem string) {
+	if len(s.Membership.Secret) < minSecret {
+		return "membership", "secretFile", fmt.Sprintf("the secret is shorter than %d bytes", minSecret)
+	}
+	return "", "", ""
+}
+
 func checkVoterSet(s Settings) (section, key, problem string) {
 	ids := make(map[any]bool)
 	for _, v := range s.Quorum.Voters {
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -29,6 +29,7 @@
 	Requests   Requests
 	Orders     Orders
 	Log        Log
+	Faults     Faults
 }
 
 // Instance says who the daemon is.
@@ -61,8 +62,6 @@
 	Seeds []string
 	// Secret authenticates the messages between instances.
 	Secret []byte
-	// Period is the time between two probes.
-	Period time.Duration
 }
 
 // Voter is one member of the first voter set.
@@ -141,3 +140,9 @@
 	// Format is json or console.
 	Format string
 }
+
+// Faults says which faults can be brought about from outside, for tests.
+type Faults struct {
+	// Injection lets the platform listener accept POST /faults.
+	Injection bool
+}
--- a/internal/routing/dispatch/dispatch.go
+++ b/internal/routing/dispatch/dispatch.go
@@ -165,7 +165,7 @@
 	ctx, cancel := d.bound(ctx, p)
 	defer cancel()
 	answer, err := d.dialer.Service(u).Call(ctx, c)
-	lease.Done(result(ctx, answer, err))
+	lease.Done(Result(ctx, answer, err))
 	return attempt{
 		upstream: u.ID,
 		picked:   true,
@@ -182,7 +182,8 @@
 	return context.WithTimeout(ctx, p.Timeout)
 }
 
-func result(ctx context.Context, a upstream.Answer, err error) pool.Result {
+// Result tells the pool how a call ended.
+func Result(ctx context.Context, a upstream.Answer, err error) pool.Result {
 	switch {
 	case err != nil && ctx.Err() == context.Canceled:
 		return pool.Canceled
--- a/internal/trial/processes/daemon.go
+++ b/internal/trial/processes/daemon.go
@@ -72,7 +72,7 @@
 	fmt.Fprintf(&b, "\n[quorum]\nvoters = %s\n", f.voters())
 	fmt.Fprintf(&b, "\n[operators]\ntokens = %s:%s\n", Team, Digest(Token))
 	fmt.Fprintf(&b, "\n[upstreams]\ntokenFile = %s\n", f.Path("upstream.token"))
-	fmt.Fprintf(&b, "\n%s\n", d.Plan.Extra)
+	fmt.Fprintf(&b, "\n[faults]\ninjection = true\n\n%s\n", d.Plan.Extra)
 	return b.String()
 }
 
--- a/internal/trial/processes/processes.go
+++ b/internal/trial/processes/processes.go
@@ -33,7 +33,7 @@
 	APIKey = "caller-key"
 
 	upstreamToken = "upstream-token"
-	gossipSecret  = "gossip-secret"
+	gossipSecret  = "gossip-secret-of-a-trial"
 
 	// Ports are taken from below the range that the kernel gives to outgoing
 	// connections, so that none of those can take a port before its listener.
