--- a/internal/order/desk/desk_test.go
+++ b/internal/order/desk/desk_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -217,14 +218,11 @@
 	d := New(ledger.NewClient(f, clock, "i"), clock, "i", zap.NewNop())
 	w := &waiting{entered: make(chan struct{}), answer: make(chan struct{})}
 	gone, leave := context.WithCancel(context.Background())
-	var group sync.WaitGroup
+	var flights []*flight
 	for range 10 {
-		group.Go(func() {
-			a, err := d.Run(context.Background(), orderOf("k", "x", w))
-			if err != nil || string(a.Body) != "once" {
-				t.Errorf("shared order: %s, %v", a.Body, err)
-			}
-		})
+		f, err := d.join(orderOf("k", "x", w))
+		is.NoErr(err)
+		flights = append(flights, f)
 	}
 	<-w.entered
 	leave()
@@ -234,6 +232,7 @@
 	closed := make(chan error)
 	go func() { closed <- d.Close(context.Background()) }()
 	for !isClosed(d) {
+		runtime.Gosched()
 	}
 	_, err = d.Run(context.Background(), orderOf("new", "x", w))
 	is.Equal(refusal.KindOf(err), refusal.LedgerUnreachable) // "stopping" would say that no attempt has run
@@ -244,7 +243,11 @@
 	}
 	close(w.answer)
 	is.NoErr(<-closed)
-	group.Wait()
+	for _, f := range flights {
+		<-f.done
+		is.NoErr(f.err)
+		is.Equal(string(f.answer.Body), "once")
+	}
 	is.Equal(w.calls, 1)
 	r, err := ledger.NewClient(f, clock, "j").Claim(context.Background(), order.Claim{Key: order.Key{Account: "a", Name: "k"}, Digest: digestOf(orderOf("k", "x", w).Call)})
 	is.NoErr(err)
