Let TestClockError wait for the last command under way

The test ended after two commands of the successor and before the command of the old holder arrived, so it passed without the clock error bound.

--- a/internal/upstream/fencing/fencing_test.go
+++ b/internal/upstream/fencing/fencing_test.go
@@ -292,7 +292,7 @@
 	if refusal.KindOf(err) != refusal.OutcomeUnknown {
 		t.Fatalf("command at the end of the lease: %v", err)
 	}
-	for w.arrived < 2 {
+	for len(w.flying) > 0 || w.arrived < 2 {
 		w.move(10 * time.Millisecond)
 		_, _ = fast.command()
 	}
