--- a/internal/routing/pool/counters.go
+++ b/internal/routing/pool/counters.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
 
 	"github.com/bilberryrock/bilberryrock/internal/routing"
 )
@@ -18,13 +19,42 @@
 	Ejections   uint64
 }
 
-func (c *Counters) add(n *node) {
-	c.Picked += n.picked.Load()
-	c.Succeeded += n.succeeded.Load()
-	c.Failed += n.failed.Load()
-	c.Canceled += n.canceled.Load()
-	c.Unreachable += n.missed.Load()
-	c.Ejections += n.ejections.Load()
+const tallyCount = 16
+
+// tally holds the counts of some of the upstreams. There are several, so that
+// callers do not write to one place all the time.
+type tally struct {
+	picked, succeeded, failed, canceled, unreachable, ejections atomic.Uint64
+
+	_ [16]byte // fills up a cache line
+}
+
+func (t *tally) count(r Result) {
+	switch r {
+	case Succeeded:
+		t.succeeded.Add(1)
+	case Failed:
+		t.failed.Add(1)
+	case Canceled:
+		t.canceled.Add(1)
+	case Unreachable:
+		t.unreachable.Add(1)
+	}
+}
+
+// Counters returns the sums over all decisions so far.
+func (p *Pool) Counters() Counters {
+	var c Counters
+	for i := range p.tallies {
+		t := &p.tallies[i]
+		c.Picked += t.picked.Load()
+		c.Succeeded += t.succeeded.Load()
+		c.Failed += t.failed.Load()
+		c.Canceled += t.canceled.Load()
+		c.Unreachable += t.unreachable.Load()
+		c.Ejections += t.ejections.Load()
+	}
+	return c
 }
 
 // Explanation is one decision: the candidates that were weighed and the choice.
--- a/internal/routing/pool/members.go
+++ b/internal/routing/pool/members.go
@@ -66,7 +66,7 @@
 		return
 	}
 	n.setHealth(0)
-	n.ejections.Add(1)
+	n.tally.ejections.Add(1)
 }
 
 // weigh sums the load up and builds the alias table. The weight of a node is its slots
--- a/internal/routing/pool/node.go
+++ b/internal/routing/pool/node.go
@@ -22,6 +22,7 @@
 	id          fleet.UpstreamID
 	incarnation fleet.Incarnation
 	cache       *affinity.Source
+	tally       *tally
 	kind        *speed.Estimate
 	announced   atomic.Pointer[upstream.Upstream]
 
@@ -42,13 +43,10 @@
 
 	// unreachable is the time until which the upstream is passed over.
 	unreachable atomic.Int64
-
-	picked, succeeded, failed, canceled, missed atomic.Uint64
-	ejections                                   atomic.Uint64
 }
 
-func newNode(u *upstream.Upstream, kind *speed.Estimate) *node {
-	n := &node{id: u.ID, incarnation: u.Incarnation, kind: kind, cache: affinity.NewSource(u.ID)}
+func newNode(u *upstream.Upstream, kind *speed.Estimate, t *tally) *node {
+	n := &node{id: u.ID, incarnation: u.Incarnation, kind: kind, tally: t, cache: affinity.NewSource(u.ID)}
 	n.reportedAt.Store(noReport)
 	n.unreachable.Store(math.MinInt64)
 	n.setHealth(1)
@@ -78,21 +76,14 @@
 	if n.inFlight.Add(1) == 1 {
 		n.progress.Store(now)
 	}
-	n.picked.Add(1)
+	n.tally.picked.Add(1)
 }
 
 func (n *node) end(now int64, r Result) {
 	n.inFlight.Add(-1)
-	switch r {
-	case Succeeded:
+	n.tally.count(r)
+	if r == Succeeded {
 		n.progress.Store(now)
-		n.succeeded.Add(1)
-	case Failed:
-		n.failed.Add(1)
-	case Canceled:
-		n.canceled.Add(1)
-	case Unreachable:
-		n.missed.Add(1)
 	}
 }
 
--- a/internal/routing/pool/pool.go
+++ b/internal/routing/pool/pool.go
@@ -73,12 +73,13 @@
 	prefix  affinity.Table
 
 	members atomic.Pointer[members]
+	tallies [tallyCount]tally
 	scratch sync.Pool
 
 	refresh   sync.Mutex // serialises Refresh
 	refreshed time.Time
 	kinds     map[string]*speed.Estimate
-	retired   Counters
+	joined    uint64
 }
 
 // Option changes a Pool.
@@ -301,7 +302,8 @@
 		kind = new(speed.Estimate)
 		p.kinds[u.Accelerator] = kind
 	}
-	n = newNode(u, kind)
+	n = newNode(u, kind, &p.tallies[p.joined%tallyCount])
+	p.joined++
 	if len(old.nodes) > 0 {
 		n.ejection.Join(now)
 	}
@@ -322,24 +324,11 @@
 	}
 }
 
-// retire keeps the counts of upstreams that are gone.
+// retire forgets the caches of upstreams that are gone.
 func (p *Pool) retire(old, next *members) {
 	for _, n := range old.nodes {
-		if next.byID[n.id] == n {
-			continue
+		if next.byID[n.id] != n {
+			n.cache.Release()
 		}
-		p.retired.add(n)
-		n.cache.Release()
-	}
-}
-
-// Counters returns the sums over all decisions so far.
-func (p *Pool) Counters() Counters {
-	p.refresh.Lock()
-	defer p.refresh.Unlock()
-	c := p.retired
-	for _, n := range p.members.Load().nodes {
-		c.add(n)
 	}
-	return c
 }
