Refuse for quiet hours at once when the instance is closed

A request waited until its deadline before it was refused, and one that a coming window kept from starting was refused as overloaded. Retry of the governor now is the time for which nothing can start, and the lane keeps whether the bound held work back.

--- a/internal/admission/gate/gate_test.go
+++ b/internal/admission/gate/gate_test.go
@@ -101,6 +101,11 @@
 		for _, r := range running {
 			r.Done()
 		}
+		bound.SetFleet("self", 5, nil) // the bound of 2 leaves nothing for one of 5
+		before := time.Now()
+		_, err = enter()
+		is.Equal(refusal.KindOf(err), refusal.QuietHours)
+		is.Equal(time.Since(before), time.Duration(0)) // without a wait
 		time.Sleep(2 * time.Minute)
 		for range 10 {
 			_, err = enter()
--- a/internal/admission/lane/lane.go
+++ b/internal/admission/lane/lane.go
@@ -38,8 +38,8 @@
 	// Start returns whether work of the expected time may start at now. When it
 	// may, end is called once when the work has ended.
 	Start(now time.Time, expected time.Duration) (end func(), ok bool)
-	// Retry returns the time until work may start again, or zero when there is
-	// no bound now.
+	// Retry returns the time for which no work can start at all, however much
+	// ends, or zero.
 	Retry(now time.Time) time.Duration
 }
 
@@ -62,6 +62,7 @@
 	waiting *queue.Queue
 	running int
 	places  places
+	bounded bool          // the bound kept work from starting at the last Wake
 	service time.Duration // mean time of work
 	spread  time.Duration // mean deviation from it
 	counts  Counters
@@ -158,7 +159,11 @@
 	for i := l.waiting.Expire(now); i != nil; i = l.waiting.Expire(now) {
 		i.Owner.(*Waiter).notify(l.late(now))
 	}
-	start := func(i *queue.Item) bool { return l.begin(i, now) }
+	l.bounded = false
+	start := func(i *queue.Item) bool {
+		l.bounded = !l.begin(i, now)
+		return !l.bounded
+	}
 	for float64(l.running+1) <= l.places.limit {
 		i := l.waiting.Pop(start)
 		if i == nil {
@@ -189,6 +194,11 @@
 		l.counts.RefusedDeadline++
 		return refusal.New(refusal.Deadline, "work of %v cannot finish before the deadline, not started", w.item.Expected)
 	}
+	if l.bound != nil {
+		if d := l.bound.Retry(now); d > 0 && now.Add(d).After(w.item.LatestStart()) {
+			return l.quiet(d)
+		}
+	}
 	wait := l.wait(w)
 	if !now.Add(wait).After(w.item.LatestStart()) {
 		return nil
@@ -216,16 +226,18 @@
 
 // late returns the error of work that waited until it could not finish any more.
 func (l *Lane) late(now time.Time) error {
-	if l.bound != nil {
-		if d := l.bound.Retry(now); d > 0 {
-			l.counts.RefusedQuietHours++
-			return refusal.New(refusal.QuietHours, "quiet hours bound the work in progress").After(d)
-		}
+	if l.bounded {
+		return l.quiet(l.bound.Retry(now))
 	}
 	l.counts.RefusedOverloaded++
 	return refusal.New(refusal.Overloaded, "pool %q had no free place before the deadline, not started", l.pool).After(l.retry(0))
 }
 
+func (l *Lane) quiet(wait time.Duration) error {
+	l.counts.RefusedQuietHours++
+	return refusal.New(refusal.QuietHours, "quiet hours bound the work in progress, not started").After(l.retry(wait))
+}
+
 // retry returns the time after which a place is likely to be free.
 func (l *Lane) retry(wait time.Duration) time.Duration {
 	return max(wait, l.service, minRetry)
--- a/internal/quiet/governor/governor.go
+++ b/internal/quiet/governor/governor.go
@@ -41,9 +41,6 @@
 	returnTime = 30 * time.Second
 	// overrun is the factor on the expected time of work that is allowed for.
 	overrun = 1.5
-	// shortRetry is the time after which a caller may come back while some work
-	// may run.
-	shortRetry = time.Second
 )
 
 // Counters are sums since the start of a Governor and its state now.
@@ -126,20 +123,17 @@
 	return func() { g.finish(r) }, true
 }
 
-// Retry returns the time until work may start again, or zero when no bound holds
-// at now.
+// Retry returns the time for which no work can start at all, however much ends,
+// or zero.
 func (g *Governor) Retry(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.advance(now)
 	b := g.bound(now)
-	switch {
-	case !b.Limited:
+	if !b.Limited || b.MaxInFlight > 0 {
 		return 0
-	case b.MaxInFlight == 0:
-		return max(b.Until.Sub(now), shortRetry)
 	}
-	return shortRetry
+	return b.Until.Sub(now)
 }
 
 // Bound returns the bound of this instance at now.
