Add the failure runs with real processes

A script starts daemons and stand-ins, brings about failures under a seeded mixed load and checks the answers against the records of the stand-ins.

--- a/internal/trial/demo/main.go
+++ b/internal/trial/demo/main.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/bilberryrock/bilberryrock/internal/trial/processes"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/standin"
@@ -283,15 +284,19 @@
 }
 
 func (d *demo) stop() error {
+	var stops errgroup.Group
 	for _, s := range d.standins {
-		if err := s.Stop(patience); err != nil {
-			return err
-		}
+		stops.Go(func() error { return s.Stop(patience) })
+	}
+	if err := stops.Wait(); err != nil {
+		return err
 	}
 	for _, daemon := range d.daemons {
+		started := time.Now()
 		if err := daemon.Stop(patience); err != nil {
 			return err
 		}
+		say("stopped daemon %s in %s", daemon.Name, time.Since(started).Round(time.Millisecond))
 	}
 	say("stopped all processes")
 	return nil
--- /dev/null
+++ b/internal/trial/failure/failure.go
@@ -0,0 +1,433 @@
+// Package failure runs the real programs through scripts of failures and checks
+// the invariants.
+//
+// A script has one command a line:
+//
+//	traffic 300 16        start 300 calls, 16 at once, in the background
+//	await                 wait for the traffic
+//	calm 100 8            the same as traffic and await
+//	kill c                kill a daemon or a stand-in
+//	start c               start it again
+//	freeze b / thaw b     stop and continue its process
+//	wipe c                remove the data folder of a killed daemon
+//	leave engine-1        stop a stand-in gracefully
+//	stop a                stop a daemon gracefully; it must exit with status 0
+//	cut a,b c             drop all messages from a and b to c
+//	heal                  drop no messages any more
+//	submit a, submit c    submit a new section through a daemon
+//	race a b              submit two sections with the same base at once
+//	sleep 2s
+//
+// After the script, the checks of package traffic run over all calls.
+package failure
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bilberryrock/bilberryrock/internal/entry/operator"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/trial/processes"
+	"github.com/bilberryrock/bilberryrock/internal/trial/traffic"
+)
+
+// patience bounds each wait. It is generous, because a busy machine must not
+// change the verdict.
+const patience = 60 * time.Second
+
+// Size is the number of daemons and stand-ins in each of the data centres.
+type Size struct {
+	DataCentres, Daemons, Engines, Services int
+}
+
+// Voters is the number of daemons with durable state.
+const Voters = 3
+
+// Run is one run of a script.
+type Run struct {
+	fleet    *processes.Fleet
+	daemons  map[string]*processes.Daemon
+	standins map[string]*processes.Standin
+	names    []string
+	traffic  *traffic.Traffic
+	busy     sync.WaitGroup
+
+	mu     sync.Mutex
+	cuts   map[string]map[string]bool // from, to
+	faults []string
+	// base is the revision of the accepted section, changes the number of
+	// submissions.
+	base    fleet.Revision
+	changes int
+
+	watching  sync.WaitGroup
+	ended     chan struct{}
+	revisions map[string]fleet.Revision
+}
+
+// Start starts daemons and stand-ins and submits the first section. The daemons
+// are named a, b, c and so on, one data centre after the other in turn; the
+// stand-ins engine-1 and desk-1 and so on. The first daemons of the data centres
+// vote.
+func Start(bin, dir string, size Size, seed uint64) (*Run, error) {
+	f, err := processes.New(bin, dir)
+	if err != nil {
+		return nil, err
+	}
+	r := &Run{
+		fleet:     f,
+		daemons:   make(map[string]*processes.Daemon),
+		standins:  make(map[string]*processes.Standin),
+		cuts:      make(map[string]map[string]bool),
+		ended:     make(chan struct{}),
+		revisions: make(map[string]fleet.Revision),
+	}
+	for _, step := range []func(Size) error{r.startDaemons, r.startStandins, r.configure} {
+		if err := step(size); err != nil {
+			r.Close()
+			return nil, errors.Wrap(err, f.Logs(1500))
+		}
+	}
+	var list []*processes.Daemon
+	for _, name := range r.names {
+		list = append(list, r.daemons[name])
+	}
+	r.traffic = traffic.New(list, seed)
+	r.watching.Go(r.watch)
+	return r, nil
+}
+
+// Close ends all processes.
+func (r *Run) Close() {
+	select {
+	case <-r.ended:
+	default:
+		close(r.ended)
+	}
+	r.watching.Wait()
+	r.fleet.Close()
+}
+
+// Logs returns the end of all logs.
+func (r *Run) Logs() string { return r.fleet.Logs(3000) }
+
+func (r *Run) startDaemons(size Size) error {
+	var plans []processes.DaemonPlan
+	for i := range size.DataCentres * size.Daemons {
+		plan := processes.DaemonPlan{
+			ID:         string(rune('a' + i)),
+			DataCentre: fmt.Sprintf("dc%d", i%size.DataCentres+1),
+		}
+		if i < Voters {
+			plan.Voter = i + 1
+		}
+		plans = append(plans, plan)
+	}
+	daemons, err := r.fleet.PlanDaemons(plans...)
+	if err != nil {
+		return err
+	}
+	for _, d := range daemons {
+		r.daemons[d.Plan.ID] = d
+		r.names = append(r.names, d.Plan.ID)
+		if err := d.Start(); err != nil {
+			return err
+		}
+	}
+	for _, d := range daemons {
+		if err := d.AwaitLive(patience); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Run) startStandins(size Size) error {
+	for i := range size.DataCentres * size.Engines {
+		layers := []string{"0:4", "4:8"}[i/size.DataCentres%2]
+		if err := r.startStandin(fmt.Sprintf("engine-%d", i+1), i, size,
+			"--kind", "engine", "--pool", "engines", "--model", traffic.Model, "--version", traffic.Version,
+			"--layers", layers, "--totalLayers", strconv.Itoa(traffic.Layers), "--stepTime", "1ms", "--slots", "8"); err != nil {
+			return err
+		}
+	}
+	for i := range size.DataCentres * size.Services {
+		if err := r.startStandin(fmt.Sprintf("desk-%d", i+1), i, size,
+			"--kind", "service", "--pool", traffic.ServicePool, "--slots", "8", "--callTime", "5ms"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Run) startStandin(id string, i int, size Size, args ...string) error {
+	s, err := r.fleet.StartStandin(id, fmt.Sprintf("dc%d", i%size.DataCentres+1), args...)
+	r.standins[id] = s
+	return err
+}
+
+const section = `# change %d
+[dataCentre "dc1"]
+region = r1
+[dataCentre "dc2"]
+region = r1
+[dataCentre "dc3"]
+region = r1
+[pool "engines"]
+kind = engine
+timeout = 10s
+[pool %q]
+kind = service
+oncePaths = %s
+timeout = 5s
+[model %q]
+version = %s
+layers = %d
+pool = engines
+maxTokens = 256
+[account "parish"]
+keySha256 = %s
+weight = 10
+`
+
+func (r *Run) configure(Size) error {
+	if err := r.submitUntil(r.names[0], patience); err != nil {
+		return err
+	}
+	for _, d := range r.daemons {
+		if err := d.AwaitReady(patience); err != nil {
+			return err
+		}
+	}
+	return r.awaitUpstreams()
+}
+
+// awaitUpstreams waits until every daemon knows a usable upstream of each pool.
+func (r *Run) awaitUpstreams() error {
+	end := time.Now().Add(patience)
+	for _, name := range r.names {
+		for {
+			s, err := r.status(r.daemons[name])
+			if err == nil && len(s.Upstreams) == 2 {
+				break
+			}
+			if time.Now().After(end) {
+				return errors.Errorf("%s does not know the upstreams: %+v %v", name, s.Upstreams, err)
+			}
+			time.Sleep(pollInterval)
+		}
+	}
+	return nil
+}
+
+const pollInterval = 100 * time.Millisecond
+
+func (r *Run) status(d *processes.Daemon) (operator.Status, error) {
+	var s operator.Status
+	request, err := http.NewRequest(http.MethodGet, "http://"+d.Operators+"/v1/status", nil)
+	if err != nil {
+		return s, err
+	}
+	request.Header.Set("Authorization", "Bearer "+processes.Token)
+	client := &http.Client{Timeout: 2 * time.Second}
+	answer, err := client.Do(request)
+	if err != nil {
+		return s, err
+	}
+	defer answer.Body.Close()
+	return s, json.NewDecoder(answer.Body).Decode(&s)
+}
+
+// watch checks all the time that no ready daemon goes back to a lower revision,
+// also over restarts.
+func (r *Run) watch() {
+	for {
+		for _, name := range r.names {
+			if s, err := r.status(r.daemons[name]); err == nil && s.Revision > 0 {
+				r.noteRevision(name, s.Revision)
+			}
+		}
+		select {
+		case <-r.ended:
+			return
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func (r *Run) noteRevision(name string, revision fleet.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if revision < r.revisions[name] {
+		r.faults = append(r.faults, fmt.Sprintf("daemon %s went back from revision %d to %d", name, r.revisions[name], revision))
+	}
+	r.revisions[name] = revision
+}
+
+// Execute runs one line of a script.
+func (r *Run) Execute(line string) error {
+	words := strings.Fields(line)
+	if len(words) == 0 || strings.HasPrefix(line, "#") {
+		return nil
+	}
+	command, args := words[0], words[1:]
+	switch command {
+	case "traffic", "calm":
+		return r.send(command == "calm", args)
+	case "await":
+		r.busy.Wait()
+		return nil
+	case "sleep":
+		d, err := time.ParseDuration(args[0])
+		time.Sleep(d)
+		return err
+	case "cut":
+		return r.cut(strings.Split(args[0], ","), strings.Split(args[1], ","))
+	case "heal":
+		return r.heal()
+	case "submit":
+		return r.submitUntil(args[0], patience)
+	case "race":
+		return r.race(args[0], args[1])
+	case "wipe":
+		return os.RemoveAll(r.daemons[args[0]].DataFolder())
+	}
+	return r.signal(command, args[0])
+}
+
+func (r *Run) send(wait bool, args []string) error {
+	count, err := strconv.Atoi(args[0])
+	if err != nil {
+		return errors.Wrap(err, "number of calls")
+	}
+	parallel, err := strconv.Atoi(args[1])
+	if err != nil {
+		return errors.Wrap(err, "calls at once")
+	}
+	r.busy.Go(func() { r.traffic.Send(count, parallel) })
+	if wait {
+		r.busy.Wait()
+	}
+	return nil
+}
+
+func (r *Run) process(name string) (p *processes.Process, start func() error, err error) {
+	if d := r.daemons[name]; d != nil {
+		return d.Process, d.Start, nil
+	}
+	if s := r.standins[name]; s != nil {
+		return s.Process, s.Restart, nil
+	}
+	return nil, nil, errors.Errorf("no process is named %q", name)
+}
+
+func (r *Run) signal(command, name string) error {
+	p, start, err := r.process(name)
+	if err != nil {
+		return err
+	}
+	switch command {
+	case "kill":
+		p.Kill()
+		return nil
+	case "start":
+		return start()
+	case "freeze":
+		return p.Signal(syscall.SIGSTOP)
+	case "thaw":
+		return p.Signal(syscall.SIGCONT)
+	case "leave", "stop":
+		return p.Stop(patience)
+	}
+	return errors.Errorf("unknown command %q", command)
+}
+
+func (r *Run) cut(from, to []string) error {
+	r.mu.Lock()
+	for _, f := range from {
+		if r.cuts[f] == nil {
+			r.cuts[f] = make(map[string]bool)
+		}
+		for _, t := range to {
+			r.cuts[f][t] = true
+		}
+	}
+	r.mu.Unlock()
+	return r.sendFaults()
+}
+
+func (r *Run) heal() error {
+	r.mu.Lock()
+	r.cuts = make(map[string]map[string]bool)
+	r.mu.Unlock()
+	return r.sendFaults()
+}
+
+type faultsBody struct {
+	DropFrom []string `json:"dropFrom"`
+	DropTo   []string `json:"dropTo"`
+}
+
+func (r *Run) sendFaults() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, d := range r.daemons {
+		body := faultsBody{DropFrom: []string{}, DropTo: []string{}}
+		for from, tos := range r.cuts {
+			for to := range tos {
+				if from == name {
+					body.DropTo = append(body.DropTo, to)
+				}
+				if to == name {
+					body.DropFrom = append(body.DropFrom, from)
+				}
+			}
+		}
+		if err := postFaults(d, body); err != nil && d.Running() {
+			return err
+		}
+	}
+	return nil
+}
+
+func postFaults(d *processes.Daemon, body faultsBody) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	client := &http.Client{Timeout: 5 * time.Second}
+	answer, err := client.Post("http://"+d.Platform+"/faults", "application/json", bytes.NewReader(raw))
+	if err != nil {
+		return errors.Wrapf(err, "faults of %s", d.Plan.ID)
+	}
+	answer.Body.Close()
+	if answer.StatusCode != http.StatusNoContent {
+		return errors.Errorf("faults of %s: status %d", d.Plan.ID, answer.StatusCode)
+	}
+	return nil
+}
+
+// Faults checks the invariants once the traffic has ended.
+func (r *Run) Faults() ([]string, error) {
+	r.busy.Wait()
+	runs, err := r.fleet.Runs()
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append(append([]string(nil), r.faults...), traffic.Check(r.traffic.Calls(), runs)...), nil
+}
+
+// Summary counts the calls by kind and answer.
+func (r *Run) Summary() string { return traffic.Summary(r.traffic.Calls()) }
--- /dev/null
+++ b/internal/trial/failure/failure_test.go
@@ -0,0 +1,71 @@
+package failure_test
+
+import (
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/bilberryrock/bilberryrock/internal/trial/failure"
+)
+
+var seed = flag.Uint64("seed", 1, "seed of the traffic")
+
+// TestScripts guards against each broken invariant that package traffic checks,
+// under the failures of the scripts. Every command "run" of a script starts a new
+// fleet.
+func TestScripts(t *testing.T) {
+	bin := build(t)
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		if strings.HasSuffix(path, ".long.txt") && os.Getenv("BILBERRYROCK_LONG") == "" {
+			t.Skip("a long script; set BILBERRYROCK_LONG=1 to run it")
+		}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			size := failure.Size{DataCentres: 3, Daemons: 1, Engines: 2, Services: 1}
+			if d.HasArg("large") {
+				size = failure.Size{DataCentres: 3, Daemons: 4, Engines: 12, Services: 2}
+			}
+			return runScript(t, bin, size, d)
+		})
+	})
+}
+
+func runScript(t *testing.T, bin string, size failure.Size, d *datadriven.TestData) string {
+	t.Logf("%s: seed %d", d.Pos, *seed)
+	r, err := failure.Start(bin, t.TempDir(), size, *seed)
+	if err != nil {
+		t.Fatalf("%s: %v", d.Pos, err)
+	}
+	defer r.Close()
+	for line := range strings.SplitSeq(d.Input, "\n") {
+		if err := r.Execute(line); err != nil {
+			t.Fatalf("%s: %q: %v\n%s", d.Pos, line, err, r.Logs())
+		}
+	}
+	faults, err := r.Faults()
+	if err != nil {
+		t.Fatalf("%s: %v", d.Pos, err)
+	}
+	t.Logf("%s:\n%s", d.Pos, r.Summary())
+	if len(faults) > 0 {
+		t.Logf("%s: seed %d\n%s", d.Pos, *seed, r.Logs())
+		return strings.Join(faults, "\n") + "\n"
+	}
+	return "no fault\n"
+}
+
+// build builds the programs into a folder of the test.
+func build(t *testing.T) string {
+	t.Helper()
+	bin := t.TempDir()
+	cmd := exec.Command("go", "build", "-o", bin+string(filepath.Separator), "./cmd/...")
+	cmd.Dir = filepath.Join("..", "..", "..")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return bin
+}
