--- a/internal/quorum/journal/load.go
+++ b/internal/quorum/journal/load.go
@@ -203,7 +203,7 @@
 	if e.Index <= l.State.Commit && e.Index <= last && l.Entries[k].Term != e.Term {
 		return errors.Errorf("entry %d replaces a committed entry", e.Index)
 	}
-	l.Entries = append(l.Entries[:k:k], e)
+	l.Entries = append(l.Entries[:k], e)
 	return nil
 }
 
--- a/internal/quorum/replica/election.go
+++ b/internal/quorum/replica/election.go
@@ -59,6 +59,7 @@
 // log holds all that this replica has. Membership is not checked: the candidate
 // may know of a change that this replica has not received yet.
 func (r *Replica) answerVote(m Message) {
+	r.yield(m)
 	reply := Message{Kind: VoteReply, To: m.From}
 	if m.Kind == PreVote {
 		reply.Kind = PreVoteReply
@@ -77,6 +78,24 @@
 	r.send(reply)
 }
 
+// yield withdraws the own pre-campaign in favour of another one with a newer log
+// or an equal log and a higher id. Two voters that time out in the same tick would
+// otherwise split the votes. It yields once until it hears of a leader, so that a
+// voter that can't win does not keep it from trying again.
+func (r *Replica) yield(m Message) {
+	if r.role != PreCandidate || m.Kind != PreVote || r.yielded || m.Term <= r.term {
+		return
+	}
+	own, last := r.log.lastTerm(), r.log.last()
+	newer := m.LogTerm > own || m.LogTerm == own && m.LogIndex > last
+	equal := m.LogTerm == own && m.LogIndex == last
+	if !newer && (!equal || m.From < r.options.ID) {
+		return
+	}
+	r.becomeFollower(r.term, 0)
+	r.yielded = true
+}
+
 func (r *Replica) upToDate(i quorum.Index, t quorum.Term) bool {
 	own := r.log.lastTerm()
 	return t > own || t == own && i >= r.log.last()
--- a/internal/quorum/replica/follower.go
+++ b/internal/quorum/replica/follower.go
@@ -11,6 +11,7 @@
 		r.becomeFollower(r.term, leader)
 	}
 	r.leader = leader
+	r.yielded = false
 	r.electionElapsed = 0
 }
 
--- a/internal/quorum/replica/replica.go
+++ b/internal/quorum/replica/replica.go
@@ -102,6 +102,7 @@
 	heartbeatElapsed int
 	timeout          int
 	votes            map[quorum.VoterID]bool
+	yielded          bool // to another pre-candidate since the last leader
 
 	progress     map[quorum.VoterID]*progress
 	context      uint64 // number of the newest heartbeat round
--- a/internal/quorum/voter/voter_test.go
+++ b/internal/quorum/voter/voter_test.go
@@ -70,18 +70,19 @@
 	dir   string
 	peers []Peer
 	nodes []*node
-	cut   atomic.Pointer[map[[2]fleet.InstanceID]bool]
+	// machine returns a new state machine.
+	machine func() quorum.Reader
+	cut     atomic.Pointer[map[[2]fleet.InstanceID]bool]
 }
 
 type node struct {
 	voter    *Voter
 	server   *grpc.Server
-	machine  *register
 	listener net.Listener
 }
 
 func newSite(t testing.TB, n int) *site {
-	s := &site{is: is.New(t), dir: t.TempDir()}
+	s := &site{is: is.New(t), dir: t.TempDir(), machine: func() quorum.Reader { return &register{} }}
 	s.cut.Store(&map[[2]fleet.InstanceID]bool{})
 	for i := range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -91,9 +92,6 @@
 			ID: quorum.VoterID(i + 1), Instance: fleet.InstanceID(fmt.Sprintf("i%d", i+1)), Address: l.Addr().String(),
 		})
 	}
-	for i := range n {
-		s.start(i)
-	}
 	t.Cleanup(func() {
 		for i := range n {
 			s.stop(i)
@@ -106,11 +104,10 @@
 
 func (s *site) start(i int) {
 	n := s.nodes[i]
-	n.machine = &register{}
 	var err error
 	n.voter, err = New(
 		Instance(s.peers[i].Instance, s.peers[i].Address), Folder(s.folder(i)), Initial(s.peers...),
-		Group(quorum.ConfigGroup, n.machine), Tick(10*time.Millisecond), SnapshotEntries(50, 10),
+		Group(quorum.ConfigGroup, s.machine()), Tick(10*time.Millisecond), SnapshotEntries(50, 10),
 		Cut(func(from, to fleet.InstanceID) bool { return (*s.cut.Load())[[2]fleet.InstanceID{from, to}] }),
 	)
 	s.is.NoErr(err)
@@ -155,6 +152,9 @@
 // stopped leader hands over, and a restarted voter catches up.
 func TestVoters(t *testing.T) {
 	s := newSite(t, 3)
+	for i := range 3 {
+		s.start(i)
+	}
 	c, err := NewClient(Instance("client", ""), Initial(s.peers...))
 	s.is.NoErr(err)
 	defer c.Close()
