--- a/internal/admission/gate/gate_test.go
+++ b/internal/admission/gate/gate_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"github.com/bilberryrock/bilberryrock/internal/admission"
 	"github.com/bilberryrock/bilberryrock/internal/admission/gate"
@@ -66,6 +67,9 @@
 		is.NoErr(err)
 		ticket.Done()
 		is.Equal(g.Counters("pool").Running, 0)
+		problems, err := testutil.CollectAndLint(g)
+		is.NoErr(err)
+		is.Equal(len(problems), 0)
 	})
 }
 
--- a/internal/admission/lane/lane.go
+++ b/internal/admission/lane/lane.go
@@ -11,6 +11,7 @@
 package lane
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/admission"
@@ -55,6 +56,11 @@
 	Places            float64
 }
 
+// String describes the state for a decision record.
+func (c Counters) String() string {
+	return fmt.Sprintf("%d running on %.1f places, %d waiting", c.Running, c.Places, c.Waiting)
+}
+
 // Lane admits the requests of one pool. It is not safe for concurrent use.
 type Lane struct {
 	pool    fleet.PoolID
--- a/internal/routing/affinity/affinity.go
+++ b/internal/routing/affinity/affinity.go
@@ -13,11 +13,14 @@
 package affinity
 
 import (
+	"encoding/binary"
 	"math"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 )
 
@@ -79,6 +82,25 @@
 	forgotten atomic.Int64 // entries up to this time are gone
 }
 
+// Chain appends to dst the hashes of the whole blocks of a prompt of token ids.
+// Each hash covers the blocks before it too. size is in tokens.
+func Chain(dst, prompt []uint64, size int) []uint64 {
+	if size <= 0 {
+		return dst
+	}
+	var d xxhash.Digest
+	d.Reset()
+	var word [8]byte
+	for i, t := range prompt {
+		binary.LittleEndian.PutUint64(word[:], t)
+		_, _ = d.Write(word[:])
+		if (i+1)%size == 0 {
+			dst = append(dst, d.Sum64())
+		}
+	}
+	return dst
+}
+
 // NewSource returns the Source of an upstream of which nothing is known.
 func NewSource(id fleet.UpstreamID) *Source {
 	s := &Source{id: id}
--- a/internal/routing/affinity/affinity_test.go
+++ b/internal/routing/affinity/affinity_test.go
@@ -54,6 +54,16 @@
 	is.Equal(share(&table, s, now), 0.0)
 }
 
+// Guards against prompts that share a prefix and not its hashes, or the reverse.
+func TestChain(t *testing.T) {
+	is := is.New(t)
+	a := affinity.Chain(nil, []uint64{1, 2, 3, 4, 5, 6, 7}, 2)
+	b := affinity.Chain(nil, []uint64{1, 2, 3, 4, 9, 6}, 2)
+	is.Equal(len(a), 3) // the last token is not a whole block
+	is.Equal(a[:2], b[:2])
+	is.True(a[2] != b[2])
+}
+
 // Guards against a table that grows with the prompts that it has seen.
 func TestBoundedAndNewestKept(t *testing.T) {
 	is := is.New(t)
--- a/internal/routing/pool/lease.go
+++ b/internal/routing/pool/lease.go
@@ -33,6 +33,7 @@
 	work     float64
 	slowdown float64
 	expected time.Duration
+	done     bool
 }
 
 // Upstream returns the chosen upstream as it was last announced.
@@ -41,8 +42,12 @@
 // Expected returns the expected time of the work.
 func (l *Lease) Expected() time.Duration { return l.expected }
 
-// Done reports how the work ended.
+// Done reports how the work ended. Calls after the first have no effect.
 func (l *Lease) Done(r Result) {
+	if l.done {
+		return
+	}
+	l.done = true
 	now := l.pool.clock.Now()
 	n := l.node
 	n.end(l.pool.offset(now), r)
--- a/internal/routing/pool/members.go
+++ b/internal/routing/pool/members.go
@@ -29,8 +29,6 @@
 	// Known the slots of the upstreams that it covers.
 	Reported float64
 	Known    float64
-	// Reports counts the reports so far. It tells whether there are new ones.
-	Reports uint64
 	// Upstreams is the number of usable upstreams.
 	Upstreams int
 }
@@ -95,7 +93,6 @@
 func (l *Load) add(n *node, now int64) {
 	slots := float64(n.slots.Load())
 	l.Slots += slots * n.health()
-	l.Reports += n.reports.Load()
 	l.Upstreams++
 	if now-n.reportedAt.Load() > int64(recentReport) || n.reportedAt.Load() == noReport {
 		return
--- a/internal/routing/pool/node.go
+++ b/internal/routing/pool/node.go
@@ -31,7 +31,6 @@
 	reported         atomic.Int64
 	reportedAt       atomic.Int64
 	inFlightAtReport atomic.Int64
-	reports          atomic.Uint64
 
 	inFlight  atomic.Int64
 	progress  atomic.Int64 // last end of work, or begin when there was none
@@ -67,7 +66,6 @@
 		return
 	}
 	n.reportedAt.Store(at)
-	n.reports.Add(1)
 	n.reported.Store(int64(u.Load.Running + u.Load.Waiting))
 	n.inFlightAtReport.Store(n.inFlight.Load())
 }
