Stop without cutting off requests on kept connections

Cause: at a graceful stop, http.Server.Shutdown closed kept connections in the moment in which a client sent its next request; a POST then ended with EOF. While it drains, each answer now closes its connection; the trial's traffic asks for readiness as a balancer does, which is what the drain delay is for. Conclusion: a client that keeps an idle connection longer than the drain delay and uses it in the very moment of the end can still meet a closed connection; HTTP/1.1 has no answer to that (RFC 9112, 9.5).

--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -125,6 +125,9 @@
 	d.log.Info("Daemon stops.")
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Instance.StopTimeout)
 	defer cancel()
+	for _, s := range d.servers {
+		s.drain()
+	}
 	// The balancer still sends requests until it has seen the loss of readiness.
 	<-d.clock.After(d.settings.Instance.DrainDelay)
 	err := d.requests.drain(ctx)
--- a/internal/entry/daemon/listener.go
+++ b/internal/entry/daemon/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +18,8 @@
 type server struct {
 	name string
 	http *http.Server
+	// draining makes each answer the last one of its connection.
+	draining atomic.Bool
 }
 
 // startServer opens a listener and serves h in a goroutine until shutdown. A
@@ -31,13 +34,14 @@
 	}
 	l = l.WithDefaults()
 	listener = netutil.LimitListener(listener, l.MaxConnections)
-	s := &server{name: name, http: &http.Server{
-		Handler:           h,
+	s := &server{name: name}
+	s.http = &http.Server{
+		Handler:           s.closing(h),
 		ReadHeaderTimeout: l.ReadTimeout,
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    l.MaxHeader,
 		ErrorLog:          zap.NewStdLog(log),
-	}}
+	}
 	go func() {
 		var err error
 		if certificate != "" {
@@ -52,6 +56,20 @@
 	return s, nil
 }
 
+// drain tells clients with each answer not to use the connection again. Without
+// it, Shutdown closes kept connections in the moment in which a client may send
+// its next request, and the client sees the request cut off.
+func (s *server) drain() { s.draining.Store(true) }
+
+func (s *server) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // stop waits until all requests are answered, for at most the given time.
 func (s *server) stop(wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
--- a/internal/trial/failure/failure.go
+++ b/internal/trial/failure/failure.go
@@ -18,7 +18,8 @@
 //	race a b              submit two sections with the same base at once
 //	sleep 2s
 //
-// After the script, the checks of package traffic run over all calls.
+// After the script, the checks of package traffic run over all calls. Without a
+// kill or freeze, no call may be cut off.
 package failure
 
 import (
@@ -45,7 +46,8 @@
 // change the verdict.
 const patience = 60 * time.Second
 
-// Size is the number of daemons and stand-ins in each of the data centres.
+// Size holds the number of data centres, and of the daemons and stand-ins that
+// are spread over them.
 type Size struct {
 	DataCentres, Daemons, Engines, Services int
 }
@@ -72,6 +74,9 @@
 
 	watching  sync.WaitGroup
 	ended     chan struct{}
+	// killed tells that a process was ended or frozen without notice, so that
+	// calls may be cut off.
+	killed    bool
 	revisions map[string]fleet.Revision
 }
 
@@ -123,7 +128,7 @@
 
 func (r *Run) startDaemons(size Size) error {
 	var plans []processes.DaemonPlan
-	for i := range size.DataCentres * size.Daemons {
+	for i := range size.Daemons {
 		plan := processes.DaemonPlan{
 			ID:         string(rune('a' + i)),
 			DataCentre: fmt.Sprintf("dc%d", i%size.DataCentres+1),
@@ -153,7 +158,7 @@
 }
 
 func (r *Run) startStandins(size Size) error {
-	for i := range size.DataCentres * size.Engines {
+	for i := range size.Engines {
 		layers := []string{"0:4", "4:8"}[i/size.DataCentres%2]
 		if err := r.startStandin(fmt.Sprintf("engine-%d", i+1), i, size,
 			"--kind", "engine", "--pool", "engines", "--model", traffic.Model, "--version", traffic.Version,
@@ -161,7 +166,7 @@
 			return err
 		}
 	}
-	for i := range size.DataCentres * size.Services {
+	for i := range size.Services {
 		if err := r.startStandin(fmt.Sprintf("desk-%d", i+1), i, size,
 			"--kind", "service", "--pool", traffic.ServicePool, "--slots", "8", "--callTime", "5ms"); err != nil {
 			return err
@@ -338,11 +343,13 @@
 	}
 	switch command {
 	case "kill":
+		r.killed = true
 		p.Kill()
 		return nil
 	case "start":
 		return start()
 	case "freeze":
+		r.killed = true
 		return p.Signal(syscall.SIGSTOP)
 	case "thaw":
 		return p.Signal(syscall.SIGCONT)
@@ -426,7 +433,11 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append(append([]string(nil), r.faults...), traffic.Check(r.traffic.Calls(), runs)...), nil
+	faults := append([]string(nil), r.faults...)
+	if !r.killed {
+		faults = append(faults, traffic.CheckCutOff(r.traffic.Calls())...)
+	}
+	return append(faults, traffic.Check(r.traffic.Calls(), runs)...), nil
 }
 
 // Summary counts the calls by kind and answer.
--- a/internal/trial/failure/failure_test.go
+++ b/internal/trial/failure/failure_test.go
@@ -25,9 +25,9 @@
 			t.Skip("a long script; set BILBERRYROCK_LONG=1 to run it")
 		}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			size := failure.Size{DataCentres: 3, Daemons: 1, Engines: 2, Services: 1}
+			size := failure.Size{DataCentres: 3, Daemons: 3, Engines: 6, Services: 3}
 			if d.HasArg("large") {
-				size = failure.Size{DataCentres: 3, Daemons: 4, Engines: 12, Services: 2}
+				size = failure.Size{DataCentres: 3, Daemons: 12, Engines: 40, Services: 3}
 			}
 			return runScript(t, bin, size, d)
 		})
--- a/internal/trial/processes/daemon.go
+++ b/internal/trial/processes/daemon.go
@@ -131,3 +131,18 @@
 	}
 	return errors.Errorf("%s: %s was not answered with 200 within %s", d.Plan.ID, path, wait)
 }
+
+// readyTimeout bounds one question of a balancer for readiness.
+const readyTimeout = time.Second
+
+// RefusesReady tells whether the daemon says that it is not ready. It is false
+// for a daemon that does not answer.
+func (d *Daemon) RefusesReady() bool {
+	client := &http.Client{Timeout: readyTimeout}
+	answer, err := client.Get("http://" + d.Platform + "/ready")
+	if err != nil {
+		return false
+	}
+	answer.Body.Close()
+	return answer.StatusCode != http.StatusOK
+}
--- a/internal/trial/traffic/check.go
+++ b/internal/trial/traffic/check.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"sort"
+	"strings"
+	"syscall"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/standin"
@@ -23,6 +25,23 @@
 	return append(faults, checkLayers(runs)...)
 }
 
+// CheckCutOff returns a line for every call that reached a daemon and was not
+// answered to its end. It holds only while no process ends without notice. A
+// refused connection is no fault: a balancer would not have chosen the daemon.
+func CheckCutOff(calls []Call) []string {
+	var faults []string
+	for _, c := range calls {
+		refused := strings.Contains(c.Err, syscall.ECONNREFUSED.Error())
+		if c.Err != "" && !refused {
+			faults = append(faults, fmt.Sprintf("call %d, request %s, to %s was cut off: %s", c.Number, c.Request, c.Daemon, c.Err))
+		}
+		if c.Err == "" && !c.Whole && c.Code == "" {
+			faults = append(faults, fmt.Sprintf("call %d, request %s, to %s has no end", c.Number, c.Request, c.Daemon))
+		}
+	}
+	return faults
+}
+
 func checkTexts(calls []Call) []string {
 	var faults []string
 	for _, c := range calls {
--- a/internal/trial/traffic/traffic.go
+++ b/internal/trial/traffic/traffic.go
@@ -129,7 +129,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.number++
-	d := t.daemons[t.random.IntN(len(t.daemons))]
+	d := t.balance()
 	c := Call{Number: t.number, Daemon: d.Plan.ID}
 	draw := t.random.IntN(100)
 	switch {
@@ -147,6 +147,20 @@
 	return c, d
 }
 
+// balance chooses a daemon as a balancer does that has just asked for readiness.
+// A daemon that does not answer is chosen all the same: a balancer needs several
+// failed checks to give up on an instance.
+func (t *Traffic) balance() *processes.Daemon {
+	first := t.random.IntN(len(t.daemons))
+	for i := range t.daemons {
+		d := t.daemons[(first+i)%len(t.daemons)]
+		if !d.RefusesReady() {
+			return d
+		}
+	}
+	return t.daemons[first]
+}
+
 func (t *Traffic) orderKey() string {
 	if len(t.orders) > 0 && t.random.IntN(100) < resendShare {
 		return t.orders[t.random.IntN(len(t.orders))]
