Add the follower of the configuration

The decision part chooses sources and applies replies without waiting; a thin loop executes its plans. Two relays of a data centre, by rendezvous hashing, fetch from voters and the others from relays. A started instance asks several peers and is ready once it has the highest revision that a reached peer offered.

--- /dev/null
+++ b/internal/document/follower/follower_test.go
@@ -0,0 +1,359 @@
+package follower
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bilberryrock/bilberryrock/internal/document"
+	"github.com/bilberryrock/bilberryrock/internal/document/register"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/board"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/fakeclock"
+	"github.com/bilberryrock/bilberryrock/internal/membership"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	instances = 15
+	centres   = 3
+)
+
+// world holds instances in three data centres, of which the first in each is a
+// voter with its own replica.
+type world struct {
+	t        *testing.T
+	seed     int64
+	random   *rand.Rand
+	calm     bool
+	now      time.Time
+	members  []membership.Member
+	cores    []*core
+	cells    []*board.Cell[document.Config]
+	replicas []*register.Register
+	log      []document.Submission
+	truth    []document.Document // by revision
+	cut      [centres]bool
+	down     [instances]bool
+}
+
+func newWorld(t *testing.T, seed int64) *world {
+	w := &world{t: t, seed: seed, random: rand.New(rand.NewSource(seed)), now: fakeclock.Start, truth: make([]document.Document, 1)}
+	for i := range instances {
+		w.members = append(w.members, membership.Member{
+			ID:         fleet.InstanceID(fmt.Sprint("i", i)),
+			DataCentre: fleet.DataCentreID(fmt.Sprint("dc", i%centres)),
+			Voter:      i < centres,
+		})
+		w.cores = append(w.cores, nil)
+		w.cells = append(w.cells, nil)
+		w.restart(i)
+	}
+	for range centres {
+		w.replicas = append(w.replicas, register.New())
+	}
+	return w
+}
+
+func (w *world) restart(i int) {
+	w.cells[i] = &board.Cell[document.Config]{}
+	w.cores[i] = newCore(w.cells[i])
+	w.members[i].Revision = 0
+	w.down[i] = false
+}
+
+// accept adds a revision. The replicas apply it later.
+func (w *world) accept() {
+	n := len(w.truth)
+	team := fmt.Sprint("team", w.random.Intn(4))
+	s := document.Submission{Change: fleet.ChangeID(fmt.Sprint(n)), Team: fleet.TeamID(team), At: fakeclock.Start, Text: fmt.Sprintf("[dataCentre \"%s\"]\nregion = r%d\n", team, n)}
+	reference := register.New()
+	for _, old := range w.log {
+		reference.Submit(old)
+	}
+	for _, x := range reference.Document().Sections {
+		if x.Team == s.Team {
+			s.Base = x.Revision
+		}
+	}
+	if o := reference.Submit(s); o.Verdict != document.Accepted {
+		w.t.Fatal(o.Reason)
+	}
+	w.log = append(w.log, s)
+	w.truth = append(w.truth, reference.Document())
+}
+
+// replicate lets a replica apply what it lacks.
+func (w *world) replicate(i int) {
+	r := w.replicas[i]
+	for _, s := range w.log[r.Document().Revision:] {
+		r.Submit(s)
+	}
+}
+
+func (w *world) index(id fleet.InstanceID) int {
+	var i int
+	_, _ = fmt.Sscanf(string(id), "i%d", &i)
+	return i
+}
+
+func (w *world) reaches(from, to int) bool {
+	same := from%centres == to%centres
+	return !w.down[to] && (same || !w.cut[from%centres] && !w.cut[to%centres])
+}
+
+func (w *world) fetch(from, to int, after fleet.Revision) (Reply, error) {
+	if from != to && (!w.reaches(from, to) || !w.calm && w.random.Intn(6) == 0) {
+		return Reply{}, errors.New("unreachable")
+	}
+	r := w.cores[to].since(after)
+	if w.members[to].Voter {
+		r.Document, r.Full = w.replicas[to].ChangesSince(after)
+	}
+	if n := len(r.Document.Sections); !w.calm && n > 0 && w.random.Intn(8) == 0 {
+		r.Document.Sections = w.damage(append([]document.Section(nil), r.Document.Sections...))
+	}
+	return r, nil
+}
+
+// damage alters a reply in a way that the instance can detect.
+func (w *world) damage(sections []document.Section) []document.Section {
+	s := &sections[w.random.Intn(len(sections))]
+	switch w.random.Intn(5) {
+	case 0:
+		s.Text = s.Text[:len(s.Text)/2]
+	case 1:
+		s.Revision += 1000
+	case 2:
+		s.Text += "[window \"w\"]\n"
+	case 3:
+		s.Text += "[model \"m\"]\nversion = 1\nlayers = 1\npool = nowhere\n"
+	case 4:
+		return slices.DeleteFunc(sections, func(x document.Section) bool { return x.Revision == newestOf(sections) })
+	}
+	return sections
+}
+
+func newestOf(sections []document.Section) fleet.Revision {
+	newest := fleet.Revision(0)
+	for _, s := range sections {
+		newest = max(newest, s.Revision)
+	}
+	return newest
+}
+
+// view returns the members as instance i knows them.
+func (w *world) view(i int) []membership.Member {
+	var list []membership.Member
+	for n, m := range w.members {
+		if !w.reaches(i, n) {
+			m.Status = membership.Suspect
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+// step runs one round of an instance and checks what it put into force.
+func (w *world) step(i int) {
+	if w.down[i] {
+		return
+	}
+	c, members := w.cores[i], w.view(i)
+	before, state := c.doc.Revision, c.status.State
+	p := c.plan(w.members[i], members)
+	var results []result
+	reached, best := false, fleet.Revision(0)
+	for _, m := range p.peers {
+		reply, err := w.fetch(i, w.index(m.ID), p.after)
+		results = append(results, result{from: m, reply: reply, err: err})
+		reached = reached || err == nil
+		best = max(best, reply.Document.Revision)
+	}
+	c.take(p, results, members, w.now)
+	w.members[i].Revision = c.doc.Revision
+	w.check(i, before)
+	switch {
+	case state == Ready:
+	case !reached && c.status.State != Alone:
+		w.t.Fatalf("seed %d: instance %d reached nobody and is %v", w.seed, i, c.status.State)
+	case c.status.State == Ready && c.doc.Revision < best:
+		w.t.Fatalf("seed %d: instance %d is ready with revision %d, a peer offered %d", w.seed, i, c.doc.Revision, best)
+	}
+}
+
+func (w *world) check(i int, before fleet.Revision) {
+	config := w.cells[i].Load()
+	if config == nil {
+		return
+	}
+	if config.Revision < before {
+		w.t.Fatalf("seed %d: instance %d went from revision %d to %d", w.seed, i, before, config.Revision)
+	}
+	truth := w.truth[config.Revision]
+	if config.Revision > fleet.Revision(len(w.truth)) || len(config.DataCentres) != len(truth.Sections) || len(config.Models) > 0 {
+		w.t.Fatalf("seed %d: instance %d has %d data centres and %d models at revision %d", w.seed, i, len(config.DataCentres), len(config.Models), config.Revision)
+	}
+	for _, s := range truth.Sections {
+		d := config.DataCentres[fleet.DataCentreID(s.Team)]
+		if want := fmt.Sprintf("[dataCentre \"%s\"]\nregion = %s\n", s.Team, d.Region); want != s.Text {
+			w.t.Fatalf("seed %d: instance %d has %q of team %s at revision %d", w.seed, i, d.Region, s.Team, config.Revision)
+		}
+	}
+}
+
+// TestSchedules guards against a revision that decreases, a configuration that
+// was never accepted, an instance that is ready with an old revision, and one
+// that stays behind after all faults end.
+func TestSchedules(t *testing.T) {
+	for seed := range int64(100) {
+		w := newWorld(t, seed)
+		for range 400 {
+			i := w.random.Intn(instances)
+			switch w.random.Intn(16) {
+			case 0:
+				w.accept()
+			case 1, 2:
+				w.replicate(w.random.Intn(centres))
+			case 3:
+				w.restart(i)
+			case 4:
+				w.down[i] = !w.down[i]
+			case 5:
+				w.cut[i%centres] = !w.cut[i%centres]
+			default:
+				w.step(i)
+			}
+		}
+		w.heal()
+		for i, c := range w.cores {
+			if c.doc.Revision != fleet.Revision(len(w.log)) || c.status.State != Ready {
+				t.Fatalf("seed %d: instance %d is %v with revision %d of %d: %s", seed, i, c.status.State, c.doc.Revision, len(w.log), c.status.Fault)
+			}
+		}
+	}
+}
+
+// heal ends all faults and gives each instance a few rounds.
+func (w *world) heal() {
+	w.calm, w.cut = true, [centres]bool{}
+	for i := range w.replicas {
+		w.replicate(i)
+	}
+	for range 6 {
+		for i := range w.cores {
+			w.down[i] = false
+			w.step(i)
+		}
+	}
+}
+
+// TestDeadRelay guards against an instance that keeps asking a source that does
+// not answer, or one that is behind what gossip tells.
+func TestDeadRelay(t *testing.T) {
+	for _, dead := range []bool{true, false} {
+		w := newWorld(t, 1)
+		w.accept()
+		w.heal()
+		w.accept()
+		w.replicate(0)
+		const i = instances - 1
+		list, _ := sourcesOf(w.members[i], w.members, 1)
+		stale := w.index(list[0].ID)
+		w.step(0)
+		for range 4 {
+			c := w.cores[i]
+			p := c.plan(w.members[i], w.members)
+			r := result{from: p.peers[0]}
+			if w.index(p.peers[0].ID) != stale {
+				r.reply, r.err = w.fetch(i, w.index(p.peers[0].ID), p.after)
+			} else if r.reply = w.cores[i].since(1); dead {
+				r.err = errors.New("no answer")
+			}
+			c.take(p, []result{r}, w.members, w.now)
+		}
+		if w.cores[i].doc.Revision != 2 {
+			t.Errorf("dead %v: revision %d after 4 rounds", dead, w.cores[i].doc.Revision)
+		}
+	}
+}
+
+// TestFanOut guards against voters that serve every instance of a large fleet,
+// and against relays with too many clients.
+func TestFanOut(t *testing.T) {
+	is := is.New(t)
+	var members []membership.Member
+	for i := range 540 {
+		members = append(members, membership.Member{
+			ID:         fleet.InstanceID(fmt.Sprint("i", i)),
+			DataCentre: fleet.DataCentreID(fmt.Sprint("dc", i%20)),
+			Voter:      i < 5,
+		})
+	}
+	clients := make(map[fleet.InstanceID]int)
+	ofVoters := 0
+	for _, m := range members {
+		list, _ := sourcesOf(m, members, 0)
+		clients[list[0].ID]++
+		if list[0].Voter && !m.Voter {
+			ofVoters++
+		}
+	}
+	most := 0
+	for _, n := range clients {
+		most = max(most, n)
+	}
+	t.Logf("%d instances fetch from voters, the busiest source has %d clients", ofVoters, most)
+	is.True(ofVoters <= 20*relayCount+5*27) // a voter may be a relay of its data centre
+	is.True(most <= 27)
+}
+
+// peers is a membership view and a fetcher of one voter.
+type peers struct {
+	register *register.Register
+	asked    chan fleet.Revision
+}
+
+func (p *peers) Self() membership.Member { return membership.Member{ID: "self"} }
+
+func (p *peers) Members() []membership.Member {
+	return []membership.Member{{ID: "self"}, {ID: "voter", Voter: true}}
+}
+
+func (p *peers) Fetch(ctx context.Context, _ membership.Member, after fleet.Revision, _ time.Duration) (Reply, error) {
+	select {
+	case p.asked <- after:
+	case <-ctx.Done():
+		return Reply{}, ctx.Err()
+	}
+	d, full := p.register.ChangesSince(after)
+	return Reply{Document: d, Full: full}, nil
+}
+
+// TestLoop guards against a loop that does not fetch, does not wake waiting
+// peers or does not end.
+func TestLoop(t *testing.T) {
+	is := is.New(t)
+	clock := fakeclock.New(fakeclock.Start)
+	p := &peers{register: register.New(), asked: make(chan fleet.Revision)}
+	p.register.Submit(document.Submission{Change: "1", Team: "t", Text: "[dataCentre \"d\"]\nregion = r\n", At: fakeclock.Start})
+	var cell board.Cell[document.Config]
+	f := New(p, p, clock, &cell, zap.NewNop())
+	news := make(chan Reply)
+	go func() { news <- f.ChangesSince(context.Background(), 0, time.Hour) }()
+	is.Equal(<-p.asked, fleet.Revision(0))
+	is.Equal((<-news).Document.Revision, fleet.Revision(1))
+	is.Equal(cell.Load().Revision, fleet.Revision(1))
+	is.Equal(<-p.asked, fleet.Revision(1)) // the next round asks for what is newer
+	is.Equal(f.Status().State, Ready)
+	is.Equal(f.Status().Age(clock.Now().Add(time.Minute)), time.Minute)
+	f.Close()
+}
