Add the trail of decision records

A ring of records in 64 shards with a bound in bytes. The oldest records of a shard go first; a long record loses entries from its middle. For shows a team its own records only and answers for those of others as if they did not exist.

--- /dev/null
+++ b/internal/report/trail/trail.go
@@ -0,0 +1,222 @@
+// Package trail keeps the newest decision records in bounded memory.
+//
+// Records are spread over shards with one lock each. A shard that is full drops
+// its oldest records:
+//
+//	var t report.Trail = trail.New(trail.WithBytes(16 << 20))
+//	t.Open(id, account, team)
+//	t.Add(id, report.Entry{Part: "admission", Chosen: "queued"})
+//
+// Operators ask through For, which shows a team its own records only.
+package trail
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/report"
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// DefaultBytes bounds the memory of all records.
+	DefaultBytes = 16 << 20
+	// MaxEntries is the number of entries that a record keeps. Later entries
+	// replace those in the middle, so that the start and the end of a long
+	// request stay.
+	MaxEntries = 64
+	// MaxText is the number of bytes that are kept of each text of an entry.
+	MaxText = 512
+
+	shardCount     = 64 // a power of two, so that a mask selects the shard
+	firstEntries   = 16 // entries at the start of a record that are never replaced
+	recordOverhead = 320
+	entryOverhead  = 136
+)
+
+// Trail implements report.Trail. It is safe for concurrent use.
+type Trail struct {
+	shards [shardCount]shard
+}
+
+var _ report.Trail = (*Trail)(nil)
+
+type shard struct {
+	mu      sync.Mutex
+	limit   int
+	bytes   int
+	records map[string]*record
+	// ring holds the ids from the oldest at head on.
+	ring       []string
+	head, size int
+}
+
+type record struct {
+	report.Record
+	bytes   int
+	dropped int
+}
+
+// Option changes a Trail.
+type Option func(*Trail)
+
+// WithBytes replaces DefaultBytes.
+func WithBytes(n int) Option {
+	return func(t *Trail) {
+		for i := range t.shards {
+			t.shards[i].limit = n / shardCount
+		}
+	}
+}
+
+// New returns an empty Trail.
+func New(options ...Option) *Trail {
+	t := &Trail{}
+	WithBytes(DefaultBytes)(t)
+	for _, o := range options {
+		o(t)
+	}
+	for i := range t.shards {
+		t.shards[i].records = make(map[string]*record)
+	}
+	return t
+}
+
+func (t *Trail) of(id string) *shard {
+	return &t.shards[xxhash.Sum64String(id)&(shardCount-1)]
+}
+
+// Open starts the record of id. A record that exists is left as it is.
+func (t *Trail) Open(id string, a fleet.AccountID, team fleet.TeamID) {
+	s := t.of(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.records[id]; ok || len(id) > MaxText {
+		return
+	}
+	r := &record{Record: report.Record{ID: id, Account: a, Team: team}}
+	r.bytes = recordOverhead + 2*len(id) + len(a) + len(team)
+	s.records[id] = r
+	s.push(id)
+	s.bytes += r.bytes
+	s.shrink()
+}
+
+// Add appends e to the record of id. Without a record it does nothing.
+func (t *Trail) Add(id string, e report.Entry) {
+	e = cut(e)
+	s := t.of(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.records[id]
+	if !ok {
+		return
+	}
+	before := r.bytes
+	r.add(e)
+	s.bytes += r.bytes - before
+	s.shrink()
+}
+
+// Find returns a copy of the record of id.
+func (t *Trail) Find(id string) (report.Record, bool) {
+	s := t.of(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.records[id]
+	if !ok {
+		return report.Record{}, false
+	}
+	found := r.Record
+	found.Entries = r.entries()
+	return found, true
+}
+
+// For returns a copy of the record of id when it belongs to a team. Another
+// team's record looks like one that does not exist.
+func (t *Trail) For(team fleet.TeamID, id string) (report.Record, bool) {
+	r, ok := t.Find(id)
+	if !ok || !Visible(r, team) {
+		return report.Record{}, false
+	}
+	return r, true
+}
+
+// Visible reports whether a team may see r. Records without a team are visible to
+// no team.
+func Visible(r report.Record, team fleet.TeamID) bool {
+	return team != "" && r.Team == team
+}
+
+func (r *record) add(e report.Entry) {
+	if len(r.Entries) == MaxEntries {
+		r.bytes -= sizeOf(r.Entries[firstEntries])
+		r.Entries = slices.Delete(r.Entries, firstEntries, firstEntries+1)
+		r.dropped++
+	}
+	r.Entries = append(r.Entries, e)
+	r.bytes += sizeOf(e)
+}
+
+// entries returns a copy that tells how many entries were dropped.
+func (r *record) entries() []report.Entry {
+	list := slices.Clone(r.Entries)
+	if r.dropped == 0 {
+		return list
+	}
+	note := report.Entry{
+		At:     list[firstEntries].At,
+		Part:   "trail",
+		Chosen: fmt.Sprintf("%d entries before this one were dropped", r.dropped),
+	}
+	return slices.Insert(list, firstEntries, note)
+}
+
+// shrink drops the oldest records until the shard is within its limit.
+func (s *shard) shrink() {
+	for s.bytes > s.limit && s.size > 0 {
+		id := s.pop()
+		s.bytes -= s.records[id].bytes
+		delete(s.records, id)
+	}
+}
+
+func (s *shard) push(id string) {
+	if s.size == len(s.ring) {
+		s.grow()
+	}
+	s.ring[(s.head+s.size)%len(s.ring)] = id
+	s.size++
+}
+
+func (s *shard) pop() string {
+	id := s.ring[s.head]
+	s.ring[s.head] = ""
+	s.head = (s.head + 1) % len(s.ring)
+	s.size--
+	return id
+}
+
+func (s *shard) grow() {
+	ring := make([]string, max(16, 2*len(s.ring)))
+	for i := range s.size {
+		ring[i] = s.ring[(s.head+i)%len(s.ring)]
+	}
+	s.ring, s.head = ring, 0
+}
+
+func sizeOf(e report.Entry) int {
+	return entryOverhead + len(e.Part) + len(e.Known) + len(e.Weighed) + len(e.Chosen) + len(e.Reason) + len(e.Next)
+}
+
+func cut(e report.Entry) report.Entry {
+	for _, text := range []*string{&e.Part, &e.Known, &e.Weighed, &e.Chosen, &e.Reason, &e.Next} {
+		if len(*text) > MaxText {
+			*text = strings.ToValidUTF8((*text)[:MaxText], "") + "..."
+		}
+	}
+	return e
+}
