--- a/internal/report/trail/trail_test.go
+++ b/internal/report/trail/trail_test.go
@@ -69,6 +69,12 @@
 	for i := range 1000 {
 		long.Add("long", report.Entry{Chosen: fmt.Sprint(i)})
 	}
+	kept = long.of("long").bytes
+	sum := recordOverhead + 2*len("long") + len("a") + len("t")
+	for _, e := range long.of("long").records["long"].Entries {
+		sum += sizeOf(e)
+	}
+	is.Equal(kept, sum)
 	r, _ := long.Find("long")
 	is.Equal(len(r.Entries), MaxEntries+1)
 	is.Equal(r.Entries[firstEntries-1].Chosen, "15")
