--- a/internal/document/follower/follower_test.go
+++ b/internal/document/follower/follower_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -316,6 +317,30 @@
 	is.True(most <= 27)
 }
 
+// BenchmarkEnforce measures a change of a small section in a document with
+// 42,000 accounts.
+func BenchmarkEnforce(b *testing.B) {
+	c := newCore(&board.Cell[document.Config]{})
+	var doc document.Document
+	for team := range 6 {
+		var text strings.Builder
+		for i := range 7000 {
+			fmt.Fprintf(&text, "[account \"t%d-%d\"]\nkeySha256 = %064x\nweight = 3\n", team, i, team*7000+i)
+		}
+		doc.Sections = append(doc.Sections, document.Section{Team: fleet.TeamID(fmt.Sprint(team)), Text: text.String()})
+	}
+	doc.Sections = append(doc.Sections, document.Section{Team: "small"})
+	b.ReportAllocs()
+	for b.Loop() {
+		doc.Revision++
+		doc.Sections = slices.Clone(doc.Sections)
+		doc.Sections[6].Text = fmt.Sprint("# ", doc.Revision)
+		if err := c.enforce(doc); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // peers is a membership view and a fetcher of one voter.
 type peers struct {
 	register *register.Register
--- a/internal/document/register/codec.go
+++ b/internal/document/register/codec.go
@@ -63,7 +63,10 @@
 	Teams    map[fleet.TeamID]*team `json:"teams"`
 }
 
-var _ quorum.Reader = (*Register)(nil)
+var (
+	_ quorum.Reader     = (*Register)(nil)
+	_ document.Register = (*Register)(nil)
+)
 
 // prepare adds the parts of the command that depend on time zones.
 func prepare(s document.Submission) command {
--- a/internal/document/register/register_test.go
+++ b/internal/document/register/register_test.go
@@ -198,6 +198,25 @@
 	is.Equal(o.Verdict, document.Refused)
 }
 
+// FuzzApply guards against a command that stops a voter.
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(`{"version":1,"submission":{"change":"c","team":"t","text":"#","at":"2026-01-01T00:00:00Z"}}`))
+	f.Add([]byte(`{"version":1,"kind":"history","team":"t","limit":-1}`))
+	f.Add([]byte(`{"version":1,"teams":{"t":null}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := New()
+		for range 2 {
+			r.Apply(0, data)
+			r.Query(data)
+		}
+		s, err := r.Snapshot()
+		if err != nil || New().Restore(s) != nil {
+			t.Fatalf("snapshot does not restore: %v", err)
+		}
+		_ = r.Restore(data)
+	})
+}
+
 // instantClock does not wait.
 type instantClock struct{}
 
--- a/internal/document/section/section_test.go
+++ b/internal/document/section/section_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -158,12 +159,21 @@
 		d.Sections = append(d.Sections, document.Section{Team: fleet.TeamID(team), Text: accounts(team, 7000)})
 	}
 	b.ReportAllocs()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var c *document.Config
 	for b.Loop() {
-		c, err := Check(d)
-		if err != nil || len(c.Accounts) != 42000 {
+		var err error
+		if c, err = Check(d); err != nil || len(c.Accounts) != 42000 {
 			b.Fatal(err)
 		}
 	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(c.Accounts)), "B/account")
+	runtime.KeepAlive(c)
+	runtime.KeepAlive(d)
 }
 
 // BenchmarkDifference measures the largest exact difference.
--- a/internal/order/ledger/client.go
+++ b/internal/order/ledger/client.go
@@ -32,10 +32,10 @@
 // Option changes a Client.
 type Option func(*Client)
 
-// WithShards sets the number of groups. It must be the same on all instances and
-// must not change while keys are kept.
+// WithShards sets the number of groups, at least 1. It must be the same on all
+// instances and must not change while keys are kept.
 func WithShards(n int) Option {
-	return func(c *Client) { c.shards = n }
+	return func(c *Client) { c.shards = max(n, 1) }
 }
 
 // WithLimits replaces DefaultLimits.
--- a/internal/order/ledger/ledger_test.go
+++ b/internal/order/ledger/ledger_test.go
@@ -174,6 +174,25 @@
 	}
 }
 
+// FuzzApply guards against a command that stops a voter.
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(`{"version":1,"kind":"claim","key":{"account":"a","name":"k"},"attempt":"1","limits":{"maxRecords":9,"maxBytes":-1,"maxAnswer":-9}}`))
+	f.Add([]byte(`{"version":1,"kind":"settle","attempt":"1","at":"9999-12-31T23:59:59Z","ran":true}`))
+	f.Add([]byte(`{"version":1,"kind":"open","limit":-1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := New()
+		for range 2 {
+			m.Apply(0, data)
+			m.Query(data)
+		}
+		s, err := m.Snapshot()
+		if err != nil || New().Restore(s) != nil {
+			t.Fatalf("snapshot does not restore: %v", err)
+		}
+		_ = m.Restore(data)
+	})
+}
+
 // BenchmarkClaim measures claim and finish in one state machine.
 func BenchmarkClaim(b *testing.B) {
 	f := newFaulty(nil, 1)
--- a/internal/upstream/fencing/fencing_test.go
+++ b/internal/upstream/fencing/fencing_test.go
@@ -301,6 +301,23 @@
 	}
 }
 
+// FuzzApply guards against a command that stops a voter.
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(`{"version":1,"kind":"acquire","lease":{"upstream":"u","session":"s","duration":-1},"over":{}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := NewMachine()
+		for range 2 {
+			m.Apply(0, data)
+			m.Query(data)
+		}
+		s, err := m.Snapshot()
+		if err != nil || NewMachine().Restore(s) != nil {
+			t.Fatalf("snapshot does not restore: %v", err)
+		}
+		_ = m.Restore(data)
+	})
+}
+
 // checkProgress checks that an instance can send commands after all faults end.
 func (w *world) checkProgress(t *testing.T, seed int64) {
 	w.settle(1)
