Grow the places of an instance by a quarter while slots are idle

Cause: with all requests on 3 of 15 instances their places grew by 5% of an even part a second, and goodput stayed at 76.8% of the offered load.

Ask.Only limits a choice to listed upstreams, such as the holders of a range of layers.

--- a/internal/admission/lane/places.go
+++ b/internal/admission/lane/places.go
@@ -18,6 +18,11 @@
 	fullLoad = 1.8
 	// growth is the part of the even part that is added at a time.
 	growth = 0.05
+	// idleLoad is the load per slot below which slots are surely idle. Places
+	// that hold work back then grow by idleGrowth times. With growth alone, 3
+	// instances that got all requests of 15 stayed at 77% of the offered load.
+	idleLoad   = 0.9
+	idleGrowth = 1.25
 	// minGrowth is in places. Without it an even part of 0.8 places, as in a
 	// pool of 12 slots and 15 instances, grows by one place in 25 s only.
 	minGrowth = 0.2
@@ -75,7 +80,11 @@
 		p.limit *= 1 - min(maxCut, (load-fullLoad)/load)
 		return
 	}
-	if p.binding {
-		p.limit += max(part*growth, minGrowth)
+	if !p.binding {
+		return
+	}
+	p.limit += max(part*growth, minGrowth)
+	if load < idleLoad {
+		p.limit *= idleGrowth
 	}
 }
--- a/internal/routing/pool/pool.go
+++ b/internal/routing/pool/pool.go
@@ -60,6 +60,9 @@
 	Prefix []uint64
 	// Avoid lists upstreams that were tried already.
 	Avoid []fleet.UpstreamID
+	// Only lists the upstreams that can do the work, such as the holders of a
+	// range of layers. Empty stands for all of the pool.
+	Only []fleet.UpstreamID
 	// Explain is filled with the decision when it is not nil.
 	Explain *Explanation
 }
@@ -196,6 +199,10 @@
 func (p *Pool) Load() Load { return p.members.Load().load }
 
 func (p *Pool) collect(s *scratch, m *members, a *Ask, now time.Time) {
+	if len(a.Only) > 0 {
+		p.offerOnly(s, m, a, now)
+		return
+	}
 	if len(m.nodes) <= sampleSize {
 		for _, n := range m.nodes {
 			p.offer(s, m, n, a, now)
@@ -210,6 +217,29 @@
 	p.scan(s, m, a, now)
 }
 
+// offerOnly offers listed upstreams, from a random place in the list on.
+func (p *Pool) offerOnly(s *scratch, m *members, a *Ask, now time.Time) {
+	from := int(p.draw() % uint64(len(a.Only)))
+	for i := range a.Only {
+		if s.count == sampleSize {
+			return
+		}
+		if n := m.byID[a.Only[(from+i)%len(a.Only)]]; n != nil {
+			p.offer(s, m, n, a, now)
+		}
+	}
+	if s.count > 0 {
+		return
+	}
+	for i := range a.Only {
+		n := m.byID[a.Only[(from+i)%len(a.Only)]]
+		if n != nil && p.confirmed(n, now) && !avoided(a.Avoid, n.id) {
+			s.add(n, n.candidate(m, a, n.health(), p.offset(now)))
+			return
+		}
+	}
+}
+
 // scan offers the first usable node from a random place on, for when the draws
 // met none. When none is sound it offers one that is out of use.
 func (p *Pool) scan(s *scratch, m *members, a *Ask, now time.Time) {
--- a/internal/routing/pool/pool_test.go
+++ b/internal/routing/pool/pool_test.go
@@ -65,7 +65,12 @@
 	is.Equal(p.InFlight("u1"), 1)
 	l.Done(pool.Failed)
 	is.Equal(p.InFlight("u1"), 0)
-	is.Equal(p.Counters(), pool.Counters{Picked: 1, Failed: 1})
+	only, err := p.Pick(pool.Ask{Only: []fleet.UpstreamID{"u2", "gone"}})
+	is.NoErr(err)
+	is.Equal(only.Upstream().ID, fleet.UpstreamID("u2"))
+	only.Done(pool.Succeeded)
+	only.Done(pool.Succeeded) // has no effect
+	is.Equal(p.Counters(), pool.Counters{Picked: 2, Failed: 1, Succeeded: 1})
 	is.Equal(len(p.View()), 3)
 	problems, err := testutil.CollectAndLint(pool.Collector{ID: "p", Pool: p})
 	is.NoErr(err)
--- a/internal/routing/sim_test.go
+++ b/internal/routing/sim_test.go
@@ -203,7 +203,7 @@
 		r.prefix = []uint64{p * 7919, p*7919 + 1, p*7919 + 2, p*7919 + 3}
 	}
 	w.offered(r)
-	w.instances[w.random.IntN(len(w.instances))].admit(r)
+	w.instances[w.random.IntN(w.entries)].admit(r)
 }
 
 func (w *world) drawAccount() int {
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -110,6 +110,7 @@
 	name      string
 	seed      uint64
 	instances int
+	entries   int // instances that get requests
 	speeds    []float64
 	links     []time.Duration
 	slots     int
@@ -143,6 +144,7 @@
 		name:      fmt.Sprintf("%d %s", workers, name),
 		seed:      1,
 		instances: 15,
+		entries:   15,
 		links:     []time.Duration{250 * time.Microsecond, 2 * time.Millisecond, 25 * time.Millisecond},
 		slots:     4,
 		load:      load,
@@ -230,6 +232,10 @@
 		base("caching", 40, 0.9).with(func(s *scenario) { s.caching = true }),
 		base("cache gaps", 40, 0.9).with(func(s *scenario) { s.caching = true; s.eventLoss = 0.3 }),
 		base("data centre cut off", 40, 0.8).with(func(s *scenario) { s.cutAt = [2]time.Duration{20 * time.Second, 32 * time.Second} }),
+		base("three entries", 40, 0.8).with(func(s *scenario) { s.entries = 3; s.faultAt = 0 }),
+		base("half the entries lost", 40, 0.8).with(func(s *scenario) {
+			s.faults = []fault{{s.faultAt, func(w *world) { w.entries = 7 }}}
+		}),
 		base("steady", 3, 0.6),
 		base("saturated", 3, 1.2),
 		base("double", 3, 2),
@@ -278,7 +284,7 @@
 
 func goals(t *testing.T, results map[string]*measures) {
 	t.Helper()
-	for name, goal := range map[string]float64{"40 saturated": 0.95, "3 saturated": 0.95, "40 fivefold": 0.9, "3 fivefold": 0.9} {
+	for name, goal := range map[string]float64{"40 saturated": 0.95, "40 three entries": 0.95, "3 saturated": 0.95, "40 fivefold": 0.9, "3 fivefold": 0.9} {
 		if got := results[name].goodput(); got < goal {
 			t.Errorf("%s: goodput %.3f of the bound, goal %.2f", name, got, goal)
 		}
