--- a/internal/admission/lane/lane.go
+++ b/internal/admission/lane/lane.go
@@ -225,7 +225,7 @@
 	if l.bound == nil {
 		return true
 	}
-	end, ok := l.bound.Start(now, i.Expected)
+	end, ok := l.bound.Start(now, i.Expected+i.Reserve)
 	i.Owner.(*Waiter).end = end
 	return ok
 }
--- a/internal/routing/measures_test.go
+++ b/internal/routing/measures_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/bilberryrock/bilberryrock/internal/quiet/calendar"
 )
 
 // accountShares are the parts of the load of the accounts: two large ones and
@@ -24,6 +26,7 @@
 	latency, first, next *hdrhistogram.Histogram
 	wasted, used         time.Duration
 	hits, lookups        int
+	overBound, quietPeak int          // work over the quiet-hours bound, and most work at once, in a window
 	second               [2][]float64 // arrivals and good by second of arrival
 }
 
@@ -92,6 +95,19 @@
 
 func (m *measures) waste(d time.Duration) { m.wasted += d }
 
+// watchBound checks the work in progress against the open quiet-hours window.
+func (m *measures) watchBound() {
+	for _, s := range calendar.Spans(m.w.windows, m.w.Now(), m.w.Now().Add(1), 0) {
+		running, excess := 0, 0
+		for _, n := range m.w.instances {
+			running += n.lane.Counters().Running
+			excess += n.quiet.Excess(m.w.Now())
+		}
+		m.quietPeak = max(m.quietPeak, running)
+		m.overBound = max(m.overBound, running-excess-s.MaxInFlight)
+	}
+}
+
 // goodput returns good requests as a part of the lower of offered load and
 // bound.
 func (m *measures) goodput() float64 {
--- a/internal/routing/sim_test.go
+++ b/internal/routing/sim_test.go
@@ -12,6 +12,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/admission/lane"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/fakeclock"
+	"github.com/bilberryrock/bilberryrock/internal/quiet/governor"
 	"github.com/bilberryrock/bilberryrock/internal/routing/affinity"
 	"github.com/bilberryrock/bilberryrock/internal/routing/pool"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
@@ -92,6 +93,7 @@
 		e := heap.Pop(&w.events).(event)
 		w.now = e.at
 		e.do()
+		w.watchBound()
 	}
 }
 
@@ -142,6 +144,7 @@
 	lane  *lane.Lane
 	retry *budget.Budget
 	known []upstream.Upstream // as last delivered, by worker
+	quiet *governor.Governor
 }
 
 func newWorld(s scenario, policy policy) *world {
@@ -173,7 +176,10 @@
 }
 
 func (w *world) addInstance(i int, policy policy) {
-	n := &instance{world: w, index: i, retry: budget.New(), lane: lane.New("pool", 1024, nil)}
+	n := &instance{world: w, index: i, retry: budget.New(), quiet: governor.New(0)}
+	n.quiet.SetWindows(w.windows)
+	n.quiet.SetFleet(fleet.InstanceID(fmt.Sprint(i)), w.scenario.instances, nil)
+	n.lane = lane.New("pool", 1024, n.quiet)
 	n.pool = policy.picker(w)
 	n.known = make([]upstream.Upstream, len(w.workers))
 	for j, k := range w.workers {
@@ -371,6 +377,7 @@
 	}
 	n.pool.Refresh(usable, peers)
 	l := n.pool.Load()
+	n.quiet.SetFull(int(l.Slots / float64(peers+1)))
 	n.lane.Adapt(lane.Capacity{Slots: l.Slots, Instances: peers + 1, Reported: l.Reported, Known: l.Known}, n.Now())
 }
 
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/bilberryrock/bilberryrock/internal/document"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/routing"
@@ -110,6 +111,7 @@
 	name      string
 	seed      uint64
 	instances int
+	windows   []document.Window
 	entries   int // instances that get requests
 	speeds    []float64
 	links     []time.Duration
@@ -233,6 +235,10 @@
 		base("cache gaps", 40, 0.9).with(func(s *scenario) { s.caching = true; s.eventLoss = 0.3 }),
 		base("data centre cut off", 40, 0.8).with(func(s *scenario) { s.cutAt = [2]time.Duration{20 * time.Second, 32 * time.Second} }),
 		base("three entries", 40, 0.8).with(func(s *scenario) { s.entries = 3; s.faultAt = 0 }),
+		base("quiet window", 40, 0.8).with(func(s *scenario) {
+			from := 9*time.Hour + s.faultAt // the fake clock starts at 9 on a Monday
+			s.windows = []document.Window{{Name: "q", Days: []time.Weekday{time.Monday}, From: from, To: from + 5*time.Second, MaxInFlight: 32}}
+		}),
 		base("half the entries lost", 40, 0.8).with(func(s *scenario) {
 			s.faults = []fault{{s.faultAt, func(w *world) { w.entries = 7 }}}
 		}),
@@ -293,6 +299,11 @@
 	if with > 1.2*without {
 		t.Errorf("p99 with one slow of 40 is %.0f ms, without %.0f ms, goal a factor of 1.2", with, without)
 	}
+	quiet := results["40 quiet window"]
+	t.Logf("quiet window: at most %d pieces of work at once of 32, %d over the bound and not reported", quiet.quietPeak, max(quiet.overBound, 0))
+	if quiet.overBound > 0 {
+		t.Errorf("%d pieces of work over the quiet-hours bound were not reported", quiet.overBound)
+	}
 	for _, name := range []string{"40 three join", "3 one joins"} {
 		joined := results[name].w.workers[0]
 		if joined.peak > 3*joined.slots {
