Recover lost, frozen and leaving stages in the courier

The courier keeps the values that crossed each boundary, so only the lost stage is replaced: under a new epoch the replacement imports the KV cache or computes it again, whichever is expected to be faster. All other stages keep their cache.

--- a/internal/pipeline/courier/courier.go
+++ b/internal/pipeline/courier/courier.go
@@ -1,44 +1,145 @@
 // Package courier drives one request token by token over a chain of engines.
 //
-//	c := courier.New(planner, dialer)
+//	c := courier.New(planner, dialer, courier.WithSpeeds(speeds))
+//	defer c.Close()
 //	reason, err := c.Run(ctx, generation, func(p pipeline.Piece) error {
 //		return stream.Write(p.Text)
 //	})
+//
+// Every step carries the request, an epoch and a position. The courier keeps the
+// values that crossed each boundary between stages. When a stage is lost, only
+// that stage is replaced: under a new epoch the replacement imports the KV cache,
+// or computes it again from the kept values. The other stages go on with theirs.
 package courier
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
 	"github.com/bilberryrock/bilberryrock/internal/pipeline"
+	"github.com/bilberryrock/bilberryrock/internal/report"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 )
 
-// Courier runs generations. It is safe for concurrent use.
+// Defaults of a Courier.
+const (
+	// DefaultMinTimeout and DefaultMaxTimeout bound the time to wait for a step.
+	DefaultMinTimeout = time.Second
+	DefaultMaxTimeout = time.Minute
+	// DefaultKVBytes is the size of the KV cache of one layer and position.
+	DefaultKVBytes = 4096
+	// DefaultOverloadPause is the time before a step is sent again to an engine
+	// that was overloaded.
+	DefaultOverloadPause = 20 * time.Millisecond
+	// timeoutFactor is the ratio of the timeout of a call to its expected time.
+	timeoutFactor = 4
+	// releaseTimeout bounds the call that frees the memory of a request.
+	releaseTimeout = time.Second
+	// maxRecoveries bounds the recoveries of one request without a new token.
+	maxRecoveries = 16
+	// leavePause is the time before a chain with a leaving engine is replanned
+	// again.
+	leavePause = time.Second
+)
+
+// Observer learns from steps and transfers.
+type Observer interface {
+	Observe(u upstream.Upstream, layers, positions int, elapsed time.Duration)
+	ObserveTransfer(u upstream.Upstream, bytes int, elapsed time.Duration)
+}
+
+// Courier implements pipeline.Courier. It is safe for concurrent use.
 type Courier struct {
-	planner pipeline.Planner
-	dialer  upstream.Dialer
+	planner    pipeline.Planner
+	dialer     upstream.Dialer
+	clock      fleet.Clock
+	speeds     pipeline.Speeds
+	observer   Observer
+	roster     upstream.Roster
+	trail      report.Trail
+	gauge      pipeline.Gauge
+	minTimeout time.Duration
+	maxTimeout time.Duration
+	pause      time.Duration
+	kvBytes    int
+
+	// pending counts the calls that go on after their run has ended or no
+	// longer waits for them.
+	pending sync.WaitGroup
 }
 
+// Option changes a Courier.
+type Option func(*Courier)
+
+// WithClock sets the clock, by default that of the operating system.
+func WithClock(clock fleet.Clock) Option { return func(c *Courier) { c.clock = clock } }
+
+// WithSpeeds sets the estimates that timeouts and recoveries are based on.
+func WithSpeeds(s pipeline.Speeds) Option { return func(c *Courier) { c.speeds = s } }
+
+// WithObserver sets what learns from steps and transfers.
+func WithObserver(o Observer) Option { return func(c *Courier) { c.observer = o } }
+
+// WithRoster sets the roster in which leaving engines are noticed.
+func WithRoster(r upstream.Roster) Option { return func(c *Courier) { c.roster = r } }
+
+// WithTrail sets where decisions are recorded, under the request id.
+func WithTrail(t report.Trail) Option { return func(c *Courier) { c.trail = t } }
+
+// WithGauge sets what counts the sequences on each upstream.
+func WithGauge(g pipeline.Gauge) Option { return func(c *Courier) { c.gauge = g } }
+
+// WithTimeouts bounds the time to wait for a step.
+func WithTimeouts(least, most time.Duration) Option {
+	return func(c *Courier) { c.minTimeout, c.maxTimeout = least, most }
+}
+
+// WithOverloadPause sets the time before a step is sent again to an engine that
+// was overloaded.
+func WithOverloadPause(d time.Duration) Option { return func(c *Courier) { c.pause = d } }
+
+// WithKVBytes sets the size of the KV cache of one layer and position.
+func WithKVBytes(n int) Option { return func(c *Courier) { c.kvBytes = n } }
+
 // New returns a Courier that takes chains from planner.
-func New(planner pipeline.Planner, dialer upstream.Dialer) *Courier {
-	return &Courier{planner: planner, dialer: dialer}
+func New(planner pipeline.Planner, dialer upstream.Dialer, options ...Option) *Courier {
+	c := &Courier{
+		planner: planner, dialer: dialer,
+		clock:      systemclock.Clock{},
+		speeds:     unknown{},
+		minTimeout: DefaultMinTimeout, maxTimeout: DefaultMaxTimeout,
+		pause: DefaultOverloadPause, kvBytes: DefaultKVBytes,
+	}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
-// Run implements pipeline.Courier.
+// Close waits for the calls that are left after all runs have ended.
+func (c *Courier) Close() { c.pending.Wait() }
+
+// Run implements pipeline.Courier. An error after the first token is of kind
+// refusal.StreamBroken or refusal.Deadline.
 func (c *Courier) Run(ctx context.Context, g pipeline.Generation, emit func(pipeline.Piece) error) (pipeline.FinishReason, error) {
+	if len(g.Prompt) == 0 {
+		return 0, refusal.New(refusal.BadRequest, "prompt is empty")
+	}
 	chain, err := c.planner.Plan(g.Model, nil)
 	if err != nil {
 		return 0, err
 	}
-	defer c.release(ctx, g.Request, chain)
+	r := newRun(c, g, chain)
+	defer r.end(ctx)
 	input := g.Prompt
-	position := fleet.Position(0)
-	for index := 0; index < g.MaxTokens; index++ {
-		result, err := c.pass(ctx, g, chain, position, input)
+	for index := range g.MaxTokens {
+		result, err := r.pass(ctx, index, input)
 		if err != nil {
-			return 0, err
+			return 0, r.broken(ctx, index, err)
 		}
 		if err := emit(pipeline.Piece{Index: index, Text: result.Token}); err != nil {
 			return 0, err
@@ -46,43 +147,90 @@
 		if result.End {
 			return pipeline.Stopped, nil
 		}
-		position += fleet.Position(len(input))
 		input = result.Output[len(result.Output)-1:]
 	}
 	return pipeline.LengthReached, nil
 }
 
-// pass runs all stages for the positions of input.
-func (c *Courier) pass(ctx context.Context, g pipeline.Generation, chain pipeline.Chain, position fleet.Position, input []uint64) (upstream.StepResult, error) {
-	var result upstream.StepResult
-	for _, s := range chain.Stages {
-		var err error
-		result, err = c.dialer.Engine(s.Upstream).Step(ctx, upstream.Step{
-			Request: g.Request, Epoch: 1, Position: position,
-			Model: chain.Model, Version: chain.Version, Adapter: chain.Adapter,
-			Layers: s.Layers, Priority: g.Priority, Input: input,
-		})
-		if err != nil {
-			return upstream.StepResult{}, err
-		}
-		input = result.Output
+// broken gives an error the kind that the caller has to see. A kind that says
+// "not run" is kept only when no layer can have run.
+func (r *run) broken(ctx context.Context, index int, err error) error {
+	if ctx.Err() != nil {
+		return refusal.Because(refusal.Deadline, err, "request ended after %d tokens", index)
 	}
-	if len(result.Output) == 0 {
-		return upstream.StepResult{}, refusal.New(refusal.Internal, "chain for model %q has no stages", chain.Model)
+	if index > 0 {
+		return refusal.Because(refusal.StreamBroken, err, "answer ended after %d tokens", index)
 	}
-	return result, nil
+	if r.ran && refusal.KindOf(err).Answer().NotRun {
+		return refusal.Because(refusal.UpstreamFailed, err, "request was lost before its first token")
+	}
+	return err
 }
 
-// release frees the memory of the request on all stages, even after ctx has
-// ended.
-func (c *Courier) release(ctx context.Context, r fleet.RequestID, chain pipeline.Chain) {
-	ctx = context.WithoutCancel(ctx)
-	for _, s := range chain.Stages {
+func (c *Courier) record(r fleet.RequestID, e report.Entry) {
+	if c.trail == nil {
+		return
+	}
+	e.At = c.clock.Now()
+	e.Part = "courier"
+	c.trail.Add(string(r), e)
+}
+
+func (c *Courier) count(id fleet.UpstreamID, n int) {
+	if c.gauge != nil {
+		c.gauge.Add(id, n)
+	}
+}
+
+// release frees the memory of a request on an engine, even after ctx has ended.
+func (c *Courier) release(ctx context.Context, r fleet.RequestID, u upstream.Upstream) {
+	c.pending.Add(1)
+	go func() {
+		defer c.pending.Done()
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+		defer cancel()
 		// An engine that cannot be reached drops the request by itself.
-		_ = c.dialer.Engine(s.Upstream).Cancel(ctx, r)
+		_ = c.dialer.Engine(u).Cancel(ctx, r)
+	}()
+}
+
+// timeout returns the time to wait for a call with an expected time.
+func (c *Courier) timeout(expected time.Duration) time.Duration {
+	return min(max(timeoutFactor*expected, c.minTimeout), c.maxTimeout)
+}
+
+// await runs f and waits for its answer, at most for d by the clock of c.
+func await[V any](ctx context.Context, c *Courier, d time.Duration, f func(context.Context) (V, error)) (V, error) {
+	type answer struct {
+		value V
+		err   error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	expired := c.clock.After(d)
+	done := make(chan answer, 1)
+	c.pending.Add(1)
+	go func() {
+		defer c.pending.Done()
+		value, err := f(ctx)
+		done <- answer{value, err}
+	}()
+	var none V
+	select {
+	case a := <-done:
+		return a.value, a.err
+	case <-expired:
+		return none, refusal.New(refusal.Deadline, "no answer within %v", d)
+	case <-ctx.Done():
+		return none, refusal.Because(refusal.Deadline, ctx.Err(), "request ended")
 	}
 }
 
+// unknown knows no speeds: all timeouts are the least one.
+type unknown struct{}
+
+func (unknown) Speed(upstream.Upstream) pipeline.Speed { return pipeline.Speed{} }
+
 // Fixed is a Planner that always gives the same chain.
 type Fixed pipeline.Chain
 
--- /dev/null
+++ b/internal/pipeline/courier/recovery_test.go
@@ -0,0 +1,288 @@
+package courier_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/pipeline"
+	"github.com/bilberryrock/bilberryrock/internal/pipeline/courier"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/standin"
+)
+
+func promptOf(n int) []uint64 {
+	prompt := make([]uint64, n)
+	for i := range prompt {
+		prompt[i] = uint64(i*i + 3)
+	}
+	return prompt
+}
+
+// generate runs a request and compares what the caller got with the expected
+// text, and what the engines ran with one run of each layer for each position.
+func (w *world) generate(c *courier.Courier, prompt, most int) (string, error) {
+	var got []string
+	g := pipeline.Generation{Request: "r", Model: "m", Prompt: promptOf(prompt), MaxTokens: most}
+	reason, err := c.Run(context.Background(), g, func(p pipeline.Piece) error {
+		if p.Index != len(got) {
+			return fmt.Errorf("piece %d came as number %d", p.Index, len(got))
+		}
+		got = append(got, p.Text)
+		return nil
+	})
+	c.Close()
+	for _, f := range w.late {
+		f()
+	}
+	want, wantReason := standin.GenerateTokens("m", "1", "", w.layers, g.Prompt, most)
+	if err == nil && (strings.Join(got, "") != strings.Join(want, "") || reason != wantReason) {
+		return "", fmt.Errorf("caller got %q, expected %q", got, want)
+	}
+	if len(got) > len(want) || strings.Join(got, "") != strings.Join(want[:len(got)], "") {
+		return "", fmt.Errorf("caller got %q, which is not the start of %q", got, want)
+	}
+	runs, readErr := standin.ReadRuns(bytes.NewReader(w.record.Bytes()))
+	if readErr != nil {
+		return "", readErr
+	}
+	if checkErr := standin.CheckSteps(runs); checkErr != nil {
+		return "", checkErr
+	}
+	for id := range w.engines {
+		if n := w.counts.Of(id).Load(); n != 0 {
+			return "", fmt.Errorf("%d sequences are still counted on %s", n, id)
+		}
+	}
+	return fmt.Sprintf("%d tokens, %s", len(got), reason), err
+}
+
+// TestScripts runs the faults of testdata. It guards against an answer with
+// missing or repeated text, a layer that runs twice in an epoch, and a decision
+// other than the recorded one.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var w *world
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "fleet":
+				w = newWorld(6)
+				t.Cleanup(w.close)
+				for _, line := range strings.Split(d.Input, "\n") {
+					var id string
+					var from, to, fixed, layer, position, rate int
+					if _, err := fmt.Sscan(line, &id, &from, &to, &fixed, &layer, &position, &rate); err != nil {
+						d.Fatalf(t, "%q: %v", line, err)
+					}
+					w.add(id, from, to, speed(fixed, layer, position, rate))
+				}
+				return ""
+			case "run":
+				var prompt, most int
+				d.ScanArgs(t, "prompt", &prompt)
+				d.ScanArgs(t, "max", &most)
+				for _, line := range strings.Split(d.Input, "\n") {
+					var id, fault string
+					var position int
+					if _, err := fmt.Sscan(line, &id, &position, &fault); err == nil {
+						w.engines[fleet.UpstreamID(id)].faults[fleet.Position(position)] = fault
+					}
+				}
+				outcome, err := w.generate(w.courier(), prompt, most)
+				text := outcome + "\n"
+				if err != nil {
+					text = fmt.Sprintf("error %s: %v\n", refusal.KindOf(err).Answer().Code, err)
+				}
+				for _, e := range w.entries {
+					text += strings.Join([]string{e.Chosen, e.Weighed, e.Known, e.Reason}, " | ") + "\n"
+				}
+				return text
+			}
+			d.Fatalf(t, "unknown command %s", d.Cmd)
+			return ""
+		})
+	})
+}
+
+// speed takes times in microseconds and a rate in kB/s.
+func speed(fixed, layer, position, rate int) pipeline.Speed {
+	us := time.Microsecond
+	return pipeline.Speed{
+		Fixed: time.Duration(fixed) * us, Layer: time.Duration(layer) * us,
+		Position: time.Duration(position) * us, BytesPerSecond: float64(rate) * 1000,
+	}
+}
+
+// TestSchedules runs seeded schedules of faults in the middle of answers: deaths,
+// freezes that thaw, lost, late and stale answers, restarts, refusals, joins and
+// leaves. It guards against a gap, a repetition or a swap of text or layers, and
+// against a request that fails although all layers keep a holder.
+func TestSchedules(t *testing.T) {
+	faults := []string{"die", "freeze", "thaw", "lose", "stale", "refuse", "stop", "leave", "restart"}
+	const schedules = 150
+	recovered := 0
+	for seed := range uint64(schedules) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		w := newWorld(6)
+		for i := range 15 {
+			// Ranges overlap, so that replacements may cut layers anew.
+			from := i % 3 * 2
+			to := min(from+2+r.IntN(2), 6)
+			e := w.add(fmt.Sprintf("e%02d", i), from, to, speed(100+r.IntN(900), 100+r.IntN(900), 10+r.IntN(90), 100+r.IntN(10000)))
+			if i < 12 {
+				for range 2 {
+					e.faults[fleet.Position(r.IntN(60))] = faults[r.IntN(len(faults))]
+				}
+				// The prompt ends at position 19; its step may fail, too.
+				if r.IntN(4) == 0 {
+					e.faults[19] = faults[r.IntN(len(faults))]
+				}
+			}
+			e.absent = i < 12 && r.IntN(5) == 0
+		}
+		joins := w.engines["e00"]
+		c := w.courier(courier.WithObserver(joiner{joins}))
+		if _, err := w.generate(c, 20, 40); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		if len(w.entries) > 1 {
+			recovered++
+		}
+		w.close()
+	}
+	t.Logf("%d of %d schedules had a recovery", recovered, schedules)
+	if recovered < schedules/2 {
+		t.Fatal("schedules have too few recoveries to be of use")
+	}
+}
+
+// joiner lets an engine join in the middle of an answer.
+type joiner struct{ engine *local }
+
+func (j joiner) Observe(upstream.Upstream, int, int, time.Duration) {
+	j.engine.absent = j.engine.dead
+}
+
+func (joiner) ObserveTransfer(upstream.Upstream, int, time.Duration) {}
+
+// TestRecoveryTime compares the time of a recovery with its lower bound: the
+// detection and the faster of a transfer and a computation, on the best
+// replacement. It guards against a recovery beyond 1.5 times the bound.
+func TestRecoveryTime(t *testing.T) {
+	is := is.New(t)
+	for _, cause := range []string{"die", "freeze", "leave", "stop"} {
+		for _, position := range []int{100, 1000, 4000} {
+			for _, rate := range []int{1000, 100000, 1000000} {
+				w := newWorld(6)
+				// At 100 MB/s an import takes longer than a computation, and the
+				// estimate says so only by a little.
+				w.rateError = 1.2
+				w.add("a", 0, 2, speed(500, 300, 20, rate))
+				w.add("b", 2, 4, speed(500, 300, 20, rate))
+				w.add("c", 4, 6, speed(500, 300, 20, rate))
+				w.add("y", 2, 4, speed(500, 350, 25, rate))
+				w.add("z", 2, 4, speed(900, 350, 15, rate))
+				// Faults hit a token in the middle of the answer.
+				w.engines["b"].faults[fleet.Position(position+2)] = cause
+				most := 8
+				if cause == "leave" {
+					most = 400 // long enough for a move to be worth it
+				}
+				_, err := w.generate(w.courier(), position, most)
+				is.NoErr(err)
+				took, bound := w.recovery(fleet.Position(position+2), cause)
+				ratio := float64(took) / float64(bound)
+				t.Logf("cause %-6s position %4d rate %7d kB/s: %9v, bound %9v, ratio %.2f, %s", cause, position, rate, took, bound, ratio, w.entries[len(w.entries)-1].Chosen)
+				is.True(ratio <= 1.5)
+				w.close()
+			}
+		}
+	}
+}
+
+// recovery returns the time from the fault of engine b at a position until its
+// replacement had run all positions, without the steps of other stages, and the
+// lower bound of that time.
+func (w *world) recovery(position fleet.Position, cause string) (took, bound time.Duration) {
+	var began, detected time.Time
+	var detection time.Duration
+	for _, e := range w.events {
+		switch {
+		case cause == "leave" && e.id == "c" && e.end == position+1:
+			began = e.now // the move begins with the next token
+		case cause == "leave" && e.id == "a" && e.end == position+2:
+			took += e.began.Sub(began)
+			began = e.now
+		case e.id == "b" && e.end == position+1 && e.failed:
+			began, detected = e.began, e.now
+			detection = detected.Sub(began)
+		case (e.id == "y" || e.id == "z") && bound == 0:
+			took += e.now.Sub(began)
+			bound = detection + w.fastest(position, cause)
+		}
+	}
+	return took, bound
+}
+
+// fastest is the time of the fastest replacement of engine b.
+func (w *world) fastest(position fleet.Position, cause string) time.Duration {
+	best := time.Duration(1 << 62)
+	for _, id := range []fleet.UpstreamID{"y", "z"} {
+		s := w.engines[id].speed
+		single := s.Fixed + 2*s.Layer
+		best = min(best, single+2*time.Duration(position)*s.Position)
+		if cause == "leave" || cause == "stop" {
+			size := float64(2 * int(position) * kvBytes)
+			best = min(best, single+2*s.Fixed+2*time.Duration(size/s.BytesPerSecond*float64(time.Second)))
+		}
+	}
+	return best
+}
+
+// TestNotRun guards against an error that says "not run" after a layer ran.
+func TestNotRun(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(4)
+	defer w.close()
+	w.add("a", 0, 2, speed(1, 1, 1, 1))
+	b := w.add("b", 2, 4, speed(1, 1, 1, 1))
+	b.dead = true
+	_, err := w.generate(w.courier(), 5, 5)
+	is.Equal(refusal.KindOf(err), refusal.UpstreamFailed)
+	w.engines["a"].dead = true
+	_, err = w.generate(w.courier(), 5, 5)
+	is.Equal(refusal.KindOf(err), refusal.NoUpstream)
+}
+
+// TestCancel guards against a request that goes on after its caller has gone, and
+// against memory that stays on the engines.
+func TestCancel(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(4)
+	defer w.close()
+	w.add("a", 0, 4, speed(1, 1, 1, 1))
+	ctx, cancel := context.WithCancel(context.Background())
+	c := w.courier()
+	g := pipeline.Generation{Request: "r", Model: "m", Prompt: promptOf(5), MaxTokens: 30}
+	count := 0
+	_, err := c.Run(ctx, g, func(pipeline.Piece) error {
+		count++
+		if count == 3 {
+			cancel()
+		}
+		return nil
+	})
+	c.Close()
+	is.Equal(refusal.KindOf(err), refusal.Deadline)
+	is.Equal(count, 3)
+	is.Equal(w.engines["a"].standin.Busy(), 0)
+}
--- a/internal/pipeline/estimate.go
+++ b/internal/pipeline/estimate.go
@@ -30,8 +30,9 @@
 type Replanner interface {
 	Planner
 	// Replace returns c with other engines for the stages in avoid. It keeps all
-	// other stages, so that their KV caches stay of use.
-	Replace(c Chain, avoid []fleet.UpstreamID) (Chain, error)
+	// other stages, so that their KV caches stay of use. The new engines are
+	// expected to be the first to have run all positions so far.
+	Replace(c Chain, avoid []fleet.UpstreamID, positions int) (Chain, error)
 }
 
 // Gauge counts the sequences that this instance has on each upstream.
--- a/internal/pipeline/planner/cover.go
+++ b/internal/pipeline/planner/cover.go
@@ -11,7 +11,9 @@
 
 // scratch is the memory of one plan.
 type scratch struct {
-	bounds []fleet.Layer
+	// positions is the number of positions that a stage has to run.
+	positions int
+	bounds    []fleet.Layer
 	// For each class: the drawn engine with its cost, the cost of the best chain
 	// that ends on it, and the bound at which its stage starts.
 	drawn []*member
@@ -27,10 +29,11 @@
 
 // cover appends the best stages for a layer range to stages. It returns false
 // when the engines of g do not cover the range.
-func (p *Planner) cover(g *group, r upstream.LayerRange, avoid []fleet.UpstreamID, stages []pipeline.Stage) ([]pipeline.Stage, bool) {
+func (p *Planner) cover(g *group, r upstream.LayerRange, avoid []fleet.UpstreamID, positions int, stages []pipeline.Stage) ([]pipeline.Stage, bool) {
 	s := p.scratch.Get().(*scratch)
 	defer p.scratch.Put(s)
 	s.reset(g, r)
+	s.positions = positions
 	p.drawAll(g, s, avoid)
 	for k := range len(s.bounds) - 1 {
 		s.extend(k, g.spanOf(s.bounds[k]), p.draw)
@@ -53,15 +56,16 @@
 			fastest = nil
 		}
 		s.drawn[i] = nil
-		if fastest != nil && c.fixed >= fixed && c.layer >= layer && (c.fixed > fixed || c.layer > layer) {
+		least := c.layer + float64(s.positions-1)*c.position
+		if fastest != nil && c.fixed >= fixed && least >= layer && (c.fixed > fixed || least > layer) {
 			continue
 		}
-		m := p.drawMember(c, avoid)
+		m := p.drawMember(c, avoid, s.positions)
 		if m == nil {
 			continue
 		}
 		s.drawn[i] = m
-		s.fixed[i], s.layer[i] = m.cost()
+		s.fixed[i], s.layer[i] = m.cost(s.positions)
 		if length := float64(c.layers.Len()); fastest == nil || s.fixed[i]+s.layer[i]*length < fixed+layer*length {
 			fastest, fixed, layer = m, s.fixed[i], s.layer[i]
 		}
@@ -152,13 +156,13 @@
 
 // drawMember draws two engines of a class and returns the one that is expected
 // to be faster, or nil when all are avoided.
-func (p *Planner) drawMember(c *class, avoid []fleet.UpstreamID) *member {
+func (p *Planner) drawMember(c *class, avoid []fleet.UpstreamID, positions int) *member {
 	first := p.drawOne(c, avoid)
 	if first == nil || len(c.members) == 1 {
 		return first
 	}
 	second := p.drawOne(c, avoid)
-	if second != nil && second.total(c.layers) < first.total(c.layers) {
+	if second != nil && second.total(c.layers, positions) < first.total(c.layers, positions) {
 		return second
 	}
 	return first
@@ -178,8 +182,8 @@
 	return nil
 }
 
-// total returns the expected time of a step over layers.
-func (m *member) total(r upstream.LayerRange) float64 {
-	fixed, layer := m.cost()
+// total returns the expected time of a step of some positions over layers.
+func (m *member) total(r upstream.LayerRange, positions int) float64 {
+	fixed, layer := m.cost(positions)
 	return fixed + layer*float64(r.Len())
 }
--- a/internal/pipeline/planner/planner.go
+++ b/internal/pipeline/planner/planner.go
@@ -94,7 +94,7 @@
 	}
 	for i := range v.groups {
 		g := &v.groups[i]
-		stages, ok := p.cover(g, upstream.LayerRange{From: 0, To: v.layers}, avoid, nil)
+		stages, ok := p.cover(g, upstream.LayerRange{From: 0, To: v.layers}, avoid, 1, nil)
 		if ok {
 			return pipeline.Chain{Model: model, Version: g.version, Adapter: g.adapter, Stages: stages}, nil
 		}
@@ -103,7 +103,7 @@
 }
 
 // Replace implements pipeline.Replanner.
-func (p *Planner) Replace(c pipeline.Chain, avoid []fleet.UpstreamID) (pipeline.Chain, error) {
+func (p *Planner) Replace(c pipeline.Chain, avoid []fleet.UpstreamID, positions int) (pipeline.Chain, error) {
 	v, err := p.view(c.Model)
 	if err != nil {
 		return pipeline.Chain{}, err
@@ -123,7 +123,7 @@
 		g := v.group(c.Version, c.Adapter)
 		covered := false
 		if g != nil {
-			next.Stages, covered = p.cover(g, hole, avoid, next.Stages)
+			next.Stages, covered = p.cover(g, hole, avoid, max(positions, 1), next.Stages)
 		}
 		if !covered {
 			return pipeline.Chain{}, refusal.New(refusal.NoUpstream,
@@ -139,7 +139,7 @@
 	var total float64
 	for _, s := range c.Stages {
 		m := newMember(s.Upstream, p.speeds, p.counts)
-		fixed, layer := m.cost()
+		fixed, layer := m.cost(1)
 		total += fixed + layer*float64(s.Layers.Len())
 	}
 	return time.Duration(total)
--- a/internal/pipeline/planner/planner_test.go
+++ b/internal/pipeline/planner/planner_test.go
@@ -253,7 +253,7 @@
 	p := f.planner()
 	c, err := p.Plan("m", nil)
 	is.NoErr(err)
-	next, err := p.Replace(c, []fleet.UpstreamID{"e1"})
+	next, err := p.Replace(c, []fleet.UpstreamID{"e1"}, 1)
 	is.NoErr(err)
 	checkCover(t, next, 6)
 	is.Equal(len(next.Stages), 3)
@@ -262,13 +262,24 @@
 	is.Equal(next.Stages[1].Layers, c.Stages[1].Layers)
 	is.Equal(next.Stages[2], c.Stages[2])
 
+	// With many positions to run, the engine that runs a prompt faster wins,
+	// although it is slower for one token.
+	quick := f.add(2, 4, 0, 9*time.Millisecond)
+	f.speeds["e3"] = pipeline.Speed{Layer: 3 * time.Millisecond, Position: time.Millisecond}
+	f.clock.Advance(planner.DefaultRefresh)
+	long, err := p.Replace(c, []fleet.UpstreamID{"e1"}, 100)
+	is.NoErr(err)
+	is.Equal(long.Stages[1].Upstream.ID, quick.ID)
+	f.engines = f.engines[:4]
+	f.clock.Advance(planner.DefaultRefresh)
+
 	// A second loss leaves layers without a holder, until an engine joins.
-	_, err = p.Replace(next, []fleet.UpstreamID{"e1", "e3"})
+	_, err = p.Replace(next, []fleet.UpstreamID{"e1", "e3"}, 1)
 	is.Equal(refusal.KindOf(err), refusal.NoUpstream)
 	f.add(2, 3, 0, time.Millisecond)
 	f.add(3, 6, 0, time.Millisecond)
 	f.clock.Advance(planner.DefaultRefresh)
-	again, err := p.Replace(next, []fleet.UpstreamID{"e1", "e3"})
+	again, err := p.Replace(next, []fleet.UpstreamID{"e1", "e3"}, 1)
 	is.NoErr(err)
 	checkCover(t, again, 6)
 	is.Equal(len(again.Stages), 4)
@@ -278,7 +289,7 @@
 		f.engines[i].Version = "2"
 	}
 	f.clock.Advance(planner.DefaultRefresh)
-	_, err = p.Replace(c, []fleet.UpstreamID{"e1"})
+	_, err = p.Replace(c, []fleet.UpstreamID{"e1"}, 1)
 	is.Equal(refusal.KindOf(err), refusal.NoUpstream)
 }
 
--- a/internal/pipeline/planner/view.go
+++ b/internal/pipeline/planner/view.go
@@ -43,11 +43,12 @@
 }
 
 // class is engines with the same layers and similar speeds. No engine of it has
-// a lower cost than fixed and layer.
+// a lower cost than fixed, layer and position.
 type class struct {
 	layers       upstream.LayerRange
 	members      []*member
 	fixed, layer float64
+	position     float64
 }
 
 // member is one engine with its cost.
@@ -55,6 +56,7 @@
 	upstream upstream.Upstream
 	fixed    float64 // nanoseconds
 	layer    float64 // nanoseconds
+	position float64 // nanoseconds
 	slots    float64
 	// others is the reported load without the part of this instance.
 	others   float64
@@ -64,7 +66,7 @@
 func newMember(u upstream.Upstream, speeds pipeline.Speeds, counts *inflight.Counts) *member {
 	s := speeds.Speed(u)
 	m := &member{
-		upstream: u, fixed: float64(s.Fixed), layer: float64(s.Layer),
+		upstream: u, fixed: float64(s.Fixed), layer: float64(s.Layer), position: float64(s.Position),
 		slots: float64(max(u.Slots, 1)), inFlight: counts.Of(u.ID),
 	}
 	reported := float64(u.Load.Running + u.Load.Waiting)
@@ -72,12 +74,12 @@
 	return m
 }
 
-// cost returns the fixed time and the time of each layer at the present load. A
-// batch takes longer with each sequence in it, and sequences beyond the batch
-// limit wait for another batch.
-func (m *member) cost() (fixed, layer float64) {
+// cost returns the fixed time and the time of each layer for a number of
+// positions at the present load. A batch takes longer with each sequence in it,
+// and sequences beyond the batch limit wait for another batch.
+func (m *member) cost(positions int) (fixed, layer float64) {
 	load := (m.others + float64(max(m.inFlight.Load(), 0))) / m.slots
-	return m.fixed, m.layer * (1 + load)
+	return m.fixed, (m.layer + float64(positions-1)*m.position) * (1 + load)
 }
 
 func newView(model document.Model, engines []upstream.Upstream, now time.Time, speeds pipeline.Speeds, counts *inflight.Counts) *view {
@@ -141,12 +143,13 @@
 		if !ok {
 			i = len(g.classes)
 			index[k] = i
-			g.classes = append(g.classes, class{layers: m.upstream.Layers, fixed: m.fixed, layer: m.layer})
+			g.classes = append(g.classes, class{layers: m.upstream.Layers, fixed: m.fixed, layer: m.layer, position: m.position})
 			g.boundaries = append(g.boundaries, m.upstream.Layers.From, m.upstream.Layers.To)
 		}
 		c := &g.classes[i]
 		c.members = append(c.members, m)
 		c.fixed, c.layer = min(c.fixed, m.fixed), min(c.layer, m.layer)
+		c.position = min(c.position, m.position)
 	}
 	slices.Sort(g.boundaries)
 	g.boundaries = slices.Compact(g.boundaries)
