--- a/internal/pipeline/courier/local_test.go
+++ b/internal/pipeline/courier/local_test.go
@@ -54,6 +54,8 @@
 type world struct {
 	clock  *clock
 	layers int
+	// version is that of the expected text.
+	version string
 	// rateError is the factor by which the rates of links are overestimated.
 	rateError float64
 	counts    inflight.Counts
@@ -86,12 +88,13 @@
 	// faults maps a position to the fault of the step that covers it.
 	faults map[fleet.Position]string
 	dead   bool
+	last   upstream.StepResult
 }
 
 func newWorld(layers int) *world {
 	return &world{
 		clock:  &clock{Clock: fakeclock.New(fakeclock.Start)},
-		layers: layers, rateError: 1, engines: make(map[fleet.UpstreamID]*local),
+		layers: layers, version: "1", rateError: 1, engines: make(map[fleet.UpstreamID]*local),
 	}
 }
 
@@ -217,9 +220,10 @@
 		_, _ = e.run(ctx, s)
 		return upstream.StepResult{}, refusal.New(refusal.UpstreamFailed, "connection closed")
 	case "stale":
-		result, err := e.run(ctx, s)
-		result.Position--
-		return result, err
+		// The step runs, and the answer before comes once more.
+		last := e.last
+		_, err := e.run(ctx, s)
+		return last, err
 	case "refuse":
 		return upstream.StepResult{}, refusal.New(refusal.Overloaded, "refused")
 	case "stop":
@@ -238,6 +242,7 @@
 	err := e.post(http.MethodPost, "/v1/steps", s, &result)
 	elapsed := e.speed.Fixed + time.Duration(s.Layers.Len())*(e.speed.Layer+time.Duration(len(s.Input)-1)*e.speed.Position)
 	e.world.clock.Advance(elapsed)
+	e.last = result
 	return result, err
 }
 
--- a/internal/pipeline/courier/recovery_test.go
+++ b/internal/pipeline/courier/recovery_test.go
@@ -44,7 +44,7 @@
 	for _, f := range w.late {
 		f()
 	}
-	want, wantReason := standin.GenerateTokens("m", "1", "", w.layers, g.Prompt, most)
+	want, wantReason := standin.GenerateTokens("m", w.version, "", w.layers, g.Prompt, most)
 	if err == nil && (strings.Join(got, "") != strings.Join(want, "") || reason != wantReason) {
 		return "", fmt.Errorf("caller got %q, expected %q", got, want)
 	}
@@ -263,6 +263,29 @@
 	is.Equal(refusal.KindOf(err), refusal.NoUpstream)
 }
 
+// TestVersionChange guards against a text of mixed versions: before the first
+// token another version starts from the prompt, after it the answer ends.
+func TestVersionChange(t *testing.T) {
+	for position, version := range map[fleet.Position]string{4: "2", 6: "1"} {
+		is := is.New(t)
+		w := newWorld(4)
+		for i, id := range []string{"a", "b", "y", "z"} {
+			e := w.add(id, i%2*2, i%2*2+2, speed(1, 1, 1, 1))
+			e.Version = fmt.Sprint(1 + i/2)
+			e.start()
+		}
+		w.engines["b"].faults[position] = "die"
+		w.version = version
+		_, err := w.generate(w.courier(), 5, 20)
+		if version == "2" {
+			is.NoErr(err)
+		} else {
+			is.Equal(refusal.KindOf(err), refusal.StreamBroken)
+		}
+		w.close()
+	}
+}
+
 // TestCancel guards against a request that goes on after its caller has gone, and
 // against memory that stays on the engines.
 func TestCancel(t *testing.T) {
