Follow the configuration through relays, recover stages in the daemon, show voters by id

Cause of a failed run of faults.txt (no leader after two wiped voters): the script killed the second voter 2 s after the first one started on an empty folder, before the successor voted, so two of three folders were lost at once. Ruled out: an election fault (the logs show that the old voter was still in the set).

--- a/internal/entry/console/commands.go
+++ b/internal/entry/console/commands.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"os"
 	"strconv"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -174,7 +175,7 @@
 	}
 	fmt.Fprintln(w, "GROUP\tLEADER\tTERM\tCOMMIT\tAPPLIED\tVOTERS")
 	for _, g := range s.Groups {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%v\n", g.Group, g.Leader, g.Term, g.Commit, g.Applied, g.Voters)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\n", g.Group, g.Leader, g.Term, g.Commit, g.Applied, voterNames(g.Voters))
 	}
 	fmt.Fprintln(w, "POOL\tUSABLE UPSTREAMS")
 	for _, p := range s.Upstreams {
@@ -187,6 +188,18 @@
 	return nil
 }
 
+func voterNames(voters []operator.VoterStatus) string {
+	var names []string
+	for _, v := range voters {
+		name := v.Instance
+		if v.Learner {
+			name += fmt.Sprintf(" (learner, %d behind)", v.Behind)
+		}
+		names = append(names, name)
+	}
+	return strings.Join(names, ", ")
+}
+
 func (c *statusCommand) printChanges(changes []operator.ChangeStatus) {
 	for _, change := range changes {
 		if change.InForce != nil {
--- a/internal/entry/daemon/control.go
+++ b/internal/entry/daemon/control.go
@@ -1,18 +1,16 @@
 package daemon
 
 import (
-	"context"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/bilberryrock/bilberryrock/internal/document/follower"
 	"github.com/bilberryrock/bilberryrock/internal/membership"
 )
 
-// The times between two rounds of the control loop, and between two questions
-// for a newer configuration.
-const (
-	controlInterval = 200 * time.Millisecond
-	followTimeout   = 2 * time.Second
-)
+// controlInterval is the time between two rounds of the control loop.
+const controlInterval = 200 * time.Millisecond
 
 // control runs the controllers until the daemon ends.
 func (d *Daemon) control() {
@@ -28,14 +26,26 @@
 }
 
 func (d *Daemon) round() {
-	ctx, cancel := context.WithTimeout(context.Background(), followTimeout)
-	defer cancel()
-	d.follow(ctx)
+	status := d.state.follower.Status()
+	d.node.SetRevision(status.Revision, status.Since)
 	members := d.members()
 	d.spread.observe(members, d.clock.Now())
 	d.steer(members)
-	if d.revision() > 0 && d.health.Reason() == "starting" {
+	d.judgeHealth(status)
+}
+
+// judgeHealth makes the daemon ready once its configuration is. Readiness is not
+// lost again before the stop: a cut-off instance goes on serving.
+func (d *Daemon) judgeHealth(s follower.Status) {
+	switch {
+	case d.health.Reason() == "" || d.stopping.Load():
+	case s.State != follower.Ready:
+		d.health.SetNotReady("configuration: " + s.State.String())
+	case s.Revision == 0:
+		d.health.SetNotReady("no configuration was accepted yet")
+	default:
 		d.health.SetReady()
+		d.log.Info("Daemon ready.", zap.Uint64("revision", uint64(s.Revision)))
 	}
 }
 
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -51,10 +52,11 @@
 	requests  *requests
 	spread    spread
 
-	failed chan error
-	ended  chan struct{}
-	woken  chan struct{}
-	loops  sync.WaitGroup
+	stopping atomic.Bool
+	failed   chan error
+	ended    chan struct{}
+	woken    chan struct{}
+	loops    sync.WaitGroup
 }
 
 // Option changes a Daemon at its construction.
@@ -78,7 +80,7 @@
 	for _, option := range options {
 		option(d)
 	}
-	for _, step := range []func() error{d.secure, d.openState, d.openDecisions, d.openMembership, d.openRequests, d.listen} {
+	for _, step := range []func() error{d.secure, d.openState, d.openDecisions, d.openMembership, d.openFollower, d.openRequests, d.listen} {
 		if err := step(); err != nil {
 			return nil, errors.Wrap(err, "start daemon")
 		}
@@ -121,6 +123,7 @@
 // Stop stops gracefully within the stop timeout. The error tells what was cut
 // off.
 func (d *Daemon) Stop() error {
+	d.stopping.Store(true)
 	d.health.SetNotReady("stopping")
 	d.log.Info("Daemon stops.")
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Instance.StopTimeout)
@@ -142,6 +145,7 @@
 	if e := d.state.stop(ctx); err == nil {
 		err = e
 	}
+	d.decisions.close()
 	d.grpc.Stop()
 	d.peers.Close()
 	d.log.Info("Daemon stopped.")
--- a/internal/entry/daemon/decisions.go
+++ b/internal/entry/daemon/decisions.go
@@ -63,12 +63,26 @@
 	}
 	c.gate = gate.New(d.clock, c.limiter, gate.WithQueue(d.settings.Requests.QueueLength), gate.WithBound(c.governor))
 	c.dispatcher = dispatch.New(r, c.dialer, d.clock, dispatch.WithBudget(budget.New()), dispatch.WithTrail(d.state.trail))
-	plan := planner.New(r, d.model, speeds.New(firstSpeed), d.clock, planner.WithCounts(&c.counts))
-	c.courier = courier.New(plan, c.dialer)
+	learned := speeds.New(firstSpeed)
+	plan := planner.New(r, d.model, learned, d.clock, planner.WithCounts(&c.counts))
+	c.courier = courier.New(plan, c.dialer,
+		courier.WithClock(d.clock),
+		courier.WithSpeeds(learned),
+		courier.WithObserver(learned),
+		courier.WithRoster(r),
+		courier.WithTrail(d.state.trail),
+		courier.WithGauge(&c.counts),
+		courier.WithTimeouts(courier.DefaultMinTimeout, d.settings.Upstreams.StepTimeout),
+	)
 	d.decisions = c
 	return nil
 }
 
+func (c *decisions) close() {
+	c.courier.Close()
+	c.dialer.Close()
+}
+
 // model returns a model of the configuration in force.
 func (d *Daemon) model(id fleet.ModelID) (document.Model, bool) {
 	config := d.state.config.Load()
--- /dev/null
+++ b/internal/entry/daemon/fetcher.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
+	"github.com/bilberryrock/bilberryrock/internal/document"
+	"github.com/bilberryrock/bilberryrock/internal/document/follower"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/membership"
+)
+
+// replicaPoll is the time between two looks at the own replica.
+const replicaPoll = 50 * time.Millisecond
+
+// fetcher implements follower.Fetcher over gRPC, and over the own replica.
+type fetcher struct{ daemon *Daemon }
+
+// Fetch implements follower.Fetcher.
+func (f fetcher) Fetch(ctx context.Context, from membership.Member, after fleet.Revision, wait time.Duration) (follower.Reply, error) {
+	d := f.daemon
+	self := d.settings.Instance.ID
+	if from.ID == self {
+		return d.readReplica(ctx, after, wait)
+	}
+	if d.faults.cut(self, from.ID) || d.faults.cut(from.ID, self) {
+		return follower.Reply{}, errors.Errorf("the link to %s is cut", from.ID)
+	}
+	conn, err := d.peers.Get(from.Peers)
+	if err != nil {
+		return follower.Reply{}, err
+	}
+	reply, err := peerv1.NewPeerClient(conn).Fetch(ctx, &peerv1.FetchRequest{
+		After:  uint64(after),
+		WaitMs: uint32(wait.Milliseconds()),
+	})
+	if err != nil {
+		return follower.Reply{}, errors.Wrapf(err, "fetch from %s", from.ID)
+	}
+	return decodeReply(reply), nil
+}
+
+func decodeReply(r *peerv1.FetchReply) follower.Reply {
+	reply := follower.Reply{Full: r.GetFull(), Document: document.Document{Revision: fleet.Revision(r.GetRevision())}}
+	for _, section := range r.GetSections() {
+		reply.Document.Sections = append(reply.Document.Sections, document.Section{
+			Team:     fleet.TeamID(section.GetTeam()),
+			Revision: fleet.Revision(section.GetRevision()),
+			Text:     section.GetText(),
+		})
+	}
+	return reply
+}
+
+// readReplica returns what the own voter has applied after a revision.
+func (d *Daemon) readReplica(ctx context.Context, after fleet.Revision, wait time.Duration) (follower.Reply, error) {
+	if d.state.replica == nil {
+		return follower.Reply{}, errors.New("this instance does not vote")
+	}
+	timeout := d.clock.After(wait)
+	for {
+		changed, full := d.state.replica.ChangesSince(after)
+		if changed.Revision > after {
+			return follower.Reply{Document: changed, Full: full}, nil
+		}
+		select {
+		case <-d.clock.After(replicaPoll):
+		case <-timeout:
+			return follower.Reply{Document: document.Document{Revision: changed.Revision}}, nil
+		case <-ctx.Done():
+			return follower.Reply{}, ctx.Err()
+		}
+	}
+}
--- a/internal/entry/daemon/state.go
+++ b/internal/entry/daemon/state.go
@@ -3,26 +3,23 @@
 import (
 	"context"
 	"fmt"
-	"sync"
-	"time"
 
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
 	"github.com/bilberryrock/bilberryrock/internal/document"
 	"github.com/bilberryrock/bilberryrock/internal/document/configgroup"
+	"github.com/bilberryrock/bilberryrock/internal/document/follower"
 	"github.com/bilberryrock/bilberryrock/internal/document/register"
-	"github.com/bilberryrock/bilberryrock/internal/document/section"
 	"github.com/bilberryrock/bilberryrock/internal/entry/peer"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/board"
 	"github.com/bilberryrock/bilberryrock/internal/order/ledger"
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
 	"github.com/bilberryrock/bilberryrock/internal/quorum/voter"
-	"github.com/bilberryrock/bilberryrock/internal/report"
 	"github.com/bilberryrock/bilberryrock/internal/report/trail"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/fencing"
 )
 
 // state holds the replicated logs, their clients and the configuration in force.
@@ -32,27 +29,24 @@
 	client   *voter.Client
 	register *register.Client
 	ledger   *ledger.Client
+	// replica is the register of the own voter, or nil.
+	replica  *register.Register
+	follower *follower.Follower
 	config   board.Cell[document.Config]
-	trail    report.Trail
-
-	mu        sync.Mutex
-	document  document.Document
-	newer     chan struct{}
-	since     time.Time
-	confirmed time.Time
+	trail    *trail.Trail
 }
 
 // openState starts the replicated logs, or the client of those of other
 // instances.
 func (d *Daemon) openState() error {
-	d.state = &state{newer: make(chan struct{}), trail: trail.New()}
+	d.state = &state{trail: trail.New()}
 	if err := d.openQuorum(); err != nil {
 		return err
 	}
 	s := d.state
 	s.register = register.NewClient(configgroup.Select(s.proposer, configgroup.Register), quorum.ConfigGroup, d.clock)
 	s.ledger = ledger.NewClient(s.proposer, d.clock, d.settings.Instance.ID, ledger.WithShards(d.settings.Orders.Shards))
-	return d.servePeers()
+	return nil
 }
 
 func (d *Daemon) openQuorum() error {
@@ -100,11 +94,12 @@
 const keptFraction = 10
 
 func (d *Daemon) groupOptions() []voter.Option {
+	d.state.replica = register.New()
 	entries := d.settings.Quorum.SnapshotEntries
 	options := []voter.Option{
 		voter.Folder(d.settings.Instance.DataFolder),
 		voter.SnapshotEntries(entries, entries/keptFraction),
-		voter.Group(quorum.ConfigGroup, configgroup.New(register.New(), register.New())),
+		voter.Group(quorum.ConfigGroup, configgroup.New(d.state.replica, fencing.NewMachine())),
 	}
 	for i := range d.settings.Orders.Shards {
 		options = append(options, voter.Group(quorum.GroupID(fmt.Sprintf("orders-%d", i)), ledger.New()))
@@ -112,60 +107,21 @@
 	return options
 }
 
-func (d *Daemon) servePeers() error {
+// openFollower starts to keep the configuration in force current, and offers it
+// to the other instances.
+func (d *Daemon) openFollower() error {
+	s := d.state
+	s.follower = follower.New(d.node, fetcher{d}, d.clock, &s.config, d.log)
 	server := grpc.NewServer(append(voter.ServerOptions(), grpc.Creds(d.security.Server))...)
 	var log peerv1.PeerServer
-	if d.state.voter != nil {
-		log = d.state.voter.Service()
+	if s.voter != nil {
+		log = s.voter.Service()
 	}
-	peerv1.RegisterPeerServer(server, peer.NewServer(log, d.state, d.state.trail, d.clock))
+	peerv1.RegisterPeerServer(server, peer.NewServer(log, s.follower, s.trail))
 	return d.serveGRPC(server)
 }
 
-// InForce implements peer.Source.
-func (s *state) InForce() (document.Document, <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.document, s.newer
-}
-
-// adopt puts a document into force unless it is older than the present one.
-func (s *state) adopt(doc document.Document, now time.Time) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.confirmed = now
-	if doc.Revision <= s.document.Revision {
-		return nil
-	}
-	config, err := section.Check(doc)
-	if err != nil {
-		return errors.Wrapf(err, "check revision %d", doc.Revision)
-	}
-	s.document, s.since = doc, now
-	s.config.Advance(config, func(old *document.Config) bool { return old == nil || old.Revision < config.Revision })
-	close(s.newer)
-	s.newer = make(chan struct{})
-	return nil
-}
-
-// follow asks the voters for a newer configuration.
-func (d *Daemon) follow(ctx context.Context) {
-	doc, err := d.state.register.Document(ctx)
-	if err != nil {
-		d.log.Debug("The configuration could not be confirmed.", zap.Error(err))
-		return
-	}
-	before := d.revision()
-	if err := d.state.adopt(doc, d.clock.Now()); err != nil {
-		d.log.Error("The accepted configuration is not usable.", zap.Error(err))
-		return
-	}
-	if after := d.revision(); after != before {
-		d.node.SetRevision(after, d.clock.Now())
-		d.log.Info("Configuration in force.", zap.Uint64("revision", uint64(after)))
-	}
-}
-
+// revision returns the revision in force, or zero.
 func (d *Daemon) revision() fleet.Revision {
 	if c := d.state.config.Load(); c != nil {
 		return c.Revision
@@ -174,6 +130,7 @@
 }
 
 func (s *state) stop(ctx context.Context) error {
+	s.follower.Close()
 	if s.client != nil {
 		s.client.Close()
 		return nil
--- a/internal/entry/daemon/status.go
+++ b/internal/entry/daemon/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sort"
 	"time"
 
@@ -15,13 +14,12 @@
 // status composes what the operators' command shows.
 func (d *Daemon) status() operator.Status {
 	now, members := d.clock.Now(), d.members()
-	d.state.mu.Lock()
-	confirmed := d.state.confirmed
-	d.state.mu.Unlock()
+	d.spread.observe(members, now)
+	follower := d.state.follower.Status()
 	s := operator.Status{
 		Instance:     d.settings.Instance.ID,
-		Revision:     d.revision(),
-		ConfirmedAgo: operator.InSeconds(now.Sub(confirmed)),
+		Revision:     follower.Revision,
+		ConfirmedAgo: operator.InSeconds(follower.Age(now)),
 		Instances:    []operator.InstanceStatus{},
 		Changes:      d.spread.changes(members),
 		Groups:       d.groups(),
@@ -52,24 +50,19 @@
 func groupStatus(g voter.GroupStatus) operator.GroupStatus {
 	s := operator.GroupStatus{
 		Group: string(g.Group), Term: uint64(g.Term),
-		Commit: uint64(g.Commit), Applied: uint64(g.Applied),
+		Commit: uint64(g.Commit), Applied: uint64(g.Applied), Failure: g.Failure,
 	}
 	for _, m := range g.Members {
 		if m.ID == g.Leader {
 			s.Leader = m.Instance
 		}
-		s.Voters = append(s.Voters, memberText(m))
+		s.Voters = append(s.Voters, operator.VoterStatus{
+			ID: uint64(m.ID), Instance: m.Instance, Learner: m.Learner, Behind: uint64(m.Lag),
+		})
 	}
 	return s
 }
 
-func memberText(m voter.MemberStatus) string {
-	if m.Learner {
-		return fmt.Sprintf("%s (learner, %d behind)", m.Instance, m.Lag)
-	}
-	return m.Instance
-}
-
 func (d *Daemon) pools(now time.Time) []operator.PoolStatus {
 	list := []operator.PoolStatus{}
 	for id, n := range d.decisions.roster.Counts(now) {
--- a/internal/entry/operator/status.go
+++ b/internal/entry/operator/status.go
@@ -49,12 +49,26 @@
 
 // GroupStatus is the state of one replicated log on the answering instance.
 type GroupStatus struct {
-	Group   string   `json:"group"`
-	Leader  string   `json:"leader"`
-	Term    uint64   `json:"term"`
-	Commit  uint64   `json:"commit"`
-	Applied uint64   `json:"applied"`
-	Voters  []string `json:"voters"`
+	Group   string        `json:"group"`
+	Leader  string        `json:"leader"`
+	Term    uint64        `json:"term"`
+	Commit  uint64        `json:"commit"`
+	Applied uint64        `json:"applied"`
+	Voters  []VoterStatus `json:"voters"`
+	// Failure says why the replica does not run.
+	Failure string `json:"failure,omitempty"`
+}
+
+// VoterStatus is one member of a replicated log.
+type VoterStatus struct {
+	// ID is new for every data folder.
+	ID       uint64 `json:"id"`
+	Instance string `json:"instance"`
+	// Learner tells that the member does not vote yet.
+	Learner bool `json:"learner"`
+	// Behind is the number of entries that the member lacks. Only the leader
+	// knows it.
+	Behind uint64 `json:"behind"`
 }
 
 // PoolStatus counts the upstreams of a pool that may get new work.
--- a/internal/entry/peer/peer.go
+++ b/internal/entry/peer/peer.go
@@ -14,7 +14,7 @@
 	"google.golang.org/grpc/status"
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
-	"github.com/bilberryrock/bilberryrock/internal/document"
+	"github.com/bilberryrock/bilberryrock/internal/document/follower"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/report"
 )
@@ -24,9 +24,9 @@
 
 // Source is the document in force on this instance.
 type Source interface {
-	// InForce returns the document, and a channel that is closed once there is
-	// a newer one.
-	InForce() (d document.Document, newer <-chan struct{})
+	// ChangesSince returns what is in force after a revision, and waits for it
+	// up to wait.
+	ChangesSince(ctx context.Context, after fleet.Revision, wait time.Duration) follower.Reply
 }
 
 // Server implements peerv1.PeerServer. The methods of the replicated logs are
@@ -35,51 +35,34 @@
 	peerv1.PeerServer
 	source Source
 	trail  report.Trail
-	clock  fleet.Clock
 }
 
 // NewServer returns a Server. The log serves the methods of the replicated logs;
 // an instance that does not vote has a nil one.
-func NewServer(log peerv1.PeerServer, source Source, trail report.Trail, clock fleet.Clock) *Server {
+func NewServer(log peerv1.PeerServer, source Source, trail report.Trail) *Server {
 	if log == nil {
 		log = peerv1.UnimplementedPeerServer{}
 	}
-	return &Server{PeerServer: log, source: source, trail: trail, clock: clock}
+	return &Server{PeerServer: log, source: source, trail: trail}
 }
 
 // Fetch returns the sections that are newer than the asking instance's revision.
 // It waits for a newer revision for the time that the request names.
 func (s *Server) Fetch(ctx context.Context, r *peerv1.FetchRequest) (*peerv1.FetchReply, error) {
 	wait := min(time.Duration(r.GetWaitMs())*time.Millisecond, maxFetchWait)
-	timeout := s.clock.After(wait)
-	for {
-		d, newer := s.source.InForce()
-		if d.Revision > fleet.Revision(r.GetAfter()) {
-			return difference(d, fleet.Revision(r.GetAfter())), nil
-		}
-		select {
-		case <-newer:
-		case <-timeout:
-			return &peerv1.FetchReply{Revision: uint64(d.Revision)}, nil
-		case <-ctx.Done():
-			return nil, status.FromContextError(ctx.Err()).Err()
-		}
+	changes := s.source.ChangesSince(ctx, fleet.Revision(r.GetAfter()), wait)
+	if err := ctx.Err(); err != nil {
+		return nil, status.FromContextError(err).Err()
 	}
-}
-
-// difference returns the sections of d that changed after a revision.
-func difference(d document.Document, after fleet.Revision) *peerv1.FetchReply {
-	reply := &peerv1.FetchReply{Revision: uint64(d.Revision), Full: after == 0}
-	for _, section := range d.Sections {
-		if section.Revision > after {
-			reply.Sections = append(reply.Sections, &peerv1.Section{
-				Team:     string(section.Team),
-				Revision: uint64(section.Revision),
-				Text:     section.Text,
-			})
-		}
+	reply := &peerv1.FetchReply{Revision: uint64(changes.Document.Revision), Full: changes.Full}
+	for _, section := range changes.Document.Sections {
+		reply.Sections = append(reply.Sections, &peerv1.Section{
+			Team:     string(section.Team),
+			Revision: uint64(section.Revision),
+			Text:     section.Text,
+		})
 	}
-	return reply
+	return reply, nil
 }
 
 // Explain returns a decision record of this instance.
--- a/internal/trial/failure/failure.go
+++ b/internal/trial/failure/failure.go
@@ -10,6 +10,7 @@
 //	start c               start it again
 //	freeze b / thaw b     stop and continue its process
 //	wipe c                remove the data folder of a killed daemon
+//	repaired c            wait until the new folder of c votes in all groups
 //	leave engine-1        stop a stand-in gracefully
 //	stop a                stop a daemon gracefully; it must exit with status 0
 //	cut a,b c             drop all messages from a and b to c
@@ -72,8 +73,8 @@
 	base    fleet.Revision
 	changes int
 
-	watching  sync.WaitGroup
-	ended     chan struct{}
+	watching sync.WaitGroup
+	ended    chan struct{}
 	// killed tells that a process was ended or frozen without notice, so that
 	// calls may be cut off.
 	killed    bool
@@ -304,6 +305,8 @@
 		return r.submitUntil(args[0], patience)
 	case "race":
 		return r.race(args[0], args[1])
+	case "repaired":
+		return r.awaitRepair(args[0])
 	case "wipe":
 		return os.RemoveAll(r.daemons[args[0]].DataFolder())
 	}
@@ -424,6 +427,40 @@
 	return nil
 }
 
+// awaitRepair waits until a voter with a wiped folder has been replaced by its
+// successor, as every running voter sees it.
+func (r *Run) awaitRepair(name string) error {
+	end := time.Now().Add(patience)
+	for {
+		repaired := true
+		for _, voter := range r.names[:Voters] {
+			s, err := r.status(r.daemons[voter])
+			repaired = repaired && err == nil && isRepaired(s, name)
+		}
+		if repaired {
+			return nil
+		}
+		if time.Now().After(end) {
+			return errors.Errorf("the voter on %s was not replaced within %s", name, patience)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func isRepaired(s operator.Status, name string) bool {
+	for _, g := range s.Groups {
+		if len(g.Voters) != Voters {
+			return false
+		}
+		for _, v := range g.Voters {
+			if v.Learner || v.Instance == name && v.ID <= Voters {
+				return false
+			}
+		}
+	}
+	return len(s.Groups) > 0
+}
+
 // Faults checks the invariants once the traffic has ended.
 func (r *Run) Faults() ([]string, error) {
 	r.busy.Wait()
