Form a group only once all voters know their ids

TestProcesses stalled in 2 of 6 batches of runs: voter 1 was killed after two voters had formed the group, while the third still waited for voter 1 to bind its id, so only one of three could run. A voter that knows its id now waits up to 5 s until the others know theirs before it serves.

An attempt ends after 1.5 s instead of 3 s: a frozen leader held up callers for longer than an election.

--- a/internal/quorum/replica/replica.go
+++ b/internal/quorum/replica/replica.go
@@ -80,7 +80,7 @@
 	DefaultElectionTicks  = 10
 	DefaultHeartbeatTicks = 2
 	DefaultMaxAppendBytes = 256 << 10
-	DefaultMaxInFlight    = 64
+	DefaultMaxInFlight    = 16
 	DefaultMaxUncommitted = 16384
 )
 
--- a/internal/quorum/voter/bench_test.go
+++ b/internal/quorum/voter/bench_test.go
@@ -138,9 +138,7 @@
 func ticksToLeader(w *world) int {
 	for n := 1; ; n++ {
 		w.passTime()
-		for len(w.net) > 0 {
-			w.deliver(0, false)
-		}
+		w.deliverAll()
 		if w.leader() != nil {
 			return n
 		}
--- a/internal/quorum/voter/form.go
+++ b/internal/quorum/voter/form.go
@@ -16,89 +16,132 @@
 
 const (
 	formPause = 200 * time.Millisecond
-	joinPause = time.Second
+	// settlePauses bounds the wait for the others to settle, in formPause.
+	settlePauses = 25
+	joinPause    = time.Second
 )
 
 // form finds out under which id this folder takes part, and starts the groups.
+//
+// A voter that knows its id waits a while for the others to know theirs: a voter
+// that does not yet would have to wait for one that is lost meanwhile.
 func (v *Voter) form() error {
 	k := slices.IndexFunc(v.config.initial, func(p Peer) bool { return p.Instance == v.config.instance })
 	if k < 0 {
-		return v.settle(0)
-	}
-	own := v.config.initial[k]
-	bound := map[quorum.VoterID]bool{own.ID: true}
-	for len(bound) < len(v.config.initial) {
-		for _, p := range v.config.initial {
-			if bound[p.ID] {
-				continue
-			}
-			f, err := v.identify(p, own.ID)
-			if err != nil {
-				continue
+		return v.settleAndStart(0)
+	}
+	f := &formation{own: v.config.initial[k].ID, bound: make(map[quorum.VoterID]bool), settled: make(map[quorum.VoterID]bool)}
+	others := len(v.config.initial) - 1
+	for waited := 0; waited < settlePauses; {
+		v.askAll(f)
+		if f.lost {
+			v.config.logger.Warn("voter id belongs to a lost data folder", zap.Uint64("voter", uint64(f.own)))
+			return v.settleAndStart(0)
+		}
+		if len(f.bound) == others {
+			if err := v.settle(f.own); err != nil {
+				return err
 			}
-			if f != v.identity.Folder {
-				v.config.logger.Warn("voter id belongs to a lost data folder", zap.Uint64("voter", uint64(own.ID)))
-				return v.settle(0)
+			if f.started || len(f.settled) == others {
+				break
 			}
-			bound[p.ID] = true
+			waited++
 		}
-		if len(bound) < len(v.config.initial) && !v.pause(formPause) {
+		if !v.pause(formPause) {
 			return nil
 		}
 	}
-	return v.settle(own.ID)
+	return v.start()
+}
+
+// formation is what a voter with a new folder learned from the others.
+type formation struct {
+	own     quorum.VoterID
+	bound   map[quorum.VoterID]bool // bound the own id to the own folder
+	settled map[quorum.VoterID]bool
+	started bool // one of them runs its replicas
+	lost    bool // the own id belongs to another folder
+}
+
+func (v *Voter) askAll(f *formation) {
+	for _, p := range v.config.initial {
+		if p.ID == f.own || f.settled[p.ID] {
+			continue
+		}
+		r, err := v.identify(p, f.own)
+		if err != nil {
+			continue
+		}
+		if journal.FolderID(r.GetFolder()) != v.identity.Folder {
+			f.lost = true
+			return
+		}
+		f.bound[p.ID] = true
+		f.started = f.started || r.GetStarted()
+		if r.GetSettled() {
+			f.settled[p.ID] = true
+		}
+	}
+}
+
+func (v *Voter) settleAndStart(id quorum.VoterID) error {
+	if err := v.settle(id); err != nil {
+		return err
+	}
+	return v.start()
 }
 
-// settle stores the id of this folder, a new one for 0, and starts the groups.
+// settle stores the id of this folder, or a new one for 0.
 func (v *Voter) settle(id quorum.VoterID) error {
 	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.identity.Voter != 0 {
+		return nil
+	}
 	v.identity.Voter = id
 	if id == 0 {
 		v.identity.Voter = quorum.VoterID(newID())
 		v.identity.Replaced = true
 	}
-	err := journal.SaveIdentity(v.config.disk, v.config.folder, v.identity)
-	v.mu.Unlock()
-	if err != nil {
-		return err
-	}
-	return v.start()
+	return journal.SaveIdentity(v.config.disk, v.config.folder, v.identity)
 }
 
 // identify asks a peer which folder it saw first under an id.
-func (v *Voter) identify(p Peer, id quorum.VoterID) (journal.FolderID, error) {
+func (v *Voter) identify(p Peer, id quorum.VoterID) (*peerv1.IdentifyReply, error) {
 	if v.config.cut(v.config.instance, p.Instance) || v.config.cut(p.Instance, v.config.instance) {
-		return 0, errors.New("link is cut")
+		return nil, errors.New("link is cut")
 	}
 	ctx, cancel := context.WithTimeout(v.ctx, v.config.attemptTimeout)
 	defer cancel()
 	conn, err := v.conns.ready(ctx, p.Address)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
-	r, err := peerv1.NewPeerClient(conn).Identify(ctx, &peerv1.IdentifyRequest{
+	return peerv1.NewPeerClient(conn).Identify(ctx, &peerv1.IdentifyRequest{
 		Id: uint64(id), Folder: uint64(v.identity.Folder),
 	})
-	return journal.FolderID(r.GetFolder()), err
 }
 
 // bind returns the first folder that was seen under an id. It stores a new one
 // before it returns.
-func (v *Voter) bind(id quorum.VoterID, f journal.FolderID) (journal.FolderID, error) {
+func (v *Voter) bind(id quorum.VoterID, f journal.FolderID) (*peerv1.IdentifyReply, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.stopping {
-		return 0, refusal.New(refusal.Stopping, "voter is stopping")
+		return nil, refusal.New(refusal.Stopping, "voter is stopping")
 	}
+	r := &peerv1.IdentifyReply{Settled: v.identity.Voter != 0, Started: v.transport != nil}
 	if first, ok := v.identity.Folders[id]; ok {
-		return first, nil
+		r.Folder = uint64(first)
+		return r, nil
 	}
 	v.identity.Folders[id] = f
 	if err := journal.SaveIdentity(v.config.disk, v.config.folder, v.identity); err != nil {
 		delete(v.identity.Folders, id)
-		return 0, err
+		return nil, err
 	}
-	return f, nil
+	r.Folder = uint64(f)
+	return r, nil
 }
 
 // join asks the leader to add the own voter, until the group has it as a full
--- a/internal/quorum/voter/options.go
+++ b/internal/quorum/voter/options.go
@@ -21,8 +21,9 @@
 	DefaultTick            = 50 * time.Millisecond
 	DefaultSnapshotEntries = 10000
 	DefaultKeepEntries     = 1000
-	// DefaultAttemptTimeout bounds one attempt to propose or read.
-	DefaultAttemptTimeout = 3 * time.Second
+	// DefaultAttemptTimeout bounds one attempt to propose or read. It is longer
+	// than an election, so that a caller does not give up on a live leader.
+	DefaultAttemptTimeout = 1500 * time.Millisecond
 	// DefaultTimeout bounds a call whose context has no deadline.
 	DefaultTimeout = 10 * time.Second
 	// MaxCommandBytes bounds one command.
@@ -30,7 +31,8 @@
 )
 
 const (
-	maxMessageBytes  = 1 << 30 // a snapshot is one message
+	// maxMessageBytes holds a batch of batchBytes and one more command.
+	maxMessageBytes  = 32 << 20
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 3 * time.Second
 	connectTimeout   = time.Second
--- a/internal/quorum/voter/process_test.go
+++ b/internal/quorum/voter/process_test.go
@@ -109,6 +109,9 @@
 		s.launch(i)
 	}
 	t.Cleanup(func() {
+		if t.Failed() {
+			s.dump(t)
+		}
 		for _, c := range s.commands {
 			_ = c.Process.Kill()
 			_ = c.Wait()
@@ -140,6 +143,18 @@
 	s.is.Equal(string(reply), fmt.Sprint(s.count))
 }
 
+// dump logs what each voter knows.
+func (s *processes) dump(t *testing.T) {
+	for i := range s.commands {
+		var groups []GroupStatus
+		err := s.ask[i].Encode("status")
+		if err == nil {
+			err = s.answer[i].Decode(&groups)
+		}
+		t.Logf("voter %d: %+v %v", i+1, groups, err)
+	}
+}
+
 // awaitMember waits until the successor of a lost folder is the only member of
 // its instance, and a voter.
 func (s *processes) awaitMember(i int) {
--- a/internal/quorum/voter/schedule_test.go
+++ b/internal/quorum/voter/schedule_test.go
@@ -45,6 +45,33 @@
 	is.Equal(a.counts, b.counts)
 }
 
+// TestThousandCommands guards against a history that does not survive restarts:
+// after 1,000 commands, with snapshots in between, all members lose power, one
+// after the other and then all at once, and go on with the same state.
+func TestThousandCommands(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 3)
+	ticksToLeader(w)
+	for i := range 1000 {
+		w.leader().propose(fmt.Sprint("command ", i))
+		w.deliverAll()
+	}
+	is.Equal(w.counts["acknowledged"], 1000)
+	for _, p := range w.sites {
+		p.kill(true)
+		p.restart()
+		ticksToLeader(w)
+	}
+	for _, p := range w.sites {
+		p.kill(true)
+	}
+	for _, p := range w.sites {
+		p.restart()
+	}
+	is.NoErr(w.settle())
+	is.Equal(len(w.history), w.counts["acknowledged"])
+}
+
 func runSchedule(seed uint64, places, steps int) *world {
 	w := newWorld(seed, places)
 	w.faults = []int{2, 8, 25}[w.random.IntN(3)]
--- a/internal/quorum/voter/service.go
+++ b/internal/quorum/voter/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
@@ -30,11 +31,13 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
+		var a assembler
 		for {
 			b, err := stream.Recv()
 			if err != nil {
 				return
 			}
+			b.Messages = slices.DeleteFunc(b.Messages, func(m *peerv1.Message) bool { return !a.add(m) })
 			s.voter.deliver(b)
 		}
 	}()
@@ -60,11 +63,11 @@
 
 // Identify binds the id of an initial voter to a data folder.
 func (s *Service) Identify(_ context.Context, r *peerv1.IdentifyRequest) (*peerv1.IdentifyReply, error) {
-	f, err := s.voter.bind(quorum.VoterID(r.GetId()), journal.FolderID(r.GetFolder()))
+	reply, err := s.voter.bind(quorum.VoterID(r.GetId()), journal.FolderID(r.GetFolder()))
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
-	return &peerv1.IdentifyReply{Folder: uint64(f)}, nil
+	return reply, nil
 }
 
 // Join adds the successor of a lost voter as a learner.
--- a/internal/quorum/voter/transport.go
+++ b/internal/quorum/voter/transport.go
@@ -17,6 +17,8 @@
 const (
 	outboxMessages  = 4096
 	batchMessages   = 256
+	batchBytes      = 4 << 20
+	chunkBytes      = 1 << 20
 	snapshotTimeout = 30 * time.Second
 )
 
@@ -186,17 +188,59 @@
 	if err != nil {
 		return err
 	}
-	b := &peerv1.ConsensusBatch{
-		Group: string(e.group), Sender: senderOf(t.self),
-		Messages: []*peerv1.Message{replica.MessageToProto(e.message)},
-	}
-	if err := s.Send(b); err != nil {
-		return err
+	for _, m := range chunks(e.message) {
+		b := &peerv1.ConsensusBatch{
+			Group: string(e.group), Sender: senderOf(t.self), Messages: []*peerv1.Message{m},
+		}
+		if err := s.Send(b); err != nil {
+			return err
+		}
 	}
 	_, err = s.CloseAndRecv()
 	return err
 }
 
+// chunks splits a snapshot into messages of bounded size. They share the state.
+func chunks(m replica.Message) []*peerv1.Message {
+	var ms []*peerv1.Message
+	rest := m.Snapshot.State
+	for {
+		n := min(len(rest), chunkBytes)
+		part := *m.Snapshot
+		part.State = rest[:n]
+		rest = rest[n:]
+		c := m
+		c.Snapshot = &part
+		p := replica.MessageToProto(c)
+		p.Snapshot.More = len(rest) > 0
+		ms = append(ms, p)
+		if len(rest) == 0 {
+			return ms
+		}
+	}
+}
+
+// assembler joins the chunks of one stream.
+type assembler struct {
+	state []byte
+}
+
+// add takes the chunk in m and reports whether the snapshot is complete. Messages
+// without a snapshot are complete.
+func (a *assembler) add(m *peerv1.Message) bool {
+	s := m.GetSnapshot()
+	if s == nil {
+		return true
+	}
+	a.state = append(a.state, s.GetState()...)
+	if s.GetMore() {
+		return false
+	}
+	s.State = a.state
+	a.state = nil
+	return true
+}
+
 func (t *transport) close() {
 	t.cancel()
 	t.wait.Wait()
@@ -206,7 +250,11 @@
 func collect(first envelope, box chan envelope) []*peerv1.ConsensusBatch {
 	var bs []*peerv1.ConsensusBatch
 	index := make(map[quorum.GroupID]*peerv1.ConsensusBatch)
+	size := 0
 	add := func(e envelope) {
+		for _, en := range e.message.Entries {
+			size += len(en.Data)
+		}
 		b := index[e.group]
 		if b == nil {
 			b = &peerv1.ConsensusBatch{Group: string(e.group)}
@@ -217,6 +265,9 @@
 	}
 	add(first)
 	for range batchMessages {
+		if size >= batchBytes {
+			return bs
+		}
 		select {
 		case e := <-box:
 			add(e)
--- a/internal/quorum/voter/world_test.go
+++ b/internal/quorum/voter/world_test.go
@@ -249,6 +249,12 @@
 	w.log = append(w.log, fmt.Sprintf(format, args...))
 }
 
+func (w *world) deliverAll() {
+	for len(w.net) > 0 && w.broken == nil {
+		w.deliver(0, false)
+	}
+}
+
 func (p *place) propose(command string) {
 	p.member.propose([]byte(command), func(reply []byte, err error) {
 		p.w.note("%s: %s", command, outcome(err))
@@ -376,9 +382,7 @@
 		for _, p := range w.sites {
 			p.tick(1)
 		}
-		for len(w.net) > 0 && w.broken == nil {
-			w.deliver(0, false)
-		}
+		w.deliverAll()
 		if round%10 == 0 {
 			w.joinAll()
 		}
@@ -422,9 +426,7 @@
 		for _, p := range w.sites {
 			p.tick(1)
 		}
-		for len(w.net) > 0 && w.broken == nil {
-			w.deliver(0, false)
-		}
+		w.deliverAll()
 	}
 	for _, p := range w.sites {
 		if w.broken != nil || w.counts["acknowledged"] == before || p.state.index < w.acked {
