--- a/internal/quorum/voter/group.go
+++ b/internal/quorum/voter/group.go
@@ -33,7 +33,7 @@
 	g.voter.wait.Go(func() {
 		defer close(g.stopped)
 		last := c.clock.Now()
-		timer := c.clock.After(c.tick)
+		timer := c.clock.After(g.voter.untilTick())
 		var seen sight
 		for {
 			var input func(*member)
@@ -41,7 +41,7 @@
 			case <-g.voter.ctx.Done():
 				return
 			case <-timer:
-				timer = c.clock.After(c.tick)
+				timer = c.clock.After(g.voter.untilTick())
 			case input = <-g.inbox:
 			}
 			ticks := c.clock.Now().Sub(last) / c.tick
@@ -124,12 +124,12 @@
 	}
 }
 
-// send hands a message to the transport. The receiver may be missing in the
-// members that this replica knows, as for a learner without a log.
+// send hands a message to the transport. What the receiver told about itself is
+// newer than the members in the log, and a learner without a log has only that.
 func (g *group) send(msg replica.Message) {
-	to, ok := g.member.replica.Voter(msg.To)
+	to, ok := g.voter.known(msg.To)
 	if !ok {
-		if to, ok = g.voter.known(msg.To); !ok {
+		if to, ok = g.member.replica.Voter(msg.To); !ok {
 			return
 		}
 	}
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -38,6 +38,7 @@
 	"math/rand/v2"
 	"path/filepath"
 	"sync"
+	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
@@ -57,6 +58,8 @@
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
 	failed chan error
+	// started is the time from which ticks are counted.
+	started time.Time
 
 	mu        sync.Mutex
 	identity  journal.Identity
@@ -84,7 +87,7 @@
 	}
 	v := &Voter{
 		config: c, conns: newConnections(c.dialOptions()), lock: lock,
-		failed: make(chan error, 1), groups: make(map[quorum.GroupID]*group),
+		failed: make(chan error, 1), started: c.clock.Now(), groups: make(map[quorum.GroupID]*group),
 		directory: make(map[quorum.VoterID]replica.Voter),
 	}
 	v.ctx, v.cancel = context.WithCancel(context.Background())
@@ -328,6 +331,13 @@
 	}
 }
 
+// untilTick returns the time until the next tick, which all groups share so that
+// their heartbeats travel in one batch.
+func (v *Voter) untilTick() time.Duration {
+	passed := v.config.clock.Now().Sub(v.started)
+	return v.config.tick - passed%v.config.tick
+}
+
 // Stop hands the leadership of all groups to other voters, ends the replicas and
 // closes the journals. It waits for a transfer until ctx ends, but no longer than
 // two election timeouts.
@@ -340,9 +350,11 @@
 	v.stopping = true // start adds no groups from here on
 	groups, t := v.groups, v.transport
 	v.mu.Unlock()
+	var resigned sync.WaitGroup
 	for _, g := range groups {
-		g.resign(ctx)
+		resigned.Go(func() { g.resign(ctx) })
 	}
+	resigned.Wait()
 	v.cancel()
 	var err error
 	for _, g := range groups {
--- a/internal/quorum/voter/voter_test.go
+++ b/internal/quorum/voter/voter_test.go
@@ -16,6 +16,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"google.golang.org/grpc"
 )
 
@@ -171,4 +172,7 @@
 	reply, err := c.Read(context.Background(), quorum.ConfigGroup, nil)
 	s.is.NoErr(err)
 	s.is.Equal(string(reply), "67")
+	problems, err := testutil.CollectAndLint(s.nodes[0].voter.Collector())
+	s.is.NoErr(err)
+	s.is.Equal(len(problems), 0)
 }
