--- a/internal/quorum/voter/service.go
+++ b/internal/quorum/voter/service.go
@@ -37,7 +37,9 @@
 			if err != nil {
 				return
 			}
-			b.Messages = slices.DeleteFunc(b.Messages, func(m *peerv1.Message) bool { return !a.add(m) })
+			for _, g := range b.GetGroups() {
+				g.Messages = slices.DeleteFunc(g.Messages, func(m *peerv1.Message) bool { return !a.add(m) })
+			}
 			s.voter.deliver(b)
 		}
 	}()
@@ -79,18 +81,20 @@
 	return &peerv1.JoinReply{Refusal: refusalToProto(err)}, nil
 }
 
-// deliver hands the messages of a batch to their group.
+// deliver hands the messages of a batch to their groups.
 func (v *Voter) deliver(b *peerv1.ConsensusBatch) {
-	g, ok := v.running(quorum.GroupID(b.GetGroup()))
-	if !ok {
-		return
-	}
 	v.learn(voterOf(b.GetSender()))
-	g.post(func(m *member) {
-		for _, p := range b.GetMessages() {
-			m.step(replica.MessageFromProto(p))
+	for _, ms := range b.GetGroups() {
+		g, ok := v.running(quorum.GroupID(ms.GetGroup()))
+		if !ok {
+			continue
 		}
-	})
+		g.post(func(m *member) {
+			for _, p := range ms.GetMessages() {
+				m.step(replica.MessageFromProto(p))
+			}
+		})
+	}
 }
 
 func (v *Voter) learn(o replica.Voter) {
--- a/internal/quorum/voter/transport.go
+++ b/internal/quorum/voter/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"time"
 
@@ -139,16 +140,16 @@
 			case <-t.ctx.Done():
 				return
 			case e := <-box:
-				s = t.sendBatches(s, address, collect(e, box))
+				s = t.sendBatch(s, address, collect(e, box))
 			}
 		}
 	})
 	return box
 }
 
-// sendBatches sends over s, or over a new stream if s is nil. It returns nil
-// when the stream failed.
-func (t *transport) sendBatches(s peerv1.Peer_ConsensusClient, address string, bs []*peerv1.ConsensusBatch) peerv1.Peer_ConsensusClient {
+// sendBatch sends over s, or over a new stream if s is nil. It returns nil when
+// the stream failed.
+func (t *transport) sendBatch(s peerv1.Peer_ConsensusClient, address string, b *peerv1.ConsensusBatch) peerv1.Peer_ConsensusClient {
 	if s == nil {
 		conn, err := t.conns.get(address)
 		if err != nil {
@@ -158,11 +159,9 @@
 			return nil
 		}
 	}
-	for _, b := range bs {
-		b.Sender = senderOf(t.self)
-		if s.Send(b) != nil {
-			return nil
-		}
+	b.Sender = senderOf(t.self)
+	if s.Send(b) != nil {
+		return nil
 	}
 	return s
 }
@@ -190,7 +189,8 @@
 	}
 	for _, m := range chunks(e.message) {
 		b := &peerv1.ConsensusBatch{
-			Group: string(e.group), Sender: senderOf(t.self), Messages: []*peerv1.Message{m},
+			Sender: senderOf(t.self),
+			Groups: []*peerv1.GroupMessages{{Group: string(e.group), Messages: []*peerv1.Message{m}}},
 		}
 		if err := s.Send(b); err != nil {
 			return err
@@ -246,36 +246,41 @@
 	t.wait.Wait()
 }
 
-// collect takes what is queued without waiting, and groups it.
-func collect(first envelope, box chan envelope) []*peerv1.ConsensusBatch {
-	var bs []*peerv1.ConsensusBatch
-	index := make(map[quorum.GroupID]*peerv1.ConsensusBatch)
-	size := 0
-	add := func(e envelope) {
-		for _, en := range e.message.Entries {
-			size += len(en.Data)
-		}
-		b := index[e.group]
-		if b == nil {
-			b = &peerv1.ConsensusBatch{Group: string(e.group)}
-			index[e.group] = b
-			bs = append(bs, b)
-		}
-		b.Messages = append(b.Messages, replica.MessageToProto(e.message))
-	}
-	add(first)
+// collect takes what is queued without waiting. It lets other groups run first,
+// whose messages of the same tick then share the batch.
+func collect(first envelope, box chan envelope) *peerv1.ConsensusBatch {
+	runtime.Gosched()
+	b := &peerv1.ConsensusBatch{}
+	index := make(map[quorum.GroupID]*peerv1.GroupMessages)
+	size := add(b, index, first)
 	for range batchMessages {
 		if size >= batchBytes {
-			return bs
+			return b
 		}
 		select {
 		case e := <-box:
-			add(e)
+			size += add(b, index, e)
 		default:
-			return bs
+			return b
 		}
 	}
-	return bs
+	return b
+}
+
+// add puts a message into the batch, and returns the bytes of its entries.
+func add(b *peerv1.ConsensusBatch, index map[quorum.GroupID]*peerv1.GroupMessages, e envelope) int {
+	g := index[e.group]
+	if g == nil {
+		g = &peerv1.GroupMessages{Group: string(e.group)}
+		index[e.group] = g
+		b.Groups = append(b.Groups, g)
+	}
+	g.Messages = append(g.Messages, replica.MessageToProto(e.message))
+	size := 0
+	for _, en := range e.message.Entries {
+		size += len(en.Data)
+	}
+	return size
 }
 
 func senderOf(v replica.Voter) *peerv1.Voter {
