Retry register and ledger commands over an election

Three attempts within 150 ms (ledger) and 400 ms (register) ended before a new leader can exist, so orders were refused during every election. Twelve attempts with pauses up to 0.5 s cover about 4 s, inside the 5 s that the desk gives a claim. The schedules keep three attempts, so that clients give up often enough to test it.

--- a/internal/document/register/client.go
+++ b/internal/document/register/client.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	attempts   = 3
-	retryPause = 200 * time.Millisecond
+	// defaultAttempts and retryPause cover the election of a leader.
+	defaultAttempts = 12
+	retryPause      = 400 * time.Millisecond
 )
 
 // Client uses the register over a quorum.Proposer. It is safe for concurrent
@@ -23,13 +24,14 @@
 	proposer quorum.Proposer
 	group    quorum.GroupID
 	clock    fleet.Clock
+	attempts int
 }
 
 // NewClient returns a Client of the register in a group. The commands reach the
 // register as they are, so a group with several state machines needs a proposer
 // that selects one.
 func NewClient(p quorum.Proposer, g quorum.GroupID, c fleet.Clock) *Client {
-	return &Client{proposer: p, group: g, clock: c}
+	return &Client{proposer: p, group: g, clock: c, attempts: defaultAttempts}
 }
 
 // Submit hands in s and sets its time when it has none. The verdict is
@@ -46,7 +48,7 @@
 	data := encode(prepare(s))
 	unknown := false
 	var last error
-	for n := range attempts {
+	for n := range c.attempts {
 		if n > 0 && !c.pause(ctx) {
 			break
 		}
--- a/internal/document/register/register_test.go
+++ b/internal/document/register/register_test.go
@@ -78,6 +78,7 @@
 func schedule(t *testing.T, seed int64) {
 	f := newFaulty(t, seed)
 	client := NewClient(f, quorum.ConfigGroup, instantClock{})
+	client.attempts = 3
 	ctx := context.Background()
 	known := make(map[string]document.Outcome)
 	sent := make(map[string]document.Submission)
--- a/internal/order/desk/desk_test.go
+++ b/internal/order/desk/desk_test.go
@@ -40,7 +40,7 @@
 	var desks []*Desk
 	for i := range 3 {
 		id := fleet.InstanceID(fmt.Sprint("i", i))
-		client := ledger.NewClient(f, instantClock{clock}, id)
+		client := ledger.NewClient(f, instantClock{clock}, id, ledger.WithAttempts(3))
 		desks = append(desks, New(client, clock, id, zap.NewNop()))
 	}
 	answers := make(map[string]string)
--- a/internal/order/ledger/client.go
+++ b/internal/order/ledger/client.go
@@ -14,8 +14,12 @@
 )
 
 const (
-	attempts   = 3
-	retryPause = 50 * time.Millisecond
+	// DefaultAttempts is the number of times that a command is handed in. With
+	// the pauses between them it covers the election of a leader: about 4 s.
+	DefaultAttempts = 12
+
+	firstPause   = 50 * time.Millisecond
+	longestPause = 500 * time.Millisecond
 )
 
 // Client uses the ledger over a quorum.Proposer. It is safe for concurrent use.
@@ -25,6 +29,7 @@
 	instance fleet.InstanceID
 	shards   int
 	limits   Limits
+	attempts int
 }
 
 var _ order.Ledger = (*Client)(nil)
@@ -43,9 +48,14 @@
 	return func(c *Client) { c.limits = l }
 }
 
+// WithAttempts replaces DefaultAttempts.
+func WithAttempts(n int) Option {
+	return func(c *Client) { c.attempts = max(n, 1) }
+}
+
 // NewClient returns a Client of an instance.
 func NewClient(p quorum.Proposer, k fleet.Clock, i fleet.InstanceID, options ...Option) *Client {
-	c := &Client{proposer: p, clock: k, instance: i, shards: 1, limits: DefaultLimits}
+	c := &Client{proposer: p, clock: k, instance: i, shards: 1, limits: DefaultLimits, attempts: DefaultAttempts}
 	for _, o := range options {
 		o(c)
 	}
@@ -164,8 +174,8 @@
 	}
 	uncertain := false
 	var last error
-	for n := range attempts {
-		if n > 0 && !c.pause(ctx) {
+	for n := range c.attempts {
+		if n > 0 && !c.pause(ctx, n) {
 			break
 		}
 		answer, err := c.proposer.Propose(ctx, GroupOf(m.Key.Account, c.shards), data)
@@ -183,11 +193,16 @@
 	return reply{}, uncertain, refusal.Because(kind, last, "order ledger did not answer")
 }
 
-func (c *Client) pause(ctx context.Context) bool {
+// pause waits before attempt n and reports whether ctx goes on.
+func (c *Client) pause(ctx context.Context, n int) bool {
+	d := longestPause
+	if doubled := firstPause << (n - 1); n < 8 && doubled < d {
+		d = doubled
+	}
 	select {
 	case <-ctx.Done():
 		return false
-	case <-c.clock.After(retryPause):
+	case <-c.clock.After(d):
 		return true
 	}
 }
--- a/internal/order/ledger/ledger_test.go
+++ b/internal/order/ledger/ledger_test.go
@@ -107,7 +107,7 @@
 	never := make(map[order.AttemptID]bool) // attempts that may not hold a claim in the end
 	for n := range 80 {
 		instance := fleet.InstanceID(fmt.Sprint("i", f.random.Intn(3)))
-		c := NewClient(f, clock, instance)
+		c := NewClient(f, clock, instance, WithAttempts(3))
 		k := order.Key{Account: "a", Name: fmt.Sprint(f.random.Intn(12))}
 		id := order.AttemptID(fmt.Sprint("attempt-", n))
 		clock.offset += time.Second
