Drop fencing leases of engines that are gone

A lease of a holder that crashed stayed until another instance wanted the same engine. When it is reached, leases that were not used for 24 h are dropped, by the time that a second instance confirms.

That time was part of the order ledger and is now the package internal/fleet/timeline, used by both.

--- a/internal/order/ledger/codec.go
+++ b/internal/order/ledger/codec.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/timeline"
 	"github.com/bilberryrock/bilberryrock/internal/order"
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
 	"github.com/pkg/errors"
@@ -92,7 +93,7 @@
 
 type snapshot struct {
 	Version     int                          `json:"version"`
-	Time        timeline                     `json:"time"`
+	Time        timeline.Timeline            `json:"time"`
 	Records     []keyed                      `json:"records"`
 	Released    map[order.AttemptID]released `json:"released"`
 	Settlements []Settlement                 `json:"settlements"`
--- a/internal/order/ledger/ledger.go
+++ b/internal/order/ledger/ledger.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/timeline"
 	"github.com/bilberryrock/bilberryrock/internal/order"
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
 	"github.com/cespare/xxhash/v2"
@@ -82,7 +83,7 @@
 // Machine is the state machine of one group. It is safe for concurrent use.
 type Machine struct {
 	mu      sync.RWMutex
-	time    timeline
+	time    timeline.Timeline
 	records map[order.Key]*record
 	// released holds the attempts that may not claim any more.
 	released    map[order.AttemptID]released
@@ -139,7 +140,7 @@
 	if _, late := m.released[c.Attempt]; late {
 		return reply{State: order.Free}
 	}
-	if !c.At.Add(ClaimAge).After(m.time.now()) {
+	if !c.At.Add(ClaimAge).After(m.time.Now()) {
 		return reply{Full: "the claim came too late, or the clock of the instance is behind"}
 	}
 	if reason := m.full(c); reason != "" {
@@ -210,7 +211,7 @@
 		answer = nil
 	}
 	r.State, r.Answer, r.Reserved = order.Done, answer, 0
-	r.Expires = m.time.from(c.At).Add(max(c.Limits.Retention, ClaimAge))
+	r.Expires = m.time.From(c.At).Add(max(c.Limits.Retention, ClaimAge))
 	m.count(c.Key.Account, 0, r.size()-before)
 	heap.Push(&m.expiries, expiry{at: r.Expires, key: c.Key})
 }
@@ -237,7 +238,7 @@
 	if _, again := m.released[c.Attempt]; !again {
 		m.count(c.Key.Account, 1, 0)
 	}
-	until := m.time.from(c.At).Add(ClaimAge)
+	until := m.time.From(c.At).Add(ClaimAge)
 	m.released[c.Attempt] = released{Account: c.Key.Account, Until: until}
 	heap.Push(&m.expiries, expiry{at: until, attempt: c.Attempt})
 }
@@ -253,7 +254,7 @@
 	if !ok || r.Attempt != c.Attempt || r.State != order.Claimed {
 		return reply{Lost: true}
 	}
-	if c.At.Before(r.At.Add(SettleAge)) || m.time.now().Before(r.At.Add(SettleAge)) {
+	if c.At.Before(r.At.Add(SettleAge)) || m.time.Now().Before(r.At.Add(SettleAge)) {
 		return reply{Full: "the claim is younger than " + SettleAge.String()}
 	}
 	s := Settlement{Key: c.Key, Attempt: c.Attempt, Operator: c.Operator, Note: c.Note, Ran: c.Ran, At: c.At}
@@ -299,8 +300,8 @@
 
 // advance takes over the time of a command and forgets what has expired.
 func (m *Machine) advance(c command) {
-	m.time.observe(c.Instance, c.At)
-	now := m.time.now()
+	m.time.Observe(c.Instance, c.At)
+	now := m.time.Now()
 	for len(m.expiries) > 0 && !m.expiries[0].at.After(now) {
 		e := heap.Pop(&m.expiries).(expiry)
 		m.forget(e)
@@ -322,48 +323,6 @@
 	}
 }
 
-// timeline keeps the newest times of the two instances that are furthest ahead.
-type timeline struct {
-	First  mark `json:"first"`
-	Second mark `json:"second"`
-}
-
-type mark struct {
-	Instance fleet.InstanceID `json:"instance"`
-	At       time.Time        `json:"at"`
-}
-
-func (t *timeline) observe(i fleet.InstanceID, at time.Time) {
-	switch {
-	case i == t.First.Instance:
-		t.First.At = later(t.First.At, at)
-	case at.After(t.First.At):
-		t.Second, t.First = t.First, mark{i, at}
-	case i == t.Second.Instance || at.After(t.Second.At):
-		t.Second = mark{i, later(t.Second.At, at)}
-	}
-}
-
-// now returns the time that a second instance confirms. A single instance is
-// trusted alone.
-func (t *timeline) now() time.Time {
-	if t.Second.Instance == "" {
-		return t.First.At
-	}
-	return t.Second.At
-}
-
-// from returns the time at which a period starts that begins with a command. It
-// is not before now, so that a late command or a slow clock shortens no period.
-func (t *timeline) from(at time.Time) time.Time { return later(t.now(), at) }
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // expiry is the time at which a key or a released attempt is forgotten.
 type expiry struct {
 	at      time.Time
--- a/internal/upstream/fencing/fencing_test.go
+++ b/internal/upstream/fencing/fencing_test.go
@@ -301,6 +301,29 @@
 	}
 }
 
+// TestStaleLeases guards against leases of engines that are gone and that keep
+// new ones from being granted, and against a lease in use that is dropped.
+func TestStaleLeases(t *testing.T) {
+	w := newWorld(1, upstream.IgnoresFence, 0)
+	w.calm = true
+	for i := range MaxLeases {
+		id := fleet.UpstreamID(fmt.Sprint(i))
+		w.machine.leases[id] = granted{Lease: Lease{Upstream: id, Session: "old"}, Used: fakeclock.Start}
+	}
+	_, err := w.nodes[0].command()
+	if err == nil {
+		t.Error("lease above the bound")
+	}
+	w.machine.leases["1"] = granted{Lease: Lease{Upstream: "1", Session: "old"}, Used: fakeclock.Start.Add(time.Hour)}
+	w.now = StaleAfter
+	if _, err := w.nodes[1].command(); err == nil {
+		t.Error("one clock alone makes leases stale")
+	}
+	if _, err := w.nodes[0].holder.Ensure(context.Background(), "new", w.policy); err != nil || len(w.machine.leases) != 2 {
+		t.Errorf("%d leases after the old ones are stale: %v", len(w.machine.leases), err)
+	}
+}
+
 // FuzzApply guards against a command that stops a voter.
 func FuzzApply(f *testing.F) {
 	f.Add([]byte(`{"version":1,"kind":"acquire","lease":{"upstream":"u","session":"s","duration":-1},"over":{}}`))
--- a/internal/upstream/fencing/holder.go
+++ b/internal/upstream/fencing/holder.go
@@ -36,6 +36,7 @@
 	proposer quorum.Proposer
 	group    quorum.GroupID
 	clock    fleet.Clock
+	instance fleet.InstanceID
 	session  Session
 	terms    Terms
 
@@ -66,6 +67,7 @@
 		proposer: p,
 		group:    g,
 		clock:    c,
+		instance: i,
 		session:  Session(string(i) + "/" + string(fleet.NewRequestID())),
 		terms:    t,
 		held:     make(map[fleet.UpstreamID]tenure),
@@ -223,7 +225,7 @@
 }
 
 func (h *Holder) propose(ctx context.Context, c command) (reply, error) {
-	c.Version = version
+	c.Version, c.Instance, c.At = version, h.instance, h.clock.Now().UTC()
 	data, err := json.Marshal(c)
 	if err != nil {
 		return reply{}, refusal.Because(refusal.Internal, err, "encode command of the leases")
--- a/internal/upstream/fencing/machine.go
+++ b/internal/upstream/fencing/machine.go
@@ -8,7 +8,7 @@
 //	holder := fencing.NewHolder(proposer, quorum.ConfigGroup, clock, instance, fencing.DefaultTerms)
 //	report, err := fencing.NewCommander(holder, dialer).Send(ctx, upstream, command)
 //
-// The Machine uses no clock. A holder counts its lease from the time before it
+// The Machine decides without a clock. A holder counts its lease from the time before it
 // sent the request. A successor first sees the lease of the holder, waits for its
 // whole duration, the time that a command may be under way and the clock error
 // bound, and takes the lease over only if it was not renewed meanwhile. Engines
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/timeline"
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 	"github.com/pkg/errors"
@@ -28,8 +29,11 @@
 
 const (
 	version = 1
-	// MaxLeases bounds the leases that are kept.
+	// MaxLeases bounds the leases that are kept. When it is reached, those that
+	// were not used for StaleAfter are dropped: their engines are gone.
 	MaxLeases = 50_000
+	// StaleAfter is far longer than any lease with its wait.
+	StaleAfter = 24 * time.Hour
 
 	maxName = 256 // bytes of a holder or an upstream id
 )
@@ -56,14 +60,22 @@
 type Machine struct {
 	mu     sync.RWMutex
 	last   fleet.Fence
-	leases map[fleet.UpstreamID]Lease
+	time   timeline.Timeline
+	leases map[fleet.UpstreamID]granted
+}
+
+// granted is a lease and the time of its last grant or renewal. The time decides
+// only whether the lease is stale.
+type granted struct {
+	Lease
+	Used time.Time `json:"used"`
 }
 
 var _ quorum.Reader = (*Machine)(nil)
 
 // NewMachine returns a Machine without leases.
 func NewMachine() *Machine {
-	return &Machine{leases: make(map[fleet.UpstreamID]Lease)}
+	return &Machine{leases: make(map[fleet.UpstreamID]granted)}
 }
 
 type kind string
@@ -84,6 +96,9 @@
 	// Over is a lease of another session that the sender has waited for. An
 	// acquire takes it over when it is still the same.
 	Over *Lease `json:"over,omitempty"`
+	// Instance and At are the sender and its time.
+	Instance fleet.InstanceID `json:"instance"`
+	At       time.Time        `json:"at"`
 }
 
 // reply answers a command and, with Lease only, a query for an upstream.
@@ -107,6 +122,7 @@
 	if c.Version != version || l.Upstream == "" || l.Session == "" || len(l.Upstream)+len(l.Session) > maxName {
 		return encode(reply{Error: "command is not valid"})
 	}
+	m.time.Observe(c.Instance, c.At)
 	switch c.Kind {
 	case acquireKind:
 		return encode(m.acquire(c))
@@ -122,8 +138,11 @@
 // a new token too, so that a late release of the old one has no effect.
 func (m *Machine) acquire(c command) reply {
 	old, taken := m.leases[c.Lease.Upstream]
-	if taken && !mayTake(old, c) {
-		return reply{Lease: &old}
+	if taken && !mayTake(old.Lease, c) {
+		return reply{Lease: &old.Lease}
+	}
+	if !taken && len(m.leases) >= MaxLeases {
+		m.sweep()
 	}
 	if !taken && len(m.leases) >= MaxLeases {
 		return reply{Error: "too many leases"}
@@ -131,10 +150,19 @@
 	m.last++
 	l := c.Lease
 	l.Fence, l.Renewals = m.last, 0
-	m.leases[l.Upstream] = l
+	m.leases[l.Upstream] = granted{Lease: l, Used: m.time.From(c.At)}
 	return reply{Granted: true, Lease: &l}
 }
 
+// sweep drops the leases that were not used for StaleAfter.
+func (m *Machine) sweep() {
+	for id, g := range m.leases {
+		if !g.Used.Add(StaleAfter).After(m.time.Now()) {
+			delete(m.leases, id)
+		}
+	}
+}
+
 // mayTake reports whether c may replace the lease of old.
 func mayTake(old Lease, c command) bool {
 	switch {
@@ -154,7 +182,7 @@
 		return reply{}
 	}
 	l.Renewals++
-	m.leases[l.Upstream] = l
+	m.leases[l.Upstream] = granted{Lease: l, Used: m.time.From(c.At)}
 	return reply{Granted: true, Lease: &l}
 }
 
@@ -167,7 +195,8 @@
 
 // held returns the lease that c names, if it is still in place.
 func (m *Machine) held(c command) (Lease, bool) {
-	l, ok := m.leases[c.Lease.Upstream]
+	g, ok := m.leases[c.Lease.Upstream]
+	l := g.Lease
 	return l, ok && l.Session == c.Lease.Session && l.Fence == c.Lease.Fence
 }
 
@@ -179,20 +208,21 @@
 	if !ok {
 		return encode(reply{})
 	}
-	return encode(reply{Lease: &l})
+	return encode(reply{Lease: &l.Lease})
 }
 
 type snapshot struct {
-	Version int                        `json:"version"`
-	Last    fleet.Fence                `json:"last"`
-	Leases  map[fleet.UpstreamID]Lease `json:"leases"`
+	Version int                          `json:"version"`
+	Last    fleet.Fence                  `json:"last"`
+	Time    timeline.Timeline            `json:"time"`
+	Leases  map[fleet.UpstreamID]granted `json:"leases"`
 }
 
 // Snapshot returns the whole state in JSON.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return json.Marshal(snapshot{Version: version, Last: m.last, Leases: m.leases})
+	return json.Marshal(snapshot{Version: version, Last: m.last, Time: m.time, Leases: m.leases})
 }
 
 // Restore replaces the state by a snapshot.
@@ -205,11 +235,11 @@
 		return errors.Errorf("snapshot version %d of the leases is not supported", s.Version)
 	}
 	if s.Leases == nil {
-		s.Leases = make(map[fleet.UpstreamID]Lease)
+		s.Leases = make(map[fleet.UpstreamID]granted)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.last, m.leases = s.Last, s.Leases
+	m.last, m.time, m.leases = s.Last, s.Time, s.Leases
 	return nil
 }
 
