--- a/internal/document/follower/core.go
+++ b/internal/document/follower/core.go
@@ -21,9 +21,9 @@
 	relayCount = 2
 	// surveyCount bounds the peers that a started instance asks.
 	surveyCount = 8
-	// strayCount bounds the instances besides relays and voters that are asked
+	// otherCount bounds the instances besides relays and voters that are asked
 	// because they have a higher revision.
-	strayCount = 3
+	otherCount = 3
 
 	pollWait     = 4 * time.Second
 	fetchTimeout = 2 * time.Second
@@ -44,9 +44,9 @@
 	whole bool
 	// faults counts the unusable replies in a row.
 	faults int
-	// turn counts the sources that were of no use in a row.
-	turn   int
-	status Status
+	// attempt counts the sources that were of no use in a row.
+	attempt int
+	status  Status
 }
 
 // parsed is a section that was parsed before, with its text.
@@ -81,28 +81,28 @@
 	if c.whole {
 		p.after = 0
 	}
-	sources, strays := sourcesOf(self, members, c.doc.Revision)
+	sources, others := sourcesOf(self, members, c.doc.Revision)
 	if c.status.State != Ready {
-		p.peers = survey(append(sources, strays...), c.turn)
+		p.peers = survey(append(sources, others...), c.attempt)
 		return p
 	}
-	sources = append(sources, strays[:min(len(strays), strayCount)]...)
+	sources = append(sources, others[:min(len(others), otherCount)]...)
 	if len(sources) > 0 {
-		p.peers = []membership.Member{sources[c.turn%len(sources)]}
+		p.peers = []membership.Member{sources[c.attempt%len(sources)]}
 		p.wait = pollWait
 	}
 	return p
 }
 
-// survey returns the peers that a started instance asks. Each turn asks others
+// survey returns the peers that a started instance asks. Each attempt asks others
 // when there are too many for one.
-func survey(list []membership.Member, turn int) []membership.Member {
+func survey(list []membership.Member, attempt int) []membership.Member {
 	if len(list) <= surveyCount {
 		return list
 	}
 	var peers []membership.Member
 	for i := range surveyCount {
-		peers = append(peers, list[(turn*surveyCount+i)%len(list)])
+		peers = append(peers, list[(attempt*surveyCount+i)%len(list)])
 	}
 	return peers
 }
@@ -126,17 +126,17 @@
 	c.decideReady(answered, best)
 	switch {
 	case news:
-		c.turn = 0
+		c.attempt = 0
 		return 0
 	case c.faults > 0:
-		c.turn++
+		c.attempt++
 		if c.faults > 1 {
 			return faultPause
 		}
 		return shortPause
 	case !answered || best < c.status.Highest:
 		// The source is lost or behind what gossip tells.
-		c.turn++
+		c.attempt++
 		return longPause
 	}
 	return shortPause
@@ -256,7 +256,7 @@
 // sourcesOf returns the peers to ask, the best first, and other peers with a
 // higher revision. A voter asks itself, relays ask voters, and all others ask the
 // relays of their data centre.
-func sourcesOf(self membership.Member, members []membership.Member, own fleet.Revision) (list, strays []membership.Member) {
+func sourcesOf(self membership.Member, members []membership.Member, own fleet.Revision) (list, others []membership.Member) {
 	var voters, relays []membership.Member
 	chosen := relaysOf(self.DataCentre, members)
 	for _, m := range members {
@@ -268,7 +268,7 @@
 		case contains(chosen, m.ID):
 			relays = append(relays, m)
 		case m.Revision > own:
-			strays = append(strays, m)
+			others = append(others, m)
 		}
 	}
 	if self.Voter {
@@ -276,13 +276,13 @@
 	}
 	prefer(self, voters)
 	prefer(self, relays)
-	prefer(self, strays)
+	prefer(self, others)
 	if self.Voter || contains(chosen, self.ID) {
 		list = append(append(list, voters...), relays...)
 	} else {
 		list = append(append(list, relaysFirst(chosen, voters, relays)...), voters...)
 	}
-	return unique(list), strays
+	return unique(list), others
 }
 
 // relaysFirst returns the relays of the data centre, voters among them included.
--- a/internal/document/register/codec.go
+++ b/internal/document/register/codec.go
@@ -150,7 +150,7 @@
 		if t == nil {
 			return errors.Errorf("team %q has no state in the snapshot", id)
 		}
-		next.adopt(id, t)
+		next.addTeam(id, t)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -159,7 +159,7 @@
 	return nil
 }
 
-func (r *Register) adopt(id fleet.TeamID, t *team) {
+func (r *Register) addTeam(id fleet.TeamID, t *team) {
 	if t.Changes == nil {
 		t.Changes = make(map[fleet.ChangeID]change)
 	}
--- a/internal/document/register/register.go
+++ b/internal/document/register/register.go
@@ -212,7 +212,7 @@
 	}
 	parsed, reason := r.check(c, old)
 	if reason != "" {
-		return document.Outcome{Change: s.Change, Verdict: document.Refused, Revision: current, Reason: clip(reason)}, nil
+		return document.Outcome{Change: s.Change, Verdict: document.Refused, Revision: current, Reason: truncate(reason)}, nil
 	}
 	return document.Outcome{Change: s.Change, Verdict: document.Accepted, Revision: r.revision + 1}, parsed
 }
@@ -346,9 +346,9 @@
 	return e.Revision
 }
 
-// clip bounds a reason. It cuts between characters, because JSON would alter a
+// truncate bounds a reason. It cuts between characters, because JSON would alter a
 // part of one and replicas that were restored would hold another outcome.
-func clip(reason string) string {
+func truncate(reason string) string {
 	if len(reason) <= maxReason {
 		return reason
 	}
--- a/internal/document/register/register_test.go
+++ b/internal/document/register/register_test.go
@@ -195,7 +195,7 @@
 		o, err = client.Submit(context.Background(), document.Submission{Change: "c", Team: "t", Text: "# \xff"})
 	}
 	is.Equal(o.Verdict, document.Refused)
-	is.True(utf8.ValidString(clip("x" + strings.Repeat("\u00e9", maxReason))))
+	is.True(utf8.ValidString(truncate("x" + strings.Repeat("\u00e9", maxReason))))
 	o, err = client.Submit(context.Background(), document.Submission{Change: "d", Team: "t", Text: strings.Repeat("#", 4<<20)})
 	is.NoErr(err)
 	is.Equal(o.Verdict, document.Refused)
--- a/internal/document/section/check.go
+++ b/internal/document/section/check.go
@@ -38,7 +38,7 @@
 // other teams that the submitter did not write itself. The error is of type
 // Faults.
 func Cross(list []*Parsed, submitter fleet.TeamID) error {
-	c := crossing{
+	c := crossCheck{
 		submitter:   submitter,
 		models:      make(map[string]fleet.TeamID),
 		accounts:    make(map[string]fleet.TeamID),
@@ -59,7 +59,7 @@
 	return c.faults.asError()
 }
 
-type crossing struct {
+type crossCheck struct {
 	submitter                                                fleet.TeamID
 	models, accounts, keys, dataCentres, windows, poolOwners map[string]fleet.TeamID
 	pools                                                    map[fleet.PoolID]document.Pool
@@ -68,7 +68,7 @@
 
 // submitterLast orders the sections by team with the submitter last, so that it
 // gets the fault of a name that another team has already.
-func (c *crossing) submitterLast(list []*Parsed) []*Parsed {
+func (c *crossCheck) submitterLast(list []*Parsed) []*Parsed {
 	ordered := append([]*Parsed(nil), list...)
 	sort.SliceStable(ordered, func(i, j int) bool {
 		a, b := ordered[i].Team, ordered[j].Team
@@ -80,7 +80,7 @@
 	return ordered
 }
 
-func (c *crossing) bounds(list []*Parsed) {
+func (c *crossCheck) bounds(list []*Parsed) {
 	size := 0
 	for _, p := range list {
 		size += p.size
@@ -93,11 +93,11 @@
 	}
 }
 
-func (c *crossing) fault(team fleet.TeamID, section, key, message string) {
+func (c *crossCheck) fault(team fleet.TeamID, section, key, message string) {
 	c.faults = append(c.faults, Fault{Team: team, Section: section, Key: key, Message: message})
 }
 
-func (c *crossing) names(p *Parsed) {
+func (c *crossCheck) names(p *Parsed) {
 	for _, m := range p.models {
 		c.claim(c.models, p.Team, "model", string(m.ID), "", string(m.ID))
 	}
@@ -121,7 +121,7 @@
 }
 
 // claim notes that a value belongs to a team and reports whether it was free.
-func (c *crossing) claim(taken map[string]fleet.TeamID, team fleet.TeamID, kind, name, key, value string) bool {
+func (c *crossCheck) claim(taken map[string]fleet.TeamID, team fleet.TeamID, kind, name, key, value string) bool {
 	if _, ok := taken[value]; !ok {
 		taken[value] = team
 		return true
@@ -134,7 +134,7 @@
 	return false
 }
 
-func (c *crossing) references(p *Parsed) {
+func (c *crossCheck) references(p *Parsed) {
 	for _, m := range p.models {
 		c.poolOf(p.Team, m)
 	}
@@ -148,7 +148,7 @@
 	}
 }
 
-func (c *crossing) poolOf(team fleet.TeamID, m document.Model) {
+func (c *crossCheck) poolOf(team fleet.TeamID, m document.Model) {
 	o, ok := c.pools[m.Pool]
 	if ok && o.Kind == document.EnginePool {
 		return
--- a/internal/document/section/section.go
+++ b/internal/document/section/section.go
@@ -135,7 +135,7 @@
 	}
 	file, err := ini.LoadSources(options, []byte(text))
 	if err != nil {
-		p.fault("", "", "is not valid INI: "+cut(err.Error()))
+		p.fault("", "", "is not valid INI: "+truncate(err.Error()))
 		return nil, p.faults
 	}
 	for _, s := range file.Sections() {
@@ -202,13 +202,13 @@
 func (p *parser) section(s *ini.Section) {
 	if s.Name() == ini.DefaultSection {
 		for _, k := range s.Keys() {
-			p.fault(cut(s.Name()), cut(k.Name()), "key outside of a subsection")
+			p.fault(truncate(s.Name()), truncate(k.Name()), "key outside of a subsection")
 		}
 		return
 	}
-	title := cut(s.Name())
+	title := truncate(s.Name())
 	kind, name, ok := splitTitle(s.Name())
-	if !ok || cut(kind) != kind {
+	if !ok || truncate(kind) != kind {
 		p.fault(title, "", `must be a kind and a quoted name, such as [pool "plots"]`)
 		return
 	}
@@ -272,7 +272,7 @@
 	values := make(map[string]string, len(specs))
 	for _, k := range s.Keys() {
 		if len(k.ValueWithShadows()) > 1 {
-			p.fault(title, cut(k.Name()), "appears twice")
+			p.fault(title, truncate(k.Name()), "appears twice")
 		}
 		values[k.Name()] = k.Value()
 	}
@@ -281,7 +281,7 @@
 		delete(values, x.Name)
 	}
 	for _, name := range sortedKeys(values) {
-		p.fault(title, cut(name), "unknown key")
+		p.fault(title, truncate(name), "unknown key")
 	}
 }
 
@@ -298,7 +298,7 @@
 		return
 	}
 	if message := set(v); message != "" {
-		p.fault(title, k.Name, fmt.Sprintf("%s, got %q", message, cut(v)))
+		p.fault(title, k.Name, fmt.Sprintf("%s, got %q", message, truncate(v)))
 	}
 }
 
@@ -327,8 +327,8 @@
 	return ""
 }
 
-// cut bounds a text of the submitter that appears in a message.
-func cut(s string) string {
+// truncate bounds a text of the submitter that appears in a message.
+func truncate(s string) string {
 	const longest = 100 // bytes
 	if len(s) <= longest {
 		return s
--- a/internal/order/desk/desk.go
+++ b/internal/order/desk/desk.go
@@ -81,9 +81,9 @@
 	mu      sync.Mutex
 	closed  bool
 	flights map[flightKey]*flight
-	// landed counts orders that are answered and still have a call to the ledger
+	// unrecorded counts orders that are answered and still have a call to the ledger
 	// to repeat.
-	landed int
+	unrecorded int
 }
 
 // flightKey keeps requests with another content apart, because only the ledger
@@ -176,18 +176,18 @@
 	if d.closed {
 		return nil, Unconfirmed(refusal.New(refusal.Stopping, "instance is stopping"))
 	}
-	if len(d.flights)+d.landed >= MaxFlights {
+	if len(d.flights)+d.unrecorded >= MaxFlights {
 		return nil, Unconfirmed(refusal.New(refusal.Overloaded, "too many orders in progress"))
 	}
 	f := &flight{done: make(chan struct{})}
 	d.flights[k] = f
-	d.group.Go(func() { d.fly(k, f, o) })
+	d.group.Go(func() { d.execute(k, f, o) })
 	return f, nil
 }
 
-// fly runs an order and keeps its flight until nothing of it is left to do, so
+// execute runs an order and keeps its flight until nothing of it is left to do, so
 // that requests with the same key get the answer also before it is recorded.
-func (d *Desk) fly(k flightKey, f *flight, o Order) {
+func (d *Desk) execute(k flightKey, f *flight, o Order) {
 	t := &attempt{Desk: d, order: o, claim: order.Claim{
 		Key:      o.Key,
 		Attempt:  order.AttemptID(fleet.NewRequestID()),
@@ -197,29 +197,29 @@
 		At:       d.clock.Now(),
 	}}
 	f.answer, f.err = t.run()
-	if t.later != nil && f.err == nil {
+	if t.unfinished != nil && f.err == nil {
 		close(f.done)
-		t.insist()
-		d.land(k, 0)
+		t.retry()
+		d.finish(k, 0)
 		return
 	}
 	// The result of an attempt without an answer is not kept: the next request
 	// asks the ledger.
-	d.land(k, 1)
+	d.finish(k, 1)
 	close(f.done)
-	t.insist()
-	d.land(k, -1)
+	t.retry()
+	d.finish(k, -1)
 }
 
-// land ends a flight and changes the number of landed orders. The second call
+// finish ends a flight and changes the number of unrecorded orders. The second call
 // for an order may find the flight of a later attempt, which it leaves alone.
-func (d *Desk) land(k flightKey, landed int) {
+func (d *Desk) finish(k flightKey, unrecorded int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if landed >= 0 {
+	if unrecorded >= 0 {
 		delete(d.flights, k)
 	}
-	d.landed += landed
+	d.unrecorded += unrecorded
 }
 
 // bounded returns a context that ends after t by the clock of the desk, or when
@@ -242,8 +242,8 @@
 	*Desk
 	order Order
 	claim order.Claim
-	// later is a call to the ledger that did not succeed yet.
-	later func(context.Context) error
+	// unfinished is a call to the ledger that did not succeed yet.
+	unfinished func(context.Context) error
 }
 
 func (t *attempt) run() (upstream.Answer, error) {
@@ -348,7 +348,7 @@
 	})
 }
 
-// try calls the ledger once and leaves the call to insist when it fails.
+// try calls the ledger once and leaves the call to retry when it fails.
 func (t *attempt) try(call func(context.Context) error) {
 	ctx, cancel := t.bounded(recordTimeout)
 	defer cancel()
@@ -357,12 +357,12 @@
 		t.warn(err)
 		return
 	}
-	t.later = call
+	t.unfinished = call
 }
 
-// insist repeats the call that failed until it succeeds or Close gives up.
-func (t *attempt) insist() {
-	call := t.later
+// retry repeats the call that failed until it succeeds or Close gives up.
+func (t *attempt) retry() {
+	call := t.unfinished
 	for pause := firstPause; call != nil; pause = min(2*pause, longestPause) {
 		select {
 		case <-t.work.Done():
--- a/internal/order/desk/fake_test.go
+++ b/internal/order/desk/fake_test.go
@@ -131,7 +131,7 @@
 		open := 0
 		for _, d := range desks {
 			d.mu.Lock()
-			open += len(d.flights) + d.landed
+			open += len(d.flights) + d.unrecorded
 			d.mu.Unlock()
 		}
 		c.mu.Lock()
--- a/internal/order/ledger/ledger.go
+++ b/internal/order/ledger/ledger.go
@@ -193,11 +193,11 @@
 	m.advance(c)
 	r, ok := m.records[c.Key]
 	if !ok || r.Attempt != c.Attempt {
-		m.contradict(c)
+		m.noteLateAnswer(c)
 		return reply{Lost: true}
 	}
 	if r.State == order.Done {
-		m.contradict(c)
+		m.noteLateAnswer(c)
 		return reply{State: r.State}
 	}
 	m.complete(c, r, c.Answer)
@@ -229,12 +229,12 @@
 	case m.total.records >= c.Limits.MaxRecords:
 		return reply{Full: "the ledger holds its largest number of keys"}
 	}
-	m.bar(c)
+	m.markReleased(c)
 	return reply{State: order.Free}
 }
 
-// bar keeps an attempt from claiming again.
-func (m *Machine) bar(c command) {
+// markReleased keeps an attempt from claiming again.
+func (m *Machine) markReleased(c command) {
 	if _, again := m.released[c.Attempt]; !again {
 		m.count(c.Key.Account, 1, 0)
 	}
@@ -266,13 +266,13 @@
 		m.complete(c, r, c.Answer)
 	} else {
 		m.remove(c.Key)
-		m.bar(c)
+		m.markReleased(c)
 	}
 	return reply{Settled: &s}
 }
 
-// contradict notes that an answer arrived after its claim was settled.
-func (m *Machine) contradict(c command) {
+// noteLateAnswer notes that an answer arrived after its claim was settled.
+func (m *Machine) noteLateAnswer(c command) {
 	for i := range m.settlements {
 		if s := &m.settlements[i]; s.Attempt == c.Attempt && s.Key == c.Key {
 			s.AnsweredLater = true
--- a/internal/order/ledger/snapshot.go
+++ b/internal/order/ledger/snapshot.go
@@ -77,7 +77,7 @@
 		if in.broken || one.broken || len(one.data) > 0 {
 			return errors.Errorf("record %d in the snapshot of the ledger is not valid", len(next.records))
 		}
-		next.adopt(k, r)
+		next.addRecord(k, r)
 	}
 	for a, b := range h.Released {
 		next.released[a] = b
@@ -93,7 +93,7 @@
 	return nil
 }
 
-func (m *Machine) adopt(k order.Key, r *record) {
+func (m *Machine) addRecord(k order.Key, r *record) {
 	m.records[k] = r
 	m.count(k.Account, 1, r.size())
 	if r.State == order.Done {
--- a/internal/report/trail/trail.go
+++ b/internal/report/trail/trail.go
@@ -107,7 +107,7 @@
 
 // Add appends e to the record of id. Without a record it does nothing.
 func (t *Trail) Add(id string, e report.Entry) {
-	e = cut(e)
+	e = truncate(e)
 	s := t.of(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -212,7 +212,7 @@
 	return entryOverhead + len(e.Part) + len(e.Known) + len(e.Weighed) + len(e.Chosen) + len(e.Reason) + len(e.Next)
 }
 
-func cut(e report.Entry) report.Entry {
+func truncate(e report.Entry) report.Entry {
 	for _, text := range []*string{&e.Part, &e.Known, &e.Weighed, &e.Chosen, &e.Reason, &e.Next} {
 		if len(*text) > MaxText {
 			*text = strings.ToValidUTF8((*text)[:MaxText], "") + "..."
--- a/internal/upstream/fencing/commander.go
+++ b/internal/upstream/fencing/commander.go
@@ -16,15 +16,15 @@
 	holder *Holder
 	dialer upstream.Dialer
 
-	mu    sync.Mutex
-	lanes map[fleet.UpstreamID]*lane
+	mu     sync.Mutex
+	queues map[fleet.UpstreamID]*queue
 }
 
-// maxLanes is the number of lanes from which on idle ones are looked for.
-const maxLanes = 256
+// maxQueues is the number of queues from which on idle ones are looked for.
+const maxQueues = 256
 
-// lane orders the commands to one engine.
-type lane struct {
+// queue orders the commands to one engine.
+type queue struct {
 	// turn is held by the command that is under way.
 	turn chan struct{}
 	// clear is the time from which on no earlier command of unknown outcome can
@@ -44,7 +44,7 @@
 
 // NewCommander returns a Commander that uses the leases of h.
 func NewCommander(h *Holder, d upstream.Dialer) *Commander {
-	return &Commander{holder: h, dialer: d, lanes: make(map[fleet.UpstreamID]*lane)}
+	return &Commander{holder: h, dialer: d, queues: make(map[fleet.UpstreamID]*queue)}
 }
 
 // Send hands c to an engine with the token of the lease and reads back what the
@@ -126,13 +126,13 @@
 }
 
 // enter waits for its turn on an engine.
-func (m *Commander) enter(ctx context.Context, id fleet.UpstreamID) (*lane, error) {
+func (m *Commander) enter(ctx context.Context, id fleet.UpstreamID) (*queue, error) {
 	m.mu.Lock()
-	l, ok := m.lanes[id]
+	l, ok := m.queues[id]
 	if !ok {
 		m.sweep()
-		l = &lane{turn: make(chan struct{}, 1)}
-		m.lanes[id] = l
+		l = &queue{turn: make(chan struct{}, 1)}
+		m.queues[id] = l
 	}
 	l.users++
 	m.mu.Unlock()
@@ -149,33 +149,33 @@
 	return l, nil
 }
 
-func (m *Commander) leave(id fleet.UpstreamID, l *lane) {
+func (m *Commander) leave(id fleet.UpstreamID, l *queue) {
 	<-l.turn
 	m.drop(id, l)
 }
 
-// drop removes a lane that holds nothing to remember.
-func (m *Commander) drop(id fleet.UpstreamID, l *lane) {
+// drop removes a queue that holds nothing to remember.
+func (m *Commander) drop(id fleet.UpstreamID, l *queue) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	l.users--
 	if m.idle(l) {
-		delete(m.lanes, id)
+		delete(m.queues, id)
 	}
 }
 
-// sweep drops the lanes of engines that are gone when there are many.
+// sweep drops the queues of engines that are gone when there are many.
 func (m *Commander) sweep() {
-	if len(m.lanes) < maxLanes {
+	if len(m.queues) < maxQueues {
 		return
 	}
-	for id, l := range m.lanes {
+	for id, l := range m.queues {
 		if m.idle(l) {
-			delete(m.lanes, id)
+			delete(m.queues, id)
 		}
 	}
 }
 
-func (m *Commander) idle(l *lane) bool {
+func (m *Commander) idle(l *queue) bool {
 	return l.users == 0 && !l.clear.After(m.holder.clock.Now())
 }
--- a/internal/upstream/fencing/holder.go
+++ b/internal/upstream/fencing/holder.go
@@ -41,25 +41,25 @@
 	terms    Terms
 
 	mu    sync.Mutex
-	held  map[fleet.UpstreamID]tenure
-	other map[fleet.UpstreamID]sighting
+	held  map[fleet.UpstreamID]heldLease
+	other map[fleet.UpstreamID]observation
 }
 
-// tenure is a lease of this holder and its end by the clock of the holder.
-type tenure struct {
+// heldLease is a lease of this holder and its end by the clock of the holder.
+type heldLease struct {
 	lease Lease
 	end   time.Time
 }
 
-// sighting is a lease of another session and when it was seen first in this
+// observation is a lease of another session and when it was seen first in this
 // state.
-type sighting struct {
+type observation struct {
 	lease Lease
 	since time.Time
 }
 
-// maxSightings bounds the leases of others that a holder remembers.
-const maxSightings = 4096
+// maxObservations bounds the leases of others that a holder remembers.
+const maxObservations = 4096
 
 // NewHolder returns a Holder of an instance with a new Session.
 func NewHolder(p quorum.Proposer, g quorum.GroupID, c fleet.Clock, i fleet.InstanceID, t Terms) *Holder {
@@ -70,8 +70,8 @@
 		instance: i,
 		session:  Session(string(i) + "/" + string(fleet.NewRequestID())),
 		terms:    t,
-		held:     make(map[fleet.UpstreamID]tenure),
-		other:    make(map[fleet.UpstreamID]sighting),
+		held:     make(map[fleet.UpstreamID]heldLease),
+		other:    make(map[fleet.UpstreamID]observation),
 	}
 }
 
@@ -156,7 +156,7 @@
 		return Lease{}, refusal.New(refusal.Internal, "reply of the leases has no lease")
 	}
 	if !p.Granted {
-		return Lease{}, h.see(*p.Lease)
+		return Lease{}, h.observe(*p.Lease)
 	}
 	if !h.keep(*p.Lease, sent) {
 		return Lease{}, refusal.New(refusal.NotReady, "lease on %q ended before it arrived", id)
@@ -175,19 +175,19 @@
 	if t.lease.Fence > l.Fence || t.lease.Fence == l.Fence && !end.After(t.end) {
 		return t.lease.Fence == l.Fence && left(t.end, h.clock.Now()) > 0
 	}
-	h.held[l.Upstream] = tenure{lease: l, end: end}
+	h.held[l.Upstream] = heldLease{lease: l, end: end}
 	return left(end, h.clock.Now()) > 0
 }
 
-// see notes the lease of another session and returns the error for the caller.
-func (h *Holder) see(l Lease) error {
+// observe notes the lease of another session and returns the error for the caller.
+func (h *Holder) observe(l Lease) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.held, l.Upstream)
 	now := h.clock.Now()
 	s, ok := h.other[l.Upstream]
 	if !ok || s.lease != l {
-		s = sighting{lease: l, since: now}
+		s = observation{lease: l, since: now}
 		h.makeRoom()
 		h.other[l.Upstream] = s
 	}
@@ -195,9 +195,9 @@
 	return refusal.New(refusal.Conflict, "another instance has the lease on %q", l.Upstream).After(max(wait, 0))
 }
 
-// makeRoom drops any one sighting when there are too many. Its wait starts again.
+// makeRoom drops any one observation when there are too many. Its wait starts again.
 func (h *Holder) makeRoom() {
-	if len(h.other) < maxSightings {
+	if len(h.other) < maxObservations {
 		return
 	}
 	for id := range h.other {
@@ -218,7 +218,7 @@
 	return &s.lease
 }
 
-// wait returns the time between the sighting of a lease and the earliest command
+// wait returns the time between the observation of a lease and the earliest command
 // of a successor.
 func (h *Holder) wait(l Lease) time.Duration {
 	return l.Duration + l.UnderWay + h.terms.ClockError
