--- a/internal/document/register/register_test.go
+++ b/internal/document/register/register_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/bilberryrock/bilberryrock/internal/document"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
@@ -78,6 +79,7 @@
 func schedule(t *testing.T, seed int64) {
 	f := newFaulty(t, seed)
 	client := NewClient(f, quorum.ConfigGroup, instantClock{})
+	client.attempts = 3
 	ctx := context.Background()
 	known := make(map[string]document.Outcome)
 	sent := make(map[string]document.Submission)
@@ -193,6 +195,7 @@
 		o, err = client.Submit(context.Background(), document.Submission{Change: "c", Team: "t", Text: "# \xff"})
 	}
 	is.Equal(o.Verdict, document.Refused)
+	is.True(utf8.ValidString(truncate("x" + strings.Repeat("\u00e9", maxReason))))
 	o, err = client.Submit(context.Background(), document.Submission{Change: "d", Team: "t", Text: strings.Repeat("#", 4<<20)})
 	is.NoErr(err)
 	is.Equal(o.Verdict, document.Refused)
