Check membership by seeded schedules of faults

TestSchedules runs 12 hosts in 3 data centres through loss, duplication, reordering, one-way cuts, pauses, crashes, restarts, leaves, joins and partitions, and checks after every 50 ms that nothing that left comes back.

--- a/internal/membership/gossip/beats.go
+++ b/internal/membership/gossip/beats.go
@@ -33,8 +33,9 @@
 	maxBeats = 1000
 	// repairBeats bounds them in an answer that also repairs.
 	repairBeats = 400
-	// minWindow is the length up to which a window is not compacted.
-	minWindow = 32
+	// minWindow is the number of unused slots that a window may have besides a
+	// quarter of the used ones.
+	minWindow = 8
 	// maxGap is the number of unused slots in a row that cost more than the
 	// header of a second entry.
 	maxGap = 12
@@ -245,7 +246,7 @@
 
 // compact keeps the window of the own slots close to the number of upstreams in
 // it. It frees slots of upstreams that are confirmed under the slot of another
-// instance, and moves the oldest upstream when less than half is in use.
+// instance, and moves the oldest upstream when too many are unused.
 func (c *Core) compact(now time.Time) {
 	t, ok := c.tables[c.self.hash]
 	if !ok {
@@ -260,7 +261,7 @@
 		live++
 	}
 	c.trim(c.self.hash, t)
-	if len(t.slots) <= 2*live+minWindow {
+	if len(t.slots) <= live+live/4+minWindow {
 		return
 	}
 	record := proto.Clone(t.slots[0].record).(*gossipv1.Upstream)
--- a/internal/membership/gossip/centres.go
+++ b/internal/membership/gossip/centres.go
@@ -258,6 +258,22 @@
 	c.highest = max(c.highest, fleet.Revision(u.HighestRevision))
 	c.sums.stale = true
 	c.enqueue(summaryKey(u.DataCentre))
+	if c.local(u.DataCentre) {
+		c.meet(u.Contacts, now)
+	}
+}
+
+// meet pings contacts of the own data centre that are not known as present.
+// Instances that joined by seeds elsewhere, and the halves of a partition, find
+// the others of their data centre in this way.
+func (c *Core) meet(contacts []*gossipv1.Contact, now time.Time) {
+	for _, t := range contacts {
+		m, ok := c.members[fleet.InstanceID(t.Id)]
+		if ok && m.present() {
+			continue
+		}
+		c.ping(fleet.InstanceID(t.Id), t.Gossip, c.self.record.DataCentre, now, true)
+	}
 }
 
 func (c *Core) publishUsage(now time.Time) {
--- a/internal/membership/gossip/core.go
+++ b/internal/membership/gossip/core.go
@@ -80,10 +80,13 @@
 const UpstreamRetention = 10 * time.Minute
 
 const (
-	probePeriod     = 350 * time.Millisecond
+	probePeriod = 350 * time.Millisecond
+	// repairPeriod replaces probePeriod while the records of the data centre are
+	// read. 600 upstreams take 54 KB, which is 21 s at the usual period.
+	repairPeriod    = 100 * time.Millisecond
 	probeTimeout    = 300 * time.Millisecond
 	probeDeadline   = time.Second
-	minSuspicion    = 2 * time.Second
+	minSuspicion    = 3 * time.Second
 	maxSuspicion    = 6 * time.Second
 	crossPeriod     = time.Second
 	rejoinPeriod    = 5 * time.Second
--- a/internal/membership/gossip/probe.go
+++ b/internal/membership/gossip/probe.go
@@ -59,7 +59,11 @@
 	}
 	// A jitter of 10% keeps instances that started together from probing in
 	// step.
-	c.nextProbe = now.Add(probePeriod*9/10 + time.Duration(c.random.Int64N(int64(probePeriod/5))))
+	period := probePeriod
+	if c.repairs[localScope].active {
+		period = repairPeriod
+	}
+	c.nextProbe = now.Add(period*9/10 + time.Duration(c.random.Int64N(int64(period/5))))
 	t := c.nextNeighbour()
 	if t == nil {
 		return
--- a/internal/membership/gossip/repair.go
+++ b/internal/membership/gossip/repair.go
@@ -88,14 +88,17 @@
 	c.sums.keys[scope] = append(c.sums.keys[scope], key)
 }
 
-// askRepair makes m ask for the next records, if a repair goes on.
+// askRepair makes m ask for the next records, if a repair goes on. Two repairs
+// take turns.
 func (c *Core) askRepair(m *gossipv1.Message, dataCentre string) {
-	if r := &c.repairs[localScope]; r.active && c.local(dataCentre) {
-		m.Repair = &gossipv1.Repair{After: r.after}
+	inCentre := c.repairs[localScope].active && c.local(dataCentre)
+	between := c.repairs[globalScope].active
+	if inCentre && (!between || c.sequence%2 == 0) {
+		m.Repair = &gossipv1.Repair{After: c.repairs[localScope].after}
 		return
 	}
-	if r := &c.repairs[globalScope]; r.active {
-		m.Repair = &gossipv1.Repair{Global: true, After: r.after}
+	if between {
+		m.Repair = &gossipv1.Repair{Global: true, After: c.repairs[globalScope].after}
 	}
 }
 
--- /dev/null
+++ b/internal/membership/gossip/schedule_test.go
@@ -0,0 +1,252 @@
+package gossip_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/membership"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/roster"
+)
+
+var (
+	schedules     = flag.Int("schedules", 12, "number of random schedules")
+	firstSchedule = flag.Uint64("first", 1, "seed of the first schedule")
+)
+
+// schedule is a random sequence of faults. The invariants are checked after
+// every step of 50 ms.
+type schedule struct {
+	*world
+	upstreams []*announcer
+	left      map[*host]map[fleet.InstanceID]fleet.Incarnation
+	oneWay    map[[2]*host]bool
+	apart     fleet.DataCentreID
+}
+
+// TestSchedules guards against a left member or a leaving upstream that comes
+// back, and against members and confirmations that don't recover after loss,
+// duplication, reordering, one-way cuts, pauses, crashes, restarts, leaves and
+// partitions of a data centre.
+func TestSchedules(t *testing.T) {
+	for seed := *firstSchedule; seed < *firstSchedule+uint64(*schedules); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			newSchedule(t, seed).play(300)
+		})
+	}
+}
+
+func newSchedule(t *testing.T, seed uint64) *schedule {
+	s := &schedule{
+		world: newWorld(t, seed, 3, 4), oneWay: make(map[[2]*host]bool),
+		left: make(map[*host]map[fleet.InstanceID]fleet.Incarnation),
+	}
+	s.cut = func(from, to *host) bool {
+		parted := s.apart != "" && (from.centre == s.apart) != (to.centre == s.apart)
+		return parted || s.oneWay[[2]*host{from, to}]
+	}
+	for i := range 18 {
+		a := s.announcer(i, fleet.DataCentreID(fmt.Sprintf("dc%02d", i%3)))
+		a.rotate = i%2 == 0
+		s.upstreams = append(s.upstreams, a)
+	}
+	// Two hosts join in the middle.
+	for _, h := range s.hosts[:10] {
+		s.boot(h)
+	}
+	return s
+}
+
+func (s *schedule) play(steps int) {
+	s.run(5*time.Second, s.drive, s.check)
+	for range steps {
+		s.act()
+		s.run(step*time.Duration(1+s.random.IntN(20)), s.drive, s.check)
+	}
+	s.recover()
+}
+
+func (s *schedule) drive() {
+	for _, a := range s.upstreams {
+		s.announce(a)
+	}
+}
+
+// act does one random thing.
+func (s *schedule) act() {
+	h := s.hosts[s.random.IntN(len(s.hosts))]
+	o := s.hosts[s.random.IntN(len(s.hosts))]
+	a := s.upstreams[s.random.IntN(len(s.upstreams))]
+	switch s.random.IntN(14) {
+	case 0:
+		s.loss = s.random.Float64() / 5
+	case 1:
+		s.loss, s.repeat, s.jitter = 0, 0.1, time.Duration(1+s.random.IntN(200))*time.Millisecond
+	case 2:
+		s.oneWay[[2]*host{h, o}] = true
+	case 3:
+		clear(s.oneWay)
+	case 4:
+		h.frozen = h.up
+	case 5, 6:
+		s.thawAll()
+	case 7:
+		h.up = false
+	case 8, 9:
+		if !h.up {
+			s.boot(h)
+			delete(s.left, h)
+		}
+	case 10:
+		s.leave(h)
+	case 11:
+		s.apart = fleet.DataCentreID(fmt.Sprintf("dc%02d", s.random.IntN(4))) // dc03 heals
+	case 12:
+		s.leaveUpstream(a)
+	case 13:
+		s.restartUpstream(a)
+	}
+}
+
+func (s *schedule) thawAll() {
+	for _, h := range s.hosts {
+		if h.frozen {
+			s.thaw(h)
+		}
+	}
+}
+
+// leave lets h leave. Messages that it sent before can arrive afterwards.
+func (s *schedule) leave(h *host) {
+	if !h.up || h.frozen {
+		return
+	}
+	s.apply(h, h.core.Tick(s.now))
+	s.apply(h, h.core.Leave(s.now))
+	h.up = false
+}
+
+func (s *schedule) leaveUpstream(a *announcer) {
+	if !a.left.IsZero() || a.host == nil {
+		return
+	}
+	a.State = upstream.Leaving
+	s.say(a)
+	a.left = s.now
+	if a.host == nil {
+		return
+	}
+	// An old announcement reaches an instance that knows of the leave.
+	late := a.Announcement
+	late.State = upstream.Serving
+	late.Sequence--
+	is.New(s.t).True(a.host.roster.Announce(late, s.now) != nil)
+	a.host.roster.Merge([]roster.Confirmation{{Announcement: late}}, s.now)
+}
+
+// restartUpstream starts an upstream again that left at least 5 s ago.
+func (s *schedule) restartUpstream(a *announcer) {
+	if a.left.IsZero() || s.now.Sub(a.left) < 5*time.Second {
+		return
+	}
+	a.Incarnation++
+	a.Sequence, a.State, a.left, a.next = 0, upstream.Serving, time.Time{}, s.now
+}
+
+func (s *schedule) check() {
+	for _, h := range s.hosts {
+		if !h.up {
+			continue
+		}
+		s.checkLeft(h)
+		for _, a := range s.upstreams {
+			s.checkUpstream(h, a)
+		}
+	}
+}
+
+func (s *schedule) checkLeft(h *host) {
+	known := s.left[h]
+	if known == nil {
+		known = make(map[fleet.InstanceID]fleet.Incarnation)
+		s.left[h] = known
+	}
+	for _, m := range h.core.Members(s.now) {
+		if m.Status == membership.Left {
+			known[m.ID] = max(known[m.ID], m.Incarnation)
+		} else if m.Incarnation <= known[m.ID] {
+			s.t.Fatalf("%s sees %s as %v after it left", h.id, m.ID, m.Status)
+		}
+	}
+}
+
+// checkUpstream also looks at frozen hosts, as if they ran on at this moment.
+func (s *schedule) checkUpstream(h *host, a *announcer) {
+	if a.left.IsZero() || s.now.Sub(a.left) <= roster.MaxFreshness {
+		return
+	}
+	for _, u := range h.roster.Usable("p", s.now) {
+		if u.ID == a.ID {
+			s.t.Fatalf("%s would use %s %v after it said that it leaves", h.id, a.ID, s.now.Sub(a.left))
+		}
+	}
+}
+
+// recover ends all faults. Every instance must see every other within 40 s, and
+// soon afterwards use exactly the serving upstreams of its data centre.
+func (s *schedule) recover() {
+	s.loss, s.repeat, s.jitter, s.apart = 0, 0, 0, ""
+	clear(s.oneWay)
+	s.thawAll()
+	for _, h := range s.hosts {
+		if !h.up {
+			s.boot(h)
+			delete(s.left, h)
+		}
+	}
+	s.runUntil(40*time.Second, s.agreed, s.drive, s.check)
+	s.runUntil(20*time.Second, s.confirmed, s.drive, s.check)
+}
+
+func (s *schedule) confirmed() bool {
+	serving := make(map[fleet.DataCentreID]int)
+	for _, a := range s.upstreams {
+		if a.left.IsZero() {
+			serving[a.DataCentre]++
+		}
+	}
+	for _, h := range s.hosts {
+		if len(h.roster.Usable("p", s.now)) != serving[h.centre] {
+			return false
+		}
+	}
+	return true
+}
+
+// TestSlowMember guards against healthy members that are declared dead by a
+// member that is slow, or that was paused, and against a slow member that is
+// declared dead although it answers.
+func TestSlowMember(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 1, 12)
+	w.bootAll()
+	w.runUntil(30*time.Second, w.agreed)
+	w.hosts[5].slow = 1500 * time.Millisecond
+	w.run(5 * time.Minute)
+	is.Equal(w.deaths, 0)
+	w.hosts[5].slow = 0
+	for range 10 {
+		w.hosts[3].frozen = true
+		w.run(20 * time.Second)
+		w.thaw(w.hosts[3])
+		w.run(20 * time.Second)
+		is.True(w.agreed())
+	}
+	is.Equal(w.deaths, 0)
+}
--- a/internal/membership/packet/node.go
+++ b/internal/membership/packet/node.go
@@ -178,6 +178,7 @@
 		for {
 			now := n.clock.Now()
 			n.do(func() gossip.Effects { return n.core.Tick(now) })
+			n.tickRoster(now)
 			pools = n.every(poolPeriod, pools, now, n.countPools)
 			sweep = n.every(sweepPeriod, sweep, now, n.sweep)
 			select {
@@ -199,6 +200,12 @@
 	return now
 }
 
+func (n *Node) tickRoster(now time.Time) {
+	if n.roster != nil {
+		n.roster.Tick(now)
+	}
+}
+
 func (n *Node) countPools(now time.Time) {
 	if n.roster == nil {
 		return
--- a/internal/upstream/roster/roster.go
+++ b/internal/upstream/roster/roster.go
@@ -54,6 +54,10 @@
 // is half of the time between two announcements.
 const resumeGuard = 500 * time.Millisecond
 
+// tickLimit is the time since the last tick after which the process counts as
+// paused.
+const tickLimit = time.Second
+
 // Confirmation is an announcement and the time since the upstream was last
 // confirmed. A negative Age means that there is no confirmation.
 type Confirmation struct {
@@ -78,6 +82,7 @@
 	version    atomic.Uint64
 	conflicts  atomic.Uint64
 	resumed    atomic.Pointer[time.Time]
+	ticked     atomic.Pointer[time.Time]
 	listener   func(a upstream.Announcement, confirmed, now time.Time)
 }
 
@@ -150,7 +155,7 @@
 	}
 	a.Load.At = now
 	confirmed := now
-	if resumed := r.resumed.Load(); resumed != nil && now.Sub(*resumed) < resumeGuard {
+	if r.mayBeOld(now) {
 		confirmed = time.Time{}
 	}
 	if err := r.store(a, confirmed, now, false); err != nil {
@@ -162,6 +167,23 @@
 	return nil
 }
 
+// mayBeOld reports whether an announcement that is read at now may have waited
+// in a socket while the process was paused.
+func (r *Roster) mayBeOld(now time.Time) bool {
+	if ticked := r.ticked.Load(); ticked != nil && now.Sub(*ticked) > tickLimit {
+		return true
+	}
+	resumed := r.resumed.Load()
+	return resumed != nil && now.Sub(*resumed) < resumeGuard
+}
+
+// Tick tells that the process runs. Once it was called, an announcement confirms
+// only if the last call is recent: after a pause an announcement may be read
+// before the pause is noticed. Membership calls it about every 50 ms.
+func (r *Roster) Tick(now time.Time) {
+	r.ticked.Store(&now)
+}
+
 // Listen makes the roster call f for every announcement that this instance
 // received and accepted. The time of confirmation is zero when the announcement
 // does not confirm. Listen must be called before the first announcement.
--- a/internal/upstream/roster/roster_test.go
+++ b/internal/upstream/roster/roster_test.go
@@ -58,6 +58,9 @@
 	case "resume":
 		s.roster.Resume(now)
 		return ""
+	case "tick":
+		s.roster.Tick(now)
+		return ""
 	case "advance":
 		s.clock.Advance(duration(t, d, "by"))
 		return ""
