Keep accounts with fewer places than instances near their limit

Cause: every instance allowed at least one request in progress, so an account with 6 places ran 15 on 15 instances.

Tried and dropped: taking the fraction anew every second.

--- a/internal/admission/share/exchange.go
+++ b/internal/admission/share/exchange.go
@@ -13,21 +13,23 @@
 )
 
 const (
-	// maxEntries bounds a summary to 64 accounts, less than 1 KB.
-	maxEntries = 64
+	// maxEntries bounds a summary to less than 1 KB.
+	maxEntries = 60
 	// headerSize is in bytes: number of instances.
 	headerSize = 2
-	// entrySize is in bytes: hash of the account, demand, share with asksBit.
-	entrySize = 8 + 4 + 2
+	// entrySize is in bytes: hash of the account, demand, share with asksBit,
+	// reserved places.
+	entrySize = 8 + 4 + 2 + 2
 	shareUnit = 1<<15 - 1
 	asksBit   = 1 << 15
 )
 
 // entry is what a summary says of one hot account.
 type entry struct {
-	hash   uint64
-	demand float64
-	share  float64
+	hash     uint64
+	demand   float64
+	share    float64
+	reserved int // places in use or kept
 	// asks tells that the sender comes near its even share. An account that
 	// nobody asks for goes back to even shares.
 	asks bool
@@ -89,6 +91,7 @@
 		}
 		e.demand += o.demand
 		e.share += o.share
+		e.reserved += o.reserved
 		e.asks = e.asks || o.asks
 	}
 	return e
@@ -101,6 +104,7 @@
 		data = binary.BigEndian.AppendUint64(data, e.hash)
 		data = binary.BigEndian.AppendUint32(data, math.Float32bits(float32(e.demand)))
 		data = binary.BigEndian.AppendUint16(data, e.packedShare())
+		data = binary.BigEndian.AppendUint16(data, uint16(min(e.reserved, math.MaxUint16)))
 	}
 	return data
 }
@@ -134,10 +138,11 @@
 	entries := make(map[uint64]entry, len(data)/entrySize)
 	for ; len(data) > 0; data = data[entrySize:] {
 		e := entry{
-			hash:   binary.BigEndian.Uint64(data),
-			demand: float64(math.Float32frombits(binary.BigEndian.Uint32(data[8:]))),
-			share:  float64(binary.BigEndian.Uint16(data[12:])&^asksBit) / shareUnit,
-			asks:   data[12]&(asksBit>>8) != 0,
+			hash:     binary.BigEndian.Uint64(data),
+			demand:   float64(math.Float32frombits(binary.BigEndian.Uint32(data[8:]))),
+			share:    float64(binary.BigEndian.Uint16(data[12:])&^asksBit) / shareUnit,
+			asks:     data[12]&(asksBit>>8) != 0,
+			reserved: int(binary.BigEndian.Uint16(data[14:])),
 		}
 		if e.demand >= 0 && e.demand < math.MaxFloat32 {
 			entries[e.hash] = e
@@ -178,12 +183,13 @@
 // hot returns the entries of the hot accounts, those with the most demand first.
 func (l *Limiter) hot() []entry {
 	var all []entry
+	limits := *l.limits.Load()
 	for i := range l.shards {
 		h := &l.shards[i]
 		h.mu.Lock()
 		for id, a := range h.accounts {
 			if a.hot {
-				all = append(all, entry{hash: hash(id), demand: a.demand, share: a.share, asks: a.asks})
+				all = append(all, entry{hash: hash(id), demand: a.demand, share: a.share, reserved: a.reserved(limits[id]), asks: a.asks})
 			}
 		}
 		h.mu.Unlock()
@@ -258,13 +264,16 @@
 func (l *Limiter) update(id fleet.AccountID, a *account, limit document.Account, fresh []*peer, elapsed float64, now time.Time) {
 	a.demand += demandWeight * (float64(a.arrivals)/elapsed - a.demand)
 	a.arrivals = 0
-	a.asks = a.near(limit, l.part())
+	a.asks = a.blocked || a.near(limit, l.part())
+	a.blocked = false
 	if l.part() < 1 && len(fresh) > 0 && (a.asks || asked(fresh, hash(id))) {
 		a.hot = true
+		a.fraction = l.fraction(id, a, limit, fresh)
 		l.move(id, a, fresh, now)
 		return
 	}
 	a.hot = false
+	a.fraction = true
 	a.share = l.part()
 }
 
@@ -366,3 +375,22 @@
 	}
 	return false
 }
+
+// fraction returns whether this instance keeps the place that the fraction of
+// its share stands for. Instances take and give up such places at random, as many
+// as there are free or too many, and keep one while requests come.
+func (l *Limiter) fraction(id fleet.AccountID, a *account, limit document.Account, fresh []*peer) bool {
+	own := a.reserved(limit)
+	total := own
+	for _, p := range fresh {
+		total += p.entries[hash(id)].reserved
+	}
+	room := float64(limit.MaxInFlight - total)
+	if !a.fraction {
+		return l.draw() < room/(lagTicks*float64(l.instances.Load()))
+	}
+	if a.demand < idleDemand && a.inFlight == 0 {
+		return false
+	}
+	return room >= 0 || l.draw() >= -room/float64(max(total, 1))
+}
--- a/internal/admission/share/share.go
+++ b/internal/admission/share/share.go
@@ -14,8 +14,9 @@
 // In a large fleet an instance hears the others of its data centre one by one and
 // each other data centre as a group, so the messages do not grow with the fleet.
 //
-// Rounding adds a bounded error: every instance may have one request in
-// progress, and save up one request of the rate.
+// Rounding adds a bounded error: every instance may have one request in progress
+// beyond its share until it hears of those of the others, and save up one request
+// of the rate.
 //
 //	l := share.New(15)
 //	l.Configure(config.Accounts)
@@ -26,6 +27,7 @@
 package share
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,6 +59,9 @@
 	// settleTime is the time between two growths of a share, in which the first
 	// one becomes known to the others.
 	settleTime = 2 * time.Second
+	// lagTicks is the number of ticks until the others see a place that was
+	// taken here.
+	lagTicks = 2
 	// defaultBurst is in seconds of the rate.
 	defaultBurst = 1.0
 	// minRetry is the shortest time after which a refused caller is asked to
@@ -78,6 +83,7 @@
 	limits    atomic.Pointer[map[fleet.AccountID]document.Account]
 	instances atomic.Int64
 	shards    [shardCount]shard
+	draw      func() float64
 
 	mu     sync.Mutex // guards the fields below
 	peers  map[origin]*peer
@@ -97,6 +103,10 @@
 	tokens   float64
 	filled   time.Time
 	inFlight int
+	// fraction tells that the place that the fraction of the share stands for
+	// may be used now.
+	fraction bool
+	blocked  bool // refused for want of a place since the last tick
 	arrivals int
 	demand   float64 // requests a second
 	share    float64
@@ -111,9 +121,21 @@
 	remote bool
 }
 
+// Option changes a Limiter.
+type Option func(*Limiter)
+
+// WithRandom sets the source of random numbers in [0, 1). The default is
+// math/rand/v2.
+func WithRandom(draw func() float64) Option {
+	return func(l *Limiter) { l.draw = draw }
+}
+
 // New returns a Limiter for one of a number of instances.
-func New(instances int) *Limiter {
-	l := &Limiter{peers: make(map[origin]*peer)}
+func New(instances int, options ...Option) *Limiter {
+	l := &Limiter{peers: make(map[origin]*peer), draw: rand.Float64}
+	for _, o := range options {
+		o(l)
+	}
 	l.SetInstances(instances)
 	l.Configure(nil)
 	for i := range l.shards {
@@ -147,7 +169,8 @@
 	defer h.mu.Unlock()
 	a := l.account(h, id, limit, now)
 	a.arrivals++
-	if limit.MaxInFlight > 0 && a.inFlight >= a.running(limit) {
+	if limit.MaxInFlight > 0 && !a.mayRun(limit) {
+		a.blocked = true
 		l.refusedRunning.Add(1)
 		return refusal.New(refusal.AccountLimit, "account %q has %d requests in progress here, its share of %d", id, a.inFlight, limit.MaxInFlight).After(minRetry)
 	}
@@ -217,15 +240,33 @@
 	if a != nil {
 		return a
 	}
-	a = &account{share: l.part(), filled: now}
+	a = &account{share: l.part(), filled: now, fraction: true}
 	a.tokens = a.burst(limit)
 	h.accounts[id] = a
 	return a
 }
 
-// running returns the requests that may be in progress here.
-func (a *account) running(limit document.Account) int {
-	return max(1, int(float64(limit.MaxInFlight)*a.share+0.5))
+// mayRun returns whether one more request may be in progress here. Within the
+// whole places of the share it may. The fraction that is left over counts as a
+// place at times; without that an account with fewer places than there are
+// instances could not start anything.
+func (a *account) mayRun(limit document.Account) bool {
+	return a.inFlight < a.places(limit)
+}
+
+// places returns the requests that may be in progress here.
+func (a *account) places(limit document.Account) int {
+	exact := float64(limit.MaxInFlight) * a.share
+	whole := int(exact)
+	if a.fraction && exact > float64(whole) {
+		whole++
+	}
+	return whole
+}
+
+// reserved returns the places that the others must not use.
+func (a *account) reserved(limit document.Account) int {
+	return max(a.inFlight, a.places(limit))
 }
 
 func (a *account) burst(limit document.Account) float64 {
--- a/internal/admission/share/share_test.go
+++ b/internal/admission/share/share_test.go
@@ -37,7 +37,7 @@
 	f.late = make([][]byte, instances)
 	f.lateGroups = make([][]byte, instances)
 	for range instances {
-		l := share.New(instances)
+		l := share.New(instances, share.WithRandom(f.random.Float64))
 		l.Configure(map[fleet.AccountID]document.Account{"a": {ID: "a", RequestRate: limitRate, Burst: 300}})
 		f.limiters = append(f.limiters, l)
 	}
@@ -132,6 +132,43 @@
 	}
 }
 
+// Guards against an account with fewer places than instances that has one request
+// in progress on each of them, or none at all.
+func TestFewPlaces(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	for _, l := range f.limiters {
+		l.Configure(map[fleet.AccountID]document.Account{"a": {ID: "a", MaxInFlight: 6}})
+	}
+	ends := map[time.Time][]*share.Limiter{}
+	running, most, sum := 0, 0, 0
+	const steps = 3000
+	for step := range steps {
+		f.now = f.now.Add(10 * time.Millisecond)
+		for _, l := range ends[f.now] {
+			l.Release("a")
+			running--
+		}
+		delete(ends, f.now)
+		l := f.limiters[f.random.IntN(instances)]
+		if l.Take("a", f.now) == nil {
+			end := f.now.Add(time.Duration(1+f.random.IntN(500)) * 10 * time.Millisecond)
+			ends[end] = append(ends[end], l)
+			running++
+		}
+		if step%100 == 99 {
+			f.exchange(0)
+		}
+		if step >= 1000 {
+			sum += running
+			most = max(most, running)
+		}
+	}
+	t.Logf("%.1f requests in progress on average, at most %d, limit 6", float64(sum)/(steps-1000), most)
+	is.True(sum/(steps-1000) >= 5) // used
+	is.True(most <= 7)             // one over, until the others hear of it
+}
+
 // Guards against summaries and state that grow with the number of accounts.
 func TestBoundedAt42000Accounts(t *testing.T) {
 	is := is.New(t)
