Relax a learned speed only after 10 s without a sample

An instance of 15 has a sample of one of 40 upstreams every 3 s, and in between each estimate moved a tenth of the way back to its kind. Pools of 3 do not change: each kind has one upstream.

--- a/internal/routing/pool/lease.go
+++ b/internal/routing/pool/lease.go
@@ -53,16 +53,16 @@
 	n.end(l.pool.offset(now), r)
 	switch r {
 	case Succeeded:
-		n.learn(now.Sub(l.began), l.slowdown, l.work)
+		n.learn(l.pool.offset(now), now.Sub(l.began), l.slowdown, l.work)
 		n.ejection.Succeed()
 	case Unreachable:
 		n.unreachable.Store(l.pool.offset(now.Add(unreachableHold)))
 	case Failed:
-		n.learnAtLeast(now.Sub(l.began), l.slowdown, l.work)
+		n.learnAtLeast(l.pool.offset(now), now.Sub(l.began), l.slowdown, l.work)
 		if n.ejection.Fail(now) {
 			l.pool.members.Load().eject(n)
 		}
 	case Canceled:
-		n.learnAtLeast(now.Sub(l.began), l.slowdown, l.work)
+		n.learnAtLeast(l.pool.offset(now), now.Sub(l.began), l.slowdown, l.work)
 	}
 }
--- a/internal/routing/pool/node.go
+++ b/internal/routing/pool/node.go
@@ -36,7 +36,7 @@
 	progress  atomic.Int64 // last end of work, or begin when there was none
 	service   speed.Estimate
 	link      atomic.Int64
-	sampled   atomic.Bool
+	sampledAt atomic.Int64
 	ejection  ejection.State
 	healthBit atomic.Uint64
 
@@ -86,12 +86,12 @@
 }
 
 // learn takes the time without waiting for one unit of work as a sample.
-func (n *node) learn(elapsed time.Duration, slowdown, work float64) {
+func (n *node) learn(at int64, elapsed time.Duration, slowdown, work float64) {
 	onUpstream := max(elapsed-2*time.Duration(n.link.Load()), 0)
 	sample := time.Duration(float64(onUpstream) / (min(slowdown, maxSlowdown) * work))
 	n.service.Observe(sample)
 	n.kind.Observe(sample)
-	n.sampled.Store(true)
+	n.sampledAt.Store(at)
 }
 
 // maxSlowdown bounds the part of a measured time that is put down to other work.
@@ -102,9 +102,9 @@
 // learnAtLeast takes work that ended without an answer as a sample when it took
 // longer than expected, so that an upstream that answers nothing in time does
 // not keep the speed of better days.
-func (n *node) learnAtLeast(elapsed time.Duration, slowdown, work float64) {
+func (n *node) learnAtLeast(at int64, elapsed time.Duration, slowdown, work float64) {
 	if float64(elapsed) > float64(n.serviceTime(work, 0))*slowdown {
-		n.learn(elapsed, 1, work)
+		n.learn(at, elapsed, 1, work)
 	}
 }
 
--- a/internal/routing/pool/pool.go
+++ b/internal/routing/pool/pool.go
@@ -43,6 +43,10 @@
 	// confirmationLimit is the age of the last confirmation at which an upstream
 	// gets no new work, even when Refresh is late.
 	confirmationLimit = 3 * time.Second
+	// staleSample is the age of the last sample from which on a speed relaxes. An
+	// instance of 15 sends work to one of 40 upstreams every 3 s or so, and a
+	// speed that relaxed in between would never get far from its kind.
+	staleSample = 10 * time.Second
 	// unreachableHold is the time for which an upstream that could not be
 	// reached is passed over while there are others.
 	unreachableHold = time.Second
@@ -340,14 +344,14 @@
 	return n
 }
 
-// relax moves the speeds of upstreams without new samples towards their kind.
+// relax moves the speeds of upstreams without recent samples towards their kind.
 func (p *Pool) relax(m *members, now time.Time) {
 	idle := now.Sub(p.refreshed)
 	if p.refreshed.IsZero() {
 		return
 	}
 	for _, n := range m.nodes {
-		if n.sampled.Swap(false) {
+		if p.offset(now)-n.sampledAt.Load() < int64(staleSample) {
 			continue
 		}
 		n.service.Relax(n.kind.Value(), idle)
