Start the speed of an upstream from that of its kind

Cause: the first sample of a new upstream became its speed as it was, and an instance that met a short piece of work first kept choosing it.

--- a/internal/routing/pool/node.go
+++ b/internal/routing/pool/node.go
@@ -89,6 +89,9 @@
 func (n *node) learn(at int64, elapsed time.Duration, slowdown, work float64) {
 	onUpstream := max(elapsed-2*time.Duration(n.link.Load()), 0)
 	sample := time.Duration(float64(onUpstream) / (min(slowdown, maxSlowdown) * work))
+	if n.service.Value() == 0 {
+		n.service.Observe(n.kind.Value())
+	}
 	n.service.Observe(sample)
 	n.kind.Observe(sample)
 	n.sampledAt.Store(at)
