--- a/internal/routing/sim_test.go
+++ b/internal/routing/sim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/admission"
@@ -99,6 +100,7 @@
 
 type worker struct {
 	*world
+	index        int
 	announcement upstream.Announcement
 	speed        float64
 	link         time.Duration
@@ -122,7 +124,6 @@
 	granted  time.Duration
 	avoid    []fleet.UpstreamID
 	ran      bool
-	closed   bool
 }
 
 type attempt struct {
@@ -164,7 +165,7 @@
 }
 
 func (w *world) addWorker(i int) {
-	k := &worker{world: w, speed: w.speeds[i], link: w.links[i%len(w.links)], cached: map[uint64]time.Duration{}}
+	k := &worker{world: w, index: i, speed: w.speeds[i], link: w.links[i%len(w.links)], cached: map[uint64]time.Duration{}}
 	k.announcement = upstream.Announcement{
 		ID:          fleet.UpstreamID(fmt.Sprintf("w%02d", i)),
 		Incarnation: 1,
@@ -238,25 +239,19 @@
 	}
 	k.at(k.now+k.lag%reportEvery, func() {
 		for _, n := range k.instances {
-			if !k.cut(n.index, k.index()) {
-				n.known[k.index()] = upstream.Upstream{Announcement: a, Confirmed: k.Now()}
+			if !k.cut(n.index, k.index) {
+				n.known[k.index] = upstream.Upstream{Announcement: a, Confirmed: k.Now()}
 			}
 		}
 	})
 }
 
-func (k *worker) index() int {
-	var i int
-	_, _ = fmt.Sscanf(string(k.announcement.ID), "w%d", &i)
-	return i
-}
-
 func (k *worker) receive(a *attempt) {
 	if k.now >= k.faultAt && k.now < k.faultAt+3*time.Second {
 		k.peak = max(k.peak, k.busy+len(k.queue)+1)
 	}
 	switch {
-	case k.dead || k.cut(a.from.index, k.index()):
+	case k.dead || k.cut(a.from.index, k.index):
 		k.at(k.now+k.link, func() { a.from.fail(a, pool.Unreachable) })
 	case k.frozen || k.busy >= k.slots:
 		k.queue = append(k.queue, a)
@@ -308,15 +303,8 @@
 	k.queue = without(k.queue, a)
 }
 
-func (k *worker) inProgress() []*attempt { return k.active }
-
 func without(list []*attempt, a *attempt) []*attempt {
-	for i, q := range list {
-		if q == a {
-			return append(list[:i], list[i+1:]...)
-		}
-	}
-	return list
+	return slices.DeleteFunc(list, func(q *attempt) bool { return q == a })
 }
 
 // use returns 1 when the prefix is cached, and caches it.
@@ -371,7 +359,7 @@
 	}
 	peers := 0
 	for i := range n.instances {
-		if i != n.index && !n.parted(i, n.index) {
+		if i != n.index && !n.cut(i, n.index) {
 			peers++
 		}
 	}
@@ -389,7 +377,7 @@
 	}
 	w, err := n.lane.Join(ask, n.Now(), func(err error) {
 		if err != nil {
-			n.refuse(r)
+			n.refused(r)
 			return
 		}
 		r.granted = n.now
@@ -397,18 +385,13 @@
 		n.at(n.now, func() { n.try(r) })
 	})
 	if err != nil {
-		n.refuse(r)
+		n.refused(r)
 		return
 	}
 	r.waiter = w
 	n.at(w.LatestStart().Sub(fakeclock.Start)+1, func() { n.lane.Wake(n.Now()) })
 }
 
-func (n *instance) refuse(r *request) {
-	r.closed = true
-	n.refused(r)
-}
-
 func (n *instance) try(r *request) {
 	l, err := n.pool.Pick(pool.Ask{Prefix: r.prefix, Avoid: r.avoid})
 	if err != nil {
@@ -418,11 +401,7 @@
 	n.retry.Deposit()
 	u := l.Upstream()
 	a := &attempt{request: r, from: n, lease: l}
-	for _, k := range n.workers {
-		if k.announcement.ID == u.ID {
-			a.to = k
-		}
-	}
+	a.to = n.workers[slices.IndexFunc(n.workers, func(k *worker) bool { return k.announcement.ID == u.ID })]
 	n.at(n.now+a.to.link, func() { a.to.receive(a) })
 	n.at(min(n.now+attemptTimeout, r.deadline), func() { n.timeout(a) })
 }
@@ -468,7 +447,6 @@
 }
 
 func (n *instance) end(r *request, took time.Duration, good bool) {
-	r.closed = true
 	n.lane.Finish(r.waiter, took, n.Now())
 	if !good {
 		n.lost(r)
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strings"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,7 +27,7 @@
 }
 
 var policies = []policy{
-	{"scoring", func(w *world) picker { return newProduct(w) }},
+	{"scoring", func(w *world) picker { return product{pool.New(w, scoring.Policy{}, pool.WithRandom(seeded(w)))} }},
 	{"random", func(w *world) picker { return newBaseline(random.Policy{Uint64: seeded(w)}) }},
 	{"robin", func(w *world) picker { return newBaseline(&robin.Policy{}) }},
 	{"reported", func(w *world) picker { return newBaseline(reported.Policy{Uint64: seeded(w)}) }},
@@ -41,10 +41,6 @@
 // product is the pool with the scoring policy.
 type product struct{ *pool.Pool }
 
-func newProduct(w *world) product {
-	return product{pool.New(w, scoring.Policy{}, pool.WithRandom(seeded(w)))}
-}
-
 func (p product) Pick(a pool.Ask) (lease, error) {
 	l, err := p.Pool.Pick(a)
 	return &l, err
@@ -85,7 +81,7 @@
 	var candidates []routing.Candidate
 	var from []upstream.Upstream
 	for _, u := range b.usable {
-		if strings.Contains(fmt.Sprint(a.Avoid), string(u.ID)) {
+		if slices.Contains(a.Avoid, u.ID) {
 			continue
 		}
 		from = append(from, u)
@@ -129,18 +125,11 @@
 
 const third = 3 // of the instances and workers are in the data centre that is cut off
 
-// parted returns whether instances i and j cannot hear each other.
-func (w *world) parted(i, j int) bool {
-	return w.cutNow() && (i%third == 0) != (j%third == 0)
-}
-
-// cut returns whether instance i cannot reach worker j.
+// cut returns whether instance i cannot reach worker or instance j.
 func (w *world) cut(i, j int) bool {
-	return w.cutNow() && (i%third == 0) != (j%third == 0)
+	return w.now >= w.cutAt[0] && w.now < w.cutAt[1] && (i%third == 0) != (j%third == 0)
 }
 
-func (w *world) cutNow() bool { return w.now >= w.cutAt[0] && w.now < w.cutAt[1] }
-
 func base(name string, workers int, load float64) scenario {
 	s := scenario{
 		name:      fmt.Sprintf("%d %s", workers, name),
@@ -190,15 +179,13 @@
 
 func kill(k *worker) {
 	k.dead = true
-	doomed := k.queue
-	k.queue = nil
-	for _, a := range doomed {
-		k.at(k.now+k.link, func() { a.from.fail(a, pool.Failed) })
-	}
-	for _, a := range k.inProgress() {
+	for _, a := range k.active {
 		k.waste(k.now - a.started)
+	}
+	for _, a := range append(k.queue, k.active...) {
 		k.at(k.now+k.link, func() { a.from.fail(a, pool.Failed) })
 	}
+	k.queue = nil
 }
 
 // join starts a worker that was away.
