--- /dev/null
+++ b/internal/pipeline/repair/loop.go
@@ -0,0 +1,60 @@
+package repair
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bilberryrock/bilberryrock/internal/document"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/pipeline"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+)
+
+// DefaultInterval is the time between two ticks.
+const DefaultInterval = time.Second
+
+// Loop runs a Controller.
+type Loop struct {
+	Controller *Controller
+	Roster     upstream.Roster
+	// Models returns the models of the configuration in force.
+	Models    func() []document.Model
+	Commander pipeline.Commander
+	Clock     fleet.Clock
+	Logger    *zap.Logger
+}
+
+// Run ticks until ctx ends. Only one instance of a data centre should run it; the
+// Commander refuses the commands of any other.
+func (l *Loop) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.Clock.After(DefaultInterval):
+			l.Once(ctx)
+		}
+	}
+}
+
+// Once runs one tick and sends its commands.
+func (l *Loop) Once(ctx context.Context) {
+	now := l.Clock.Now()
+	in := Input{Now: now, Models: l.Models()}
+	seen := make(map[fleet.PoolID]bool)
+	for _, m := range in.Models {
+		if !seen[m.Pool] {
+			seen[m.Pool] = true
+			in.Engines = append(in.Engines, l.Roster.Usable(m.Pool, now)...)
+		}
+	}
+	for _, e := range l.Controller.Tick(in) {
+		err := l.Commander.Send(ctx, e.Upstream, e.Command)
+		l.Logger.Info("command sent", zap.String("upstream", string(e.Upstream.ID)), zap.String("reason", e.Reason), zap.Error(err))
+		if err != nil {
+			l.Controller.Failed(e.Upstream.ID, now)
+		}
+	}
+}
