--- a/internal/pipeline/repair/repair.go
+++ b/internal/pipeline/repair/repair.go
@@ -150,7 +150,7 @@
 	c.date(in.Now, f)
 	tallies := c.tally(in.Now, f)
 	var effects []Effect
-	for c.storeIdle(in.Now) {
+	for len(effects) < len(in.Engines) && c.storeIdle(in.Now) {
 		e, ok := c.cover(in.Now, f)
 		if !ok {
 			e, ok = c.balance(in.Now, f, tallies)
