Test the courier over HTTP and call engines on its own goroutine

TestFaultsOverHTTP lets engines lose answers, give stale ones, freeze, die and leave in the middle of one answer.

--- a/internal/pipeline/courier/courier.go
+++ b/internal/pipeline/courier/courier.go
@@ -17,6 +17,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
@@ -67,8 +69,7 @@
 	pause      time.Duration
 	kvBytes    int
 
-	// pending counts the calls that go on after their run has ended or no
-	// longer waits for them.
+	// pending counts the calls that free the memory of ended requests.
 	pending sync.WaitGroup
 }
 
@@ -120,7 +121,7 @@
 	return c
 }
 
-// Close waits for the calls that are left after all runs have ended.
+// Close waits until the memory of all ended requests was freed.
 func (c *Courier) Close() { c.pending.Wait() }
 
 // Run implements pipeline.Courier. An error after the first token is of kind
@@ -199,31 +200,26 @@
 	return min(max(timeoutFactor*expected, c.minTimeout), c.maxTimeout)
 }
 
-// await runs f and waits for its answer, at most for d by the clock of c.
+var errExpired = errors.New("timeout expired")
+
+// await calls f and cancels its context after d by the clock of c. It calls f on
+// the same goroutine, which spares the step a switch between goroutines.
 func await[V any](ctx context.Context, c *Courier, d time.Duration, f func(context.Context) (V, error)) (V, error) {
-	type answer struct {
-		value V
-		err   error
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	expired := c.clock.After(d)
-	done := make(chan answer, 1)
-	c.pending.Add(1)
 	go func() {
-		defer c.pending.Done()
-		value, err := f(ctx)
-		done <- answer{value, err}
+		select {
+		case <-expired:
+			cancel(errExpired)
+		case <-ctx.Done():
+		}
 	}()
-	var none V
-	select {
-	case a := <-done:
-		return a.value, a.err
-	case <-expired:
-		return none, refusal.New(refusal.Deadline, "no answer within %v", d)
-	case <-ctx.Done():
-		return none, refusal.Because(refusal.Deadline, ctx.Err(), "request ended")
+	value, err := f(ctx)
+	if err != nil && errors.Is(context.Cause(ctx), errExpired) {
+		return value, refusal.New(refusal.Deadline, "no answer within %v", d)
 	}
+	return value, err
 }
 
 // unknown knows no speeds: all timeouts are the least one.
--- a/internal/pipeline/courier/courier_test.go
+++ b/internal/pipeline/courier/courier_test.go
@@ -1,49 +1,212 @@
 package courier_test
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/bilberryrock/bilberryrock/internal/document"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
 	"github.com/bilberryrock/bilberryrock/internal/pipeline"
 	"github.com/bilberryrock/bilberryrock/internal/pipeline/courier"
+	"github.com/bilberryrock/bilberryrock/internal/pipeline/inflight"
+	"github.com/bilberryrock/bilberryrock/internal/pipeline/planner"
+	"github.com/bilberryrock/bilberryrock/internal/pipeline/speeds"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/engine"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/standin"
 )
 
-// TestChainOverHTTP guards against a layer that is skipped, repeated or run out
-// of order on the whole path from the courier to the engines.
-func TestChainOverHTTP(t *testing.T) {
-	is := is.New(t)
-	chain := courier.Fixed{Model: "ledger", Version: "1"}
-	for i, layers := range []upstream.LayerRange{{From: 0, To: 3}, {From: 3, To: 4}, {From: 4, To: 8}} {
-		a := upstream.Announcement{
-			ID: fleet.UpstreamID(rune('a' + i)), Kind: upstream.Engine,
-			Model: "ledger", Version: "1", Layers: layers,
+// served is a fleet of stand-ins behind HTTP on loopback. It implements
+// upstream.Roster.
+type served struct {
+	standins map[fleet.UpstreamID]*standin.Standin
+	servers  map[fleet.UpstreamID]*httptest.Server
+	record   *standin.Recorder
+	counts   inflight.Counts
+}
+
+func serve(record *standin.Recorder, ranges []upstream.LayerRange, each int) *served {
+	f := &served{
+		standins: make(map[fleet.UpstreamID]*standin.Standin),
+		servers:  make(map[fleet.UpstreamID]*httptest.Server), record: record,
+	}
+	for i, layers := range ranges {
+		for n := range each {
+			id := fleet.UpstreamID(fmt.Sprintf("%c%d", 'a'+i, n))
+			server := httptest.NewUnstartedServer(nil)
+			s := standin.New(standin.Config{
+				Announcement: upstream.Announcement{
+					ID: id, Kind: upstream.Engine, Model: "ledger", Version: "1",
+					Layers: layers, Address: server.Listener.Addr().String(),
+				},
+				TotalLayers: ranges[len(ranges)-1].To, Recorder: record,
+			})
+			server.Config.Handler = s
+			server.Start()
+			f.standins[id], f.servers[id] = s, server
+		}
+	}
+	return f
+}
+
+func (f *served) close() {
+	for id, s := range f.standins {
+		s.Close()
+		f.servers[id].Close()
+	}
+}
+
+func (f *served) Usable(fleet.PoolID, time.Time) []upstream.Upstream {
+	var list []upstream.Upstream
+	for id := range f.standins {
+		if u, _ := f.Get(id); u.State == upstream.Serving {
+			list = append(list, u)
 		}
-		s := standin.New(standin.Config{Announcement: a, TotalLayers: 8})
-		defer s.Close()
-		server := httptest.NewServer(s)
-		defer server.Close()
-		a.Address = server.Listener.Addr().String()
-		chain.Stages = append(chain.Stages, pipeline.Stage{Upstream: upstream.Upstream{Announcement: a}, Layers: layers})
 	}
+	return list
+}
+
+func (f *served) Get(id fleet.UpstreamID) (upstream.Upstream, bool) {
+	s, ok := f.standins[id]
+	if !ok {
+		return upstream.Upstream{}, false
+	}
+	return upstream.Upstream{Announcement: s.Describe()}, true
+}
+
+func (f *served) courier(dialer upstream.Dialer, layers fleet.Layer) *courier.Courier {
+	learned := speeds.New(pipeline.Speed{Fixed: time.Millisecond, Layer: time.Millisecond, Position: time.Microsecond})
+	models := func(fleet.ModelID) (document.Model, bool) {
+		return document.Model{ID: "ledger", Version: "1", Layers: layers}, true
+	}
+	p := planner.New(f, models, learned, systemclock.Clock{}, planner.WithCounts(&f.counts), planner.WithRefresh(0))
+	return courier.New(p, dialer, courier.WithSpeeds(learned), courier.WithObserver(learned),
+		courier.WithRoster(f), courier.WithGauge(&f.counts))
+}
+
+// used returns an engine of a range that serves the request.
+func (f *served) used(t *testing.T, prefix string) fleet.UpstreamID {
+	for id := range f.standins {
+		if strings.HasPrefix(string(id), prefix) && f.counts.Of(id).Load() > 0 {
+			return id
+		}
+	}
+	t.Fatalf("no engine %s serves the request", prefix)
+	return ""
+}
+
+// TestFaultsOverHTTP guards against a layer that is skipped, repeated or run out
+// of order, and against missing or repeated text, on the whole path from the
+// courier to the engines, while these lose answers, give stale ones, freeze, die
+// and leave.
+func TestFaultsOverHTTP(t *testing.T) {
+	is := is.New(t)
+	var record bytes.Buffer
+	f := serve(standin.NewRecorder(&record), []upstream.LayerRange{{From: 0, To: 3}, {From: 3, To: 4}, {From: 4, To: 8}}, 3)
 	dialer := engine.NewDialer()
-	defer dialer.Close()
+	c := f.courier(dialer, 8)
 	prompt := []uint64{5, 7, 11}
+	want, wantReason := standin.Generate("ledger", "1", "", 8, prompt, 60)
+	for wantReason != pipeline.LengthReached {
+		prompt[0]++ // an answer that ends early meets few faults
+		want, wantReason = standin.Generate("ledger", "1", "", 8, prompt, 60)
+	}
+	var frozen fleet.UpstreamID
 	var text strings.Builder
-	g := pipeline.Generation{Request: "r1", Model: "ledger", Prompt: prompt, MaxTokens: 40}
-	reason, err := courier.New(chain, dialer).Run(context.Background(), g, func(p pipeline.Piece) error {
+	g := pipeline.Generation{Request: "r1", Model: "ledger", Prompt: prompt, MaxTokens: 60}
+	reason, err := c.Run(context.Background(), g, func(p pipeline.Piece) error {
 		text.WriteString(p.Text)
+		switch p.Index {
+		case 3:
+			for _, s := range f.standins {
+				s.SetFaults(standin.Faults{LoseAnswers: 1})
+			}
+		case 8:
+			for _, s := range f.standins {
+				s.SetFaults(standin.Faults{StaleAnswers: 1})
+			}
+		case 12:
+			frozen = f.used(t, "b")
+			f.standins[frozen].SetFaults(standin.Faults{Frozen: true})
+		case 18:
+			f.servers[f.used(t, "a")].CloseClientConnections()
+			f.servers[f.used(t, "a")].Close()
+		case 25:
+			f.standins[f.used(t, "c")].Leave()
+		case 30:
+			f.standins[frozen].SetFaults(standin.Faults{})
+		}
 		return nil
 	})
 	is.NoErr(err)
-	want, wantReason := standin.Generate("ledger", "1", "", 8, prompt, 40)
+	c.Close()
+	f.close() // a thawed engine runs what it got before it ends
+	dialer.Close()
 	is.Equal(text.String(), want)
 	is.Equal(reason, wantReason)
+	runs, err := standin.ReadRuns(&record)
+	is.NoErr(err)
+	is.NoErr(standin.CheckSteps(runs))
+	epoch := fleet.Epoch(0)
+	for _, r := range runs {
+		epoch = max(epoch, r.Epoch)
+	}
+	is.True(epoch >= 3) // the frozen and the dead engine were replaced
+}
+
+// BenchmarkToken measures one token over four engines on loopback: through the
+// courier, and by direct calls of the client in the same order.
+func BenchmarkToken(b *testing.B) {
+	ranges := []upstream.LayerRange{{From: 0, To: 2}, {From: 2, To: 4}, {From: 4, To: 6}, {From: 6, To: 8}}
+	b.Run("courier", func(b *testing.B) {
+		f := serve(nil, ranges, 1)
+		defer f.close()
+		dialer := engine.NewDialer()
+		defer dialer.Close()
+		c := f.courier(dialer, 8)
+		defer c.Close()
+		b.ReportAllocs()
+		// An answer ends by itself now and then; the next one starts anew.
+		for done := 0; done < b.N; {
+			g := pipeline.Generation{Request: fleet.NewRequestID(), Model: "ledger", Prompt: []uint64{uint64(done)}, MaxTokens: b.N - done}
+			_, err := c.Run(context.Background(), g, func(pipeline.Piece) error {
+				done++
+				return nil
+			})
+			if err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("direct", func(b *testing.B) {
+		f := serve(nil, ranges, 1)
+		defer f.close()
+		dialer := engine.NewDialer()
+		defer dialer.Close()
+		clients := make([]upstream.EngineClient, len(ranges))
+		for i := range ranges {
+			u, _ := f.Get(fleet.UpstreamID(fmt.Sprintf("%c0", 'a'+i)))
+			clients[i] = dialer.Engine(u)
+		}
+		b.ReportAllocs()
+		for n := range b.N {
+			input := []uint64{1}
+			for i, layers := range ranges {
+				s := upstream.Step{Request: "r", Epoch: 1, Position: fleet.Position(n), Model: "ledger", Version: "1", Layers: layers, Input: input}
+				result, err := clients[i].Step(context.Background(), s)
+				if err != nil {
+					b.Fatal(err)
+				}
+				input = result.Output
+			}
+		}
+	})
 }
--- a/internal/pipeline/courier/run.go
+++ b/internal/pipeline/courier/run.go
@@ -72,6 +72,9 @@
 // pass runs all layers for the positions of input and returns the result of the
 // last stage.
 func (r *run) pass(ctx context.Context, index int, input []uint64) (upstream.StepResult, error) {
+	if err := ctx.Err(); err != nil {
+		return upstream.StepResult{}, err
+	}
 	r.recoveries = 0
 	r.leave(ctx, index)
 	r.values[0] = append(r.values[0], input...)
--- a/internal/upstream/standin/engine.go
+++ b/internal/upstream/standin/engine.go
@@ -233,7 +233,7 @@
 // check refuses a step that does not fit what the engine holds.
 func (e *engine) check(s upstream.Step) error {
 	e.settle()
-	a := e.standin.current()
+	a := e.standin.Describe()
 	if len(s.Input) == 0 || s.Position < 0 || s.Epoch == 0 {
 		return refuse(http.StatusBadRequest, "badRequest", "step without input, position or epoch")
 	}
--- a/internal/upstream/standin/protocol.go
+++ b/internal/upstream/standin/protocol.go
@@ -62,7 +62,7 @@
 	e.mu.Lock()
 	e.settle()
 	e.mu.Unlock()
-	respond(w, e.standin.current(), nil)
+	respond(w, e.standin.Describe(), nil)
 }
 
 func (e *engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
@@ -102,7 +102,7 @@
 func (e *engine) export(r fleet.RequestID) (upstream.KV, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	a := e.standin.current()
+	a := e.standin.Describe()
 	n, ok := e.sessions[r]
 	if !ok || len(n.states) == 0 {
 		return upstream.KV{}, refuse(http.StatusNotFound, "notFound", "request %q has no cache", r)
@@ -139,7 +139,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.settle()
-	a := e.standin.current()
+	a := e.standin.Describe()
 	if kv.Model != a.Model || kv.Version != a.Version || kv.Adapter != a.Adapter {
 		return refuse(http.StatusConflict, "wrongModel", "engine holds %s/%s/%s", a.Model, a.Version, a.Adapter)
 	}
--- a/internal/upstream/standin/standin.go
+++ b/internal/upstream/standin/standin.go
@@ -187,8 +187,8 @@
 	return upstream.Load{At: s.clock.Now(), Running: s.calls.busy()}
 }
 
-// current returns the announcement as it was last changed.
-func (s *Standin) current() upstream.Announcement {
+// Describe returns the newest announcement without a new sequence number.
+func (s *Standin) Describe() upstream.Announcement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.announcement
