--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -80,11 +80,12 @@
 	for _, option := range options {
 		option(d)
 	}
-	for _, step := range []func() error{d.secure, d.openState, d.openDecisions, d.openMembership, d.openFollower, d.openRequests, d.listen} {
+	for _, step := range []func() error{d.secure, d.openState, d.openDecisions, d.openMembership, d.openFollower, d.openRequests, d.startRepair, d.listen} {
 		if err := step(); err != nil {
 			return nil, errors.Wrap(err, "start daemon")
 		}
 	}
+	d.registerMetrics()
 	d.loops.Go(d.control)
 	d.log.Info("Daemon started.", zap.String("instance", string(s.Instance.ID)), zap.String("dataCentre", string(s.Instance.DataCentre)))
 	return d, nil
--- a/internal/entry/daemon/requests.go
+++ b/internal/entry/daemon/requests.go
@@ -43,7 +43,11 @@
 		Trail:    d.state.trail,
 		Clock:    d.clock,
 		Log:      d.log.Named("caller"),
-	}, caller.WithLimits(s.Limits), caller.WithDeadlines(s.Requests.Deadline, s.Requests.MaxDeadline)).Handler()
+	},
+		caller.WithLimits(s.Limits),
+		caller.WithDeadlines(s.Requests.Deadline, s.Requests.MaxDeadline),
+		caller.WithObserver(newAnswers(d.metrics).observe),
+	).Handler()
 	r.operators = operator.New(operator.Parts{
 		Documents: d.state.register,
 		Finder:    r,
--- a/internal/entry/daemon/state.go
+++ b/internal/entry/daemon/state.go
@@ -45,10 +45,20 @@
 	}
 	s := d.state
 	s.register = register.NewClient(configgroup.Select(s.proposer, configgroup.Register), quorum.ConfigGroup, d.clock)
-	s.ledger = ledger.NewClient(s.proposer, d.clock, d.settings.Instance.ID, ledger.WithShards(d.settings.Orders.Shards))
+	s.ledger = ledger.NewClient(s.proposer, d.clock, d.settings.Instance.ID, ledger.WithShards(d.settings.Orders.Shards), ledger.WithLimits(d.orderLimits()))
 	return nil
 }
 
+func (d *Daemon) orderLimits() ledger.Limits {
+	o := d.settings.Orders
+	return ledger.Limits{
+		Retention:  o.Retention,
+		MaxRecords: o.MaxRecords,
+		MaxBytes:   int(o.MaxBytes),
+		MaxAnswer:  int(o.MaxAnswer),
+	}
+}
+
 func (d *Daemon) openQuorum() error {
 	options := d.quorumOptions()
 	if !d.settings.Instance.Votes {
--- a/internal/fleet/settings/keys.go
+++ b/internal/fleet/settings/keys.go
@@ -50,6 +50,7 @@
 	all = append(all, limitKeys()...)
 	all = append(all, requestKeys()...)
 	all = append(all, orderKeys()...)
+	all = append(all, repairKeys()...)
 	all = append(all, logKeys()...)
 	return append(all, faultKeys()...)
 }
@@ -142,7 +143,6 @@
 		duration(section, "deadline", "1m", 100*time.Millisecond, time.Hour, "time for an answer if the caller names none", func(s *Settings) *time.Duration { return &s.Requests.Deadline }),
 		duration(section, "maxDeadline", "10m", 100*time.Millisecond, 24*time.Hour, "greatest time that a caller may ask for", func(s *Settings) *time.Duration { return &s.Requests.MaxDeadline }),
 		number(section, "queueLength", "1000", 0, 1000000, "greatest number of waiting requests", func(s *Settings) *int { return &s.Requests.QueueLength }),
-		share(section, "retryShare", "0.1", "share of retries in the traffic", func(s *Settings) *float64 { return &s.Requests.RetryShare }),
 	}
 }
 
@@ -150,8 +150,18 @@
 	const section = "orders"
 	return []Key{
 		number(section, "shards", "2", 1, 256, "number of ledger groups; the same on all instances", func(s *Settings) *int { return &s.Orders.Shards }),
-		duration(section, "retention", "168h", time.Minute, 10000*time.Hour, "time that the key of an order is kept", func(s *Settings) *time.Duration { return &s.Orders.Retention }),
-		number(section, "maxRecords", "1000000", 1, 100000000, "greatest number of kept keys of a shard", func(s *Settings) *int { return &s.Orders.MaxRecords }),
+		duration(section, "retention", "24h", 10*time.Minute, 10000*time.Hour, "time that the key of an order is kept", func(s *Settings) *time.Duration { return &s.Orders.Retention }),
+		number(section, "maxRecords", "200000", 1, 100000000, "greatest number of kept keys of a shard; at the bound new orders are refused", func(s *Settings) *int { return &s.Orders.MaxRecords }),
+		size(section, "maxBytes", "128MiB", 1<<20, 1<<40, "kept answers of a shard", func(s *Settings) *int64 { return &s.Orders.MaxBytes }),
+		size(section, "maxAnswer", "64KiB", 1<<10, 4<<20, "greatest answer of an order that is kept for replay", func(s *Settings) *int64 { return &s.Orders.MaxAnswer }),
+	}
+}
+
+func repairKeys() []Key {
+	const section = "repair"
+	return []Key{
+		size(section, "layerBytes", "1GiB", 1, 1<<40, "size of the weights of one layer", func(s *Settings) *int64 { return &s.Repair.LayerBytes }),
+		size(section, "weightRate", "1GiB", 1, 1<<40, "what the engines of a data centre load from the weight store in a second", func(s *Settings) *int64 { return &s.Repair.WeightRate }),
 	}
 }
 
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -28,6 +28,7 @@
 	Limits     entry.Limits
 	Requests   Requests
 	Orders     Orders
+	Repair     Repair
 	Log        Log
 	Faults     Faults
 }
@@ -118,8 +119,6 @@
 	MaxDeadline time.Duration
 	// QueueLength bounds the waiting requests.
 	QueueLength int
-	// RetryShare is the share of retries in the traffic, 0 to 1.
-	RetryShare float64
 }
 
 // Orders says how orders that may not be repeated are kept.
@@ -129,8 +128,11 @@
 	Shards int
 	// Retention is the time that a key is kept.
 	Retention time.Duration
-	// MaxRecords bounds the kept keys of a shard.
+	// MaxRecords bounds the kept keys of a shard. At the bound new orders are
+	// refused.
 	MaxRecords int
+	// MaxBytes bounds the kept answers of a shard, MaxAnswer one of them.
+	MaxBytes, MaxAnswer int64
 }
 
 // Log says how the daemon logs.
@@ -146,3 +148,12 @@
 	// Injection lets the platform listener accept POST /faults.
 	Injection bool
 }
+
+// Repair says how engines are told to load weights.
+type Repair struct {
+	// LayerBytes is the size of the weights of one layer.
+	LayerBytes int64
+	// WeightRate bounds what the engines of a data centre load from the weight
+	// store, in bytes a second.
+	WeightRate int64
+}
--- a/internal/fleet/settings/settings_test.go
+++ b/internal/fleet/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -8,6 +9,7 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/matryer/is"
 
+	"github.com/bilberryrock/bilberryrock/internal/document/section"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/settings"
 )
 
@@ -61,6 +63,27 @@
 	}
 }
 
+// TestSectionDocumentation guards against a key of the sections that
+// docs/configuration.md does not describe with its default and bound.
+func TestSectionDocumentation(t *testing.T) {
+	is := is.New(t)
+	raw, err := os.ReadFile("../../../docs/configuration.md")
+	is.NoErr(err)
+	for _, k := range section.Keys() {
+		row := fmt.Sprintf("| `%s` | `%s` | %s | %s | %s |", k.Section, k.Name, k.Unit, defaultOf(k), k.Bound)
+		if !strings.Contains(string(raw), row) {
+			t.Errorf("docs/configuration.md has no row\n%s", row)
+		}
+	}
+}
+
+func defaultOf(k section.Key) string {
+	if k.Required {
+		return "required"
+	}
+	return k.Default
+}
+
 // TestSecretsStayOut guards against an error that shows the content of a secret
 // file.
 func TestSecretsStayOut(t *testing.T) {
--- a/internal/fleet/settings/values.go
+++ b/internal/fleet/settings/values.go
@@ -65,19 +65,6 @@
 	return k
 }
 
-func share(section, name, def, help string, field func(*Settings) *float64) Key {
-	k := custom(section, name, "share", "0 to 1", help, func(s *Settings, value string) error {
-		x, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(x >= 0 && x <= 1) {
-			return fail("%q is not a number from 0 to 1", value)
-		}
-		*field(s) = x
-		return nil
-	})
-	k.Default = def
-	return k
-}
-
 func duration(section, name, def string, least, most time.Duration, help string, field func(*Settings) *time.Duration) Key {
 	k := custom(section, name, "duration", least.String()+" to "+most.String(), help, func(s *Settings, value string) error {
 		d, err := time.ParseDuration(value)
