Add the table of keys, the usage of a ledger group and the load of the desk

section.Table renders Keys for the documentation, so that a page can be compared with it. ledger.Client.Usage tells how near a group is to its bounds before it refuses claims, and Desk.Load counts what a stop still waits for.

--- a/internal/document/follower/follower_test.go
+++ b/internal/document/follower/follower_test.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand"
@@ -138,19 +139,12 @@
 	case 3:
 		s.Text += "[model \"m\"]\nversion = 1\nlayers = 1\npool = nowhere\n"
 	case 4:
-		return slices.DeleteFunc(sections, func(x document.Section) bool { return x.Revision == newestOf(sections) })
+		newest := slices.MaxFunc(sections, func(a, b document.Section) int { return cmp.Compare(a.Revision, b.Revision) })
+		return slices.DeleteFunc(sections, func(x document.Section) bool { return x.Revision == newest.Revision })
 	}
 	return sections
 }
 
-func newestOf(sections []document.Section) fleet.Revision {
-	newest := fleet.Revision(0)
-	for _, s := range sections {
-		newest = max(newest, s.Revision)
-	}
-	return newest
-}
-
 // view returns the members as instance i knows them.
 func (w *world) view(i int) []membership.Member {
 	var list []membership.Member
--- a/internal/document/section/keys.go
+++ b/internal/document/section/keys.go
@@ -89,6 +89,26 @@
 	return appendKeys(all, windowKeys)
 }
 
+// Table returns Keys as a table in Markdown, for the documentation.
+func Table() string {
+	var b strings.Builder
+	b.WriteString("| subsection | key | unit or form | default | bound |\n|---|---|---|---|---|\n")
+	for _, k := range Keys() {
+		fmt.Fprintf(&b, "| `%s` | `%s` | %s | %s | %s |\n", k.Section, k.Name, k.Unit, k.defaultText(), k.Bound)
+	}
+	return b.String()
+}
+
+func (k Key) defaultText() string {
+	switch {
+	case k.Required:
+		return "required"
+	case k.Default == "":
+		return "none"
+	}
+	return k.Default
+}
+
 func appendKeys[T any](all []Key, specs []spec[T]) []Key {
 	for _, s := range specs {
 		all = append(all, s.Key)
--- a/internal/document/section/section_test.go
+++ b/internal/document/section/section_test.go
@@ -29,6 +29,8 @@
 				return "ok\n"
 			case "submit":
 				return submit(texts, fleet.TeamID(team), d.Input)
+			case "table":
+				return Table()
 			case "difference":
 				old, next, _ := strings.Cut(d.Input, "====\n")
 				return Difference(old, next)
--- a/internal/order/desk/desk.go
+++ b/internal/order/desk/desk.go
@@ -151,6 +151,23 @@
 	}
 }
 
+// Load counts the work of a Desk.
+type Load struct {
+	// Running counts the orders that have no answer yet, and those whose answer
+	// is known and not recorded yet.
+	Running int
+	// Unrecorded counts the orders that ended without an answer and whose claim
+	// is not released yet. It grows while the ledger can't be reached.
+	Unrecorded int
+}
+
+// Load returns how much work is left, for metrics and for a stop.
+func (d *Desk) Load() Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Load{Running: len(d.flights), Unrecorded: d.unrecorded}
+}
+
 // Unconfirmed returns err unless its kind says that the request was not run and
 // may be sent again, as a full queue does. The ledger was not asked about earlier
 // attempts then, so the kind becomes refusal.LedgerUnreachable.
--- a/internal/order/desk/desk_test.go
+++ b/internal/order/desk/desk_test.go
@@ -139,14 +139,15 @@
 }
 
 func (s *scripted) Finish(context.Context, order.Key, order.AttemptID, upstream.Answer) error {
-	s.log = append(s.log, "finish")
-	err := s.err(s.finish)
-	s.finish = ""
-	return err
+	return s.change("finish")
 }
 
 func (s *scripted) Release(context.Context, order.Key, order.AttemptID) error {
-	s.log = append(s.log, "release")
+	return s.change("release")
+}
+
+func (s *scripted) change(name string) error {
+	s.log = append(s.log, name)
 	err := s.err(s.finish)
 	s.finish = ""
 	return err
--- a/internal/order/desk/fake_test.go
+++ b/internal/order/desk/fake_test.go
@@ -130,9 +130,8 @@
 	for {
 		open := 0
 		for _, d := range desks {
-			d.mu.Lock()
-			open += len(d.flights) + d.unrecorded
-			d.mu.Unlock()
+			l := d.Load()
+			open += l.Running + l.Unrecorded
 		}
 		c.mu.Lock()
 		rest := open == len(c.waiters)
--- a/internal/order/ledger/client.go
+++ b/internal/order/ledger/client.go
@@ -148,6 +148,15 @@
 	return p.Settlements, err
 }
 
+// Usage returns how near the group of an account is to its limits.
+func (c *Client) Usage(ctx context.Context, a fleet.AccountID) (Usage, error) {
+	p, err := c.read(ctx, command{Kind: usageKind, Key: order.Key{Account: a}})
+	if err != nil || p.Usage == nil {
+		return Usage{}, err
+	}
+	return *p.Usage, nil
+}
+
 func (c *Client) change(ctx context.Context, m command) error {
 	m.Instance, m.At = c.instance, c.clock.Now()
 	p, _, err := c.propose(ctx, m)
--- a/internal/order/ledger/codec.go
+++ b/internal/order/ledger/codec.go
@@ -25,6 +25,7 @@
 	settleKind      kind = "settle"
 	openKind        kind = "open"
 	settlementsKind kind = "settlements"
+	usageKind       kind = "usage"
 )
 
 // command is a command or a query.
@@ -63,6 +64,19 @@
 	Settled     *Settlement  `json:"settled,omitempty"`
 	Open        []Open       `json:"open,omitempty"`
 	Settlements []Settlement `json:"settlements,omitempty"`
+	Usage       *Usage       `json:"usage,omitempty"`
+}
+
+// Usage tells how near a group is to its limits.
+type Usage struct {
+	// Records counts keys and released attempts, Open the keys without an
+	// answer.
+	Records int `json:"records"`
+	Open    int `json:"open"`
+	// Bytes counts recorded answers and what open claims reserve.
+	Bytes int `json:"bytes"`
+	// Oldest is the time of the oldest claim without an answer.
+	Oldest time.Time `json:"oldest"`
 }
 
 // Settlement is the statement of an operator about an order whose outcome was
@@ -125,6 +139,8 @@
 		return encode(reply{Open: m.open(c)})
 	case settlementsKind:
 		return encode(reply{Settlements: m.settled(c)})
+	case usageKind:
+		return encode(reply{Usage: m.usage()})
 	}
 	return encode(reply{Error: "unknown kind of query"})
 }
@@ -143,6 +159,20 @@
 	return list[:min(len(list), max(c.Limit, 0), MaxPage)]
 }
 
+func (m *Machine) usage() *Usage {
+	u := &Usage{Records: m.total.records, Bytes: m.total.bytes}
+	for _, r := range m.records {
+		if r.State != order.Claimed {
+			continue
+		}
+		u.Open++
+		if u.Oldest.IsZero() || r.At.Before(u.Oldest) {
+			u.Oldest = r.At
+		}
+	}
+	return u
+}
+
 // settled lists the newest settlements of an account, the newest first.
 func (m *Machine) settled(c command) []Settlement {
 	var list []Settlement
--- a/internal/order/ledger/fake_test.go
+++ b/internal/order/ledger/fake_test.go
@@ -104,13 +104,3 @@
 	ch <- c.Now()
 	return ch
 }
-
-// recorder keeps the commands and answers that they were applied.
-type recorder struct{ commands *[][]byte }
-
-func (r recorder) Propose(_ context.Context, _ quorum.GroupID, c []byte) ([]byte, error) {
-	*r.commands = append(*r.commands, c)
-	return encode(reply{}), nil
-}
-
-func (r recorder) Read(context.Context, quorum.GroupID, []byte) ([]byte, error) { return nil, nil }
--- a/internal/order/ledger/ledger_test.go
+++ b/internal/order/ledger/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"runtime"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/fakeclock"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/order"
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
@@ -62,6 +64,9 @@
 			case "open":
 				list, err := client.OpenClaims(ctx, k.Account, 9)
 				return fmt.Sprintf("%d %v\n", len(list), err)
+			case "usage":
+				u, err := client.Usage(ctx, k.Account)
+				return fmt.Sprintf("records=%d open=%d bytes=%d oldest=%s %v\n", u.Records, u.Open, u.Bytes, u.Oldest.Format(time.TimeOnly), err)
 			case "settlements":
 				list, err := client.Settlements(ctx, k.Account, 9)
 				out := fmt.Sprintf("%v\n", err)
@@ -198,33 +203,23 @@
 
 // BenchmarkClaim measures claim and finish in one state machine.
 func BenchmarkClaim(b *testing.B) {
-	f := newFaulty(nil, 1)
-	f.calm, f.replicas = true, f.replicas[:1]
-	f.random.Seed(2)
-	m := f.replicas[0]
-	limits := DefaultLimits
-	limits.MaxRecords, limits.MaxBytes = 1<<30, 1<<40
-	var commands [][]byte
-	record := recorder{&commands}
-	clock := &movingClock{}
-	c := NewClient(record, clock, "i", WithLimits(limits))
-	answer := upstream.Answer{Status: 200, Header: http.Header{"Content-Type": {"application/json"}}, Body: make([]byte, 200)}
+	m := New()
+	limits := Limits{Retention: time.Hour, MaxRecords: 1 << 30, MaxBytes: 1 << 40, MaxAnswer: 1 << 16}
+	answer, _ := json.Marshal(upstream.Answer{Status: 200, Header: http.Header{"Content-Type": {"application/json"}}, Body: make([]byte, 200)})
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	n := 0
 	for b.Loop() {
 		b.StopTimer()
-		commands = commands[:0]
-		k := order.Key{Account: fleet.AccountID(fmt.Sprint(n % 1000)), Name: fmt.Sprint(n)}
-		id := order.AttemptID(fmt.Sprint("attempt-", n))
+		c := command{Version: version, Kind: claimKind, Key: order.Key{Account: fleet.AccountID(fmt.Sprint(n % 1000)), Name: fmt.Sprint(n)}, Attempt: order.AttemptID(fleet.NewRequestID()), Request: fleet.NewRequestID(), Instance: "i", Digest: make([]byte, 32), At: fakeclock.Start, Limits: limits}
+		claim, _ := json.Marshal(c)
+		c.Kind, c.Answer, c.Digest = finishKind, answer, nil
+		finish, _ := json.Marshal(c)
 		n++
-		_, _ = c.Claim(context.Background(), order.Claim{Key: k, Attempt: id, Request: fleet.NewRequestID()})
-		_ = c.Finish(context.Background(), k, id, answer)
 		b.StartTimer()
-		for _, x := range commands {
-			m.Apply(0, x)
-		}
+		m.Apply(0, claim)
+		m.Apply(0, finish)
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
--- a/internal/order/ledger/placement_test.go
+++ b/internal/order/ledger/placement_test.go
@@ -1,6 +1,9 @@
 package ledger
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // The model of the design page: three data centres, 0.25 ms one way between them.
 // The time for a sync and the latency inside a data centre are assumptions.
@@ -77,18 +80,8 @@
 	for _, v := range voters[1:] {
 		times = append(times, sync1+2*delay(voters[0], v))
 	}
-	for i := range times { // the median of an unsorted short list
-		below := 0
-		for j := range times {
-			if times[j] < times[i] || times[j] == times[i] && j < i {
-				below++
-			}
-		}
-		if below == len(times)/2 {
-			return times[i]
-		}
-	}
-	return 0
+	slices.Sort(times)
+	return times[len(times)/2]
 }
 
 // BenchmarkPlacement compares one set of groups over all voters with a group for
--- a/internal/upstream/fencing/fencing_test.go
+++ b/internal/upstream/fencing/fencing_test.go
@@ -205,13 +205,16 @@
 	if !n.calm && n.random.Intn(20) == 0 {
 		n.pause()
 	}
-	return engine{n.world}
+	return engine{world: n.world}
 }
 
 func (n *node) Service(upstream.Upstream) upstream.ServiceClient { return nil }
 
-// engine is the client of the only engine.
-type engine struct{ *world }
+// engine is the client of the only engine. It has no methods for requests.
+type engine struct {
+	upstream.EngineClient
+	*world
+}
 
 func (e engine) Command(_ context.Context, c upstream.Command) error {
 	fault := e.random.Intn(6)
@@ -239,18 +242,6 @@
 	return upstream.Announcement{Model: c.Model, Version: c.Version, Layers: c.Layers}, nil
 }
 
-func (engine) Step(context.Context, upstream.Step) (upstream.StepResult, error) {
-	return upstream.StepResult{}, nil
-}
-
-func (engine) Cancel(context.Context, fleet.RequestID) error { return nil }
-
-func (engine) Export(context.Context, fleet.RequestID) (upstream.KV, error) {
-	return upstream.KV{}, nil
-}
-
-func (engine) Import(context.Context, fleet.Epoch, upstream.KV) error { return nil }
-
 // command sends the next command of a node.
 func (n *node) command() (Report, error) {
 	n.sent++
