Check the age of a claim before an upstream is picked

The daemon counts a picked upstream as in use until it was called. The desk checked the age of the claim after the pick, so a claim that was too old left up to three upstreams counted as in use for ever. TestKinds records picks and fails with the desk before this change.

--- a/internal/order/desk/desk.go
+++ b/internal/order/desk/desk.go
@@ -62,7 +62,8 @@
 	// Timeout bounds the call to the upstream. Zero stands for DefaultTimeout.
 	Timeout time.Duration
 	// Pick chooses an upstream. It is called again, up to a few times, when an
-	// upstream certainly processed nothing.
+	// upstream certainly processed nothing. It must not wait, since the age of
+	// the claim is checked before it. Each client that it returns is called once.
 	Pick func(ctx context.Context) (upstream.ServiceClient, error)
 }
 
@@ -332,15 +333,15 @@
 func (t *attempt) call() (upstream.Answer, error) {
 	ctx, cancel := t.bounded(t.timeout())
 	defer cancel()
-	client, err := t.order.Pick(ctx)
-	if err != nil {
-		return upstream.Answer{}, refusal.Because(refusal.NoUpstream, err, "no upstream")
-	}
 	// The instance may have been frozen since its claim, and an operator may
 	// have settled the claim.
 	if t.clock.Now().Sub(t.claim.At) > SendWithin {
 		return upstream.Answer{}, refusal.New(refusal.NoUpstream, "claim is older than %v", SendWithin)
 	}
+	client, err := t.order.Pick(ctx)
+	if err != nil {
+		return upstream.Answer{}, refusal.Because(refusal.NoUpstream, err, "no upstream")
+	}
 	return client.Call(ctx, t.order.Call)
 }
 
--- a/internal/order/desk/desk_test.go
+++ b/internal/order/desk/desk_test.go
@@ -162,8 +162,9 @@
 	return upstream.Answer{}, s.err(s.call)
 }
 
-// TestKinds guards against a wrong error kind, a call without a claim and a
-// claim that is released although something was sent.
+// TestKinds guards against a wrong error kind, a call without a claim, a claim
+// that is released although something was sent, and a picked upstream that is not
+// called.
 func TestKinds(t *testing.T) {
 	datadriven.RunTest(t, "testdata/kinds.txt", func(t *testing.T, d *datadriven.TestData) string {
 		var out strings.Builder
@@ -171,7 +172,12 @@
 			s := &scripted{clock: &stepClock{}}
 			_, _ = fmt.Sscan(line, &s.claim, &s.call, &s.finish)
 			desk := New(s, s.clock, "i", zap.NewNop())
-			a, err := desk.Run(context.Background(), orderOf("k", "x", s))
+			o := orderOf("k", "x", s)
+			o.Pick = func(context.Context) (upstream.ServiceClient, error) {
+				s.log = append(s.log, "pick")
+				return s, nil
+			}
+			a, err := desk.Run(context.Background(), o)
 			for s.clock.quiesce([]*Desk{desk}); s.clock.step(); {
 				s.clock.quiesce([]*Desk{desk})
 			}
