--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -179,13 +179,13 @@
 	if before.Revision != after.Revision {
 		close(w.changed)
 		w.changed = make(chan struct{})
-		w.log.Info("configuration in force", zap.Uint64("revision", uint64(after.Revision)), zap.String("source", string(after.Source)))
+		w.log.Info("Configuration in force.", zap.Uint64("revision", uint64(after.Revision)), zap.String("source", string(after.Source)))
 	}
 	if before.State != after.State {
-		w.log.Info("readiness changed", zap.Stringer("state", after.State))
+		w.log.Info("Readiness changed.", zap.Stringer("state", after.State))
 	}
 	if after.Fault != "" && before.Fault != after.Fault {
-		w.log.Error("newer configuration is not usable", zap.String("fault", after.Fault))
+		w.log.Error("Newer configuration is not usable.", zap.String("fault", after.Fault))
 	}
 }
 
--- a/internal/order/desk/desk.go
+++ b/internal/order/desk/desk.go
@@ -384,7 +384,7 @@
 	for pause := firstPause; call != nil; pause = min(2*pause, longestPause) {
 		select {
 		case <-t.work.Done():
-			t.log.Error("order left without its entry in the ledger", t.fields()...)
+			t.log.Error("Order left without its entry in the ledger.", t.fields()...)
 			return
 		case <-t.clock.After(pause):
 		}
@@ -406,7 +406,7 @@
 
 func (t *attempt) warn(err error) {
 	if err != nil {
-		t.log.Warn("ledger holds another outcome of the order", append(t.fields(), zap.Error(err))...)
+		t.log.Warn("Ledger holds another outcome of the order.", append(t.fields(), zap.Error(err))...)
 	}
 }
 
