--- a/internal/order/desk/desk.go
+++ b/internal/order/desk/desk.go
@@ -62,7 +62,8 @@
 	// Timeout bounds the call to the upstream. Zero stands for DefaultTimeout.
 	Timeout time.Duration
 	// Pick chooses an upstream. It is called again, up to a few times, when an
-	// upstream certainly processed nothing.
+	// upstream certainly processed nothing. It must not wait, since the age of
+	// the claim is checked before it. Each client that it returns is called once.
 	Pick func(ctx context.Context) (upstream.ServiceClient, error)
 }
 
@@ -151,6 +152,23 @@
 	}
 }
 
+// Load counts the work of a Desk.
+type Load struct {
+	// Running counts the orders that have no answer yet, and those whose answer
+	// is known and not recorded yet.
+	Running int
+	// Unrecorded counts the orders that ended without an answer and whose claim
+	// is not released yet. It grows while the ledger can't be reached.
+	Unrecorded int
+}
+
+// Load returns how much work is left, for metrics and for a stop.
+func (d *Desk) Load() Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Load{Running: len(d.flights), Unrecorded: d.unrecorded}
+}
+
 // Unconfirmed returns err unless its kind says that the request was not run and
 // may be sent again, as a full queue does. The ledger was not asked about earlier
 // attempts then, so the kind becomes refusal.LedgerUnreachable.
@@ -315,15 +333,15 @@
 func (t *attempt) call() (upstream.Answer, error) {
 	ctx, cancel := t.bounded(t.timeout())
 	defer cancel()
-	client, err := t.order.Pick(ctx)
-	if err != nil {
-		return upstream.Answer{}, refusal.Because(refusal.NoUpstream, err, "no upstream")
-	}
 	// The instance may have been frozen since its claim, and an operator may
 	// have settled the claim.
 	if t.clock.Now().Sub(t.claim.At) > SendWithin {
 		return upstream.Answer{}, refusal.New(refusal.NoUpstream, "claim is older than %v", SendWithin)
 	}
+	client, err := t.order.Pick(ctx)
+	if err != nil {
+		return upstream.Answer{}, refusal.Because(refusal.NoUpstream, err, "no upstream")
+	}
 	return client.Call(ctx, t.order.Call)
 }
 
@@ -366,7 +384,7 @@
 	for pause := firstPause; call != nil; pause = min(2*pause, longestPause) {
 		select {
 		case <-t.work.Done():
-			t.log.Error("order left without its entry in the ledger", t.fields()...)
+			t.log.Error("Order left without its entry in the ledger.", t.fields()...)
 			return
 		case <-t.clock.After(pause):
 		}
@@ -388,7 +406,7 @@
 
 func (t *attempt) warn(err error) {
 	if err != nil {
-		t.log.Warn("ledger holds another outcome of the order", append(t.fields(), zap.Error(err))...)
+		t.log.Warn("Ledger holds another outcome of the order.", append(t.fields(), zap.Error(err))...)
 	}
 }
 
