--- a/internal/entry/console/console.go
+++ b/internal/entry/console/console.go
@@ -98,6 +98,8 @@
 		{"history", "print the audit trail of the team", &historyCommand{options: o}},
 		{"status", "print instances, revisions in force and voters", &statusCommand{options: o}},
 		{"explain", "print the decisions on a request", &explainCommand{options: o}},
+		{"orders", "print the orders of an account whose outcome is unknown", &ordersCommand{options: o}},
+		{"settle", "say whether an order with an unknown outcome ran", &settleCommand{options: o}},
 		{"check", "check a section without a server", &checkCommand{options: o}},
 	} {
 		if _, err := p.AddCommand(c.name, c.help, "", c.command); err != nil {
--- a/internal/entry/daemon/requests.go
+++ b/internal/entry/daemon/requests.go
@@ -51,6 +51,8 @@
 	r.operators = operator.New(operator.Parts{
 		Documents: d.state.register,
 		Finder:    r,
+		Orders:    d.state.ledger,
+		Owner:     d.owner,
 		Status:    d.status,
 		Tokens:    s.Operators.Tokens,
 		Clock:     d.clock,
@@ -65,6 +67,16 @@
 	return nil
 }
 
+// owner returns the team of a client account in the configuration in force.
+func (d *Daemon) owner(id fleet.AccountID) (fleet.TeamID, bool) {
+	config := d.state.config.Load()
+	if config == nil {
+		return "", false
+	}
+	account, known := config.Accounts[id]
+	return account.Team, known
+}
+
 func (d *Daemon) listen() error {
 	l := d.settings.Listeners
 	for _, one := range []struct {
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -8,6 +8,8 @@
 //	GET  /v1/history?limit=N  the audit trail of the team
 //	GET  /v1/status           instances, revisions in force and voters
 //	GET  /v1/explain/ID       the decisions on a request
+//	GET  /v1/orders?account=A orders of an account whose outcome is unknown
+//	POST /v1/settlements      settles such an order
 package operator
 
 import (
@@ -53,6 +55,9 @@
 type Parts struct {
 	Documents Documents
 	Finder    Finder
+	Orders    Orders
+	// Owner returns the team of a client account.
+	Owner func(fleet.AccountID) (fleet.TeamID, bool)
 	// Status returns the state of the fleet as this instance sees it.
 	Status func() Status
 	// Tokens maps the SHA-256 of a token in hexadecimal to its team.
@@ -98,6 +103,8 @@
 	r.Get("/v1/history", a.serve(a.history))
 	r.Get("/v1/status", a.serve(a.status))
 	r.Get("/v1/explain/{id}", a.serve(a.explain))
+	r.Get("/v1/orders", a.serve(a.openOrders))
+	r.Post("/v1/settlements", a.serve(a.settle))
 	r.NotFound(a.serve(func(_ http.ResponseWriter, r *http.Request, _ fleet.TeamID) error {
 		return refusal.New(refusal.NotFound, "path %q does not exist", r.URL.Path)
 	}))
@@ -214,16 +221,9 @@
 
 func (a *API) readSubmission(w http.ResponseWriter, r *http.Request) (submission, error) {
 	var s submission
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.limits.MaxBody))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return s, refusal.New(refusal.TooLarge, "the body is larger than %d bytes", tooLarge.Limit)
-	}
+	raw, err := a.readBody(w, r)
 	if err != nil {
-		return s, refusal.Because(refusal.BadRequest, err, "the body could not be read")
-	}
-	if !utf8.Valid(raw) {
-		return s, refusal.New(refusal.BadRequest, "the body is not valid UTF-8")
+		return s, err
 	}
 	if err := json.Unmarshal(raw, &s); err != nil {
 		return s, refusal.Because(refusal.BadRequest, err, "the body is not a valid JSON object: %v", err)
@@ -239,6 +239,21 @@
 	return s, nil
 }
 
+func (a *API) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.limits.MaxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, refusal.New(refusal.TooLarge, "the body is larger than %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, refusal.Because(refusal.BadRequest, err, "the body could not be read")
+	}
+	if !utf8.Valid(raw) {
+		return nil, refusal.New(refusal.BadRequest, "the body is not valid UTF-8")
+	}
+	return raw, nil
+}
+
 func verdictStatus(v document.Verdict) int {
 	switch v {
 	case document.Accepted:
--- a/internal/entry/operator/operator_test.go
+++ b/internal/entry/operator/operator_test.go
@@ -20,7 +20,9 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/fakeclock"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/order/ledger"
 	"github.com/bilberryrock/bilberryrock/internal/report"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
 )
 
 // documents answers each submission with a verdict that its change id names.
@@ -56,6 +58,17 @@
 	return report.Record{ID: id, Team: teams[id], Entries: []report.Entry{}}, teams[id] != ""
 }
 
+func (documents) OpenClaims(context.Context, fleet.AccountID, int) ([]ledger.Open, error) {
+	return nil, nil
+}
+
+func (documents) Settle(_ context.Context, s ledger.Settlement, _ upstream.Answer) error {
+	if s.Attempt != "attempt-1" {
+		return refusal.New(refusal.Conflict, "the attempt holds no open claim")
+	}
+	return nil
+}
+
 func digest(token string) string {
 	sum := sha256.Sum256([]byte(token))
 	return hex.EncodeToString(sum[:])
@@ -67,10 +80,15 @@
 	api := operator.New(operator.Parts{
 		Documents: documents{},
 		Finder:    documents{},
-		Status:    func() operator.Status { return operator.Status{Instance: "a", Revision: 3} },
-		Tokens:    map[string]fleet.TeamID{digest("token"): "alpha"},
-		Clock:     fakeclock.New(fakeclock.Start),
-		Log:       zap.NewNop(),
+		Orders:    documents{},
+		Owner: func(a fleet.AccountID) (fleet.TeamID, bool) {
+			teams := map[fleet.AccountID]fleet.TeamID{"parish": "alpha", "rival": "beta"}
+			return teams[a], teams[a] != ""
+		},
+		Status: func() operator.Status { return operator.Status{Instance: "a", Revision: 3} },
+		Tokens: map[string]fleet.TeamID{digest("token"): "alpha"},
+		Clock:  fakeclock.New(fakeclock.Start),
+		Log:    zap.NewNop(),
 	}, operator.WithLimits(entry.Limits{MaxBody: 300}))
 	datadriven.RunTest(t, "testdata/requests.txt", func(t *testing.T, d *datadriven.TestData) string {
 		head, body, _ := strings.Cut(d.Input, "\n--\n")
