Add quiet-hours windows and upstream faults to the failure runs; bound the ledger to the memory of a daemon

Fetch allows messages of 64 MiB: a whole document with 42,000 accounts is larger than the 4 MiB that gRPC allows by default. A record of the ledger takes about 820 bytes, so 200,000 records of two shards were above the 128 MB of a daemon; 50,000 are about 82 MB.

--- a/internal/entry/peer/connections.go
+++ b/internal/entry/peer/connections.go
@@ -12,6 +12,10 @@
 	"google.golang.org/grpc/credentials/insecure"
 )
 
+// maxMessage is the greatest message in bytes. The default of gRPC, 4 MiB, is less
+// than a whole document with the 42,000 client accounts of the design page.
+const maxMessage = 64 << 20
+
 // Security holds the transport credentials between daemons.
 type Security struct {
 	Server credentials.TransportCredentials
@@ -76,7 +80,10 @@
 	if conn, found := c.open[address]; found {
 		return conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(c.security.Client))
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(c.security.Client),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
+	)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", address)
 	}
--- a/internal/fleet/settings/keys.go
+++ b/internal/fleet/settings/keys.go
@@ -151,8 +151,8 @@
 	return []Key{
 		number(section, "shards", "2", 1, 256, "number of ledger groups; the same on all instances", func(s *Settings) *int { return &s.Orders.Shards }),
 		duration(section, "retention", "24h", 10*time.Minute, 10000*time.Hour, "time that the key of an order is kept", func(s *Settings) *time.Duration { return &s.Orders.Retention }),
-		number(section, "maxRecords", "200000", 1, 100000000, "greatest number of kept keys of a shard; at the bound new orders are refused", func(s *Settings) *int { return &s.Orders.MaxRecords }),
-		size(section, "maxBytes", "128MiB", 1<<20, 1<<40, "kept answers of a shard", func(s *Settings) *int64 { return &s.Orders.MaxBytes }),
+		number(section, "maxRecords", "50000", 1, 100000000, "greatest number of kept keys of a shard; at the bound new orders are refused", func(s *Settings) *int { return &s.Orders.MaxRecords }),
+		size(section, "maxBytes", "32MiB", 1<<20, 1<<40, "kept answers of a shard", func(s *Settings) *int64 { return &s.Orders.MaxBytes }),
 		size(section, "maxAnswer", "64KiB", 1<<10, 4<<20, "greatest answer of an order that is kept for replay", func(s *Settings) *int64 { return &s.Orders.MaxAnswer }),
 	}
 }
--- a/internal/trial/failure/failure.go
+++ b/internal/trial/failure/failure.go
@@ -17,6 +17,9 @@
 //	heal                  drop no messages any more
 //	submit a, submit c    submit a new section through a daemon
 //	race a b              submit two sections with the same base at once
+//	fault desk-1 {json}   replace the faults of a stand-in
+//	window dc1 2 16       submit a quiet-hours window of one minute with bound 2, and
+//	                      keep 16 calls going until after its end
 //	sleep 2s
 //
 // After the script, the checks of package traffic run over all calls. Without a
@@ -78,6 +81,8 @@
 	// killed tells that a process was ended or frozen without notice, so that
 	// calls may be cut off.
 	killed    bool
+	window    *window
+	load      load
 	revisions map[string]fleet.Revision
 }
 
@@ -305,6 +310,10 @@
 		return r.submitUntil(args[0], patience)
 	case "race":
 		return r.race(args[0], args[1])
+	case "window":
+		return r.plan(args[0], args[1], args[2])
+	case "fault":
+		return r.setFaults(args[0], strings.Join(args[1:], " "))
 	case "repaired":
 		return r.awaitRepair(args[0])
 	case "wipe":
@@ -427,6 +436,24 @@
 	return nil
 }
 
+// setFaults replaces the faults of a stand-in.
+func (r *Run) setFaults(name, body string) error {
+	s := r.standins[name]
+	if s == nil {
+		return errors.Errorf("no stand-in is named %q", name)
+	}
+	client := &http.Client{Timeout: 5 * time.Second}
+	answer, err := client.Post("http://"+s.Address+"/faults", "application/json", strings.NewReader(body))
+	if err != nil {
+		return errors.Wrapf(err, "faults of %s", name)
+	}
+	answer.Body.Close()
+	if answer.StatusCode/100 != 2 {
+		return errors.Errorf("faults of %s: status %d", name, answer.StatusCode)
+	}
+	return nil
+}
+
 // awaitRepair waits until a voter with a wiped folder has been replaced by its
 // successor, as every running voter sees it.
 func (r *Run) awaitRepair(name string) error {
--- a/internal/trial/failure/failure_test.go
+++ b/internal/trial/failure/failure_test.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		t.Fatalf("%s: %v", d.Pos, err)
 	}
-	t.Logf("%s:\n%s", d.Pos, r.Summary())
+	t.Logf("%s:\n%s%s", d.Pos, r.Summary(), r.Load())
 	if len(faults) > 0 {
 		t.Logf("%s: seed %d\n%s", d.Pos, *seed, r.Logs())
 		return strings.Join(faults, "\n") + "\n"
--- a/internal/trial/failure/submit.go
+++ b/internal/trial/failure/submit.go
@@ -30,7 +30,7 @@
 	r.mu.Unlock()
 	c.path = r.fleet.Path(c.id + ".section")
 	text := fmt.Sprintf(section, r.changes, traffic.ServicePool, traffic.OncePath, traffic.Model,
-		traffic.Version, traffic.Layers, processes.Digest(processes.APIKey))
+		traffic.Version, traffic.Layers, processes.Digest(processes.APIKey)) + r.window.text()
 	return c, errors.Wrap(os.WriteFile(c.path, []byte(text), 0o600), "write section")
 }
 
--- a/internal/trial/processes/daemon.go
+++ b/internal/trial/processes/daemon.go
@@ -1,9 +1,11 @@
 package processes
 
 import (
+	"bufio"
 	"fmt"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -62,7 +64,8 @@
 
 func (f *Fleet) settings(d *Daemon) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[instance]\nid = %s\ndataCentre = %s\ndrainDelay = 300ms\nstopTimeout = 20s\n", d.Plan.ID, d.Plan.DataCentre)
+	fmt.Fprintf(&b, "[instance]\nid = %s\ndataCentre = %s\nfleetSize = %d\ndrainDelay = 300ms\nstopTimeout = 20s\n",
+		d.Plan.ID, d.Plan.DataCentre, f.sizeOf(d.Plan.DataCentre))
 	if d.Plan.Voter != 0 {
 		fmt.Fprintf(&b, "dataFolder = %s\nvotes = true\n", d.DataFolder())
 	}
@@ -76,6 +79,17 @@
 	return b.String()
 }
 
+// sizeOf returns the number of daemons in a data centre.
+func (f *Fleet) sizeOf(dataCentre string) int {
+	n := 0
+	for _, d := range f.daemons {
+		if d.Plan.DataCentre == dataCentre {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *Fleet) seeds(self *Daemon) string {
 	var list []string
 	for _, d := range f.daemons {
@@ -146,3 +160,27 @@
 	answer.Body.Close()
 	return answer.StatusCode != http.StatusOK
 }
+
+// Metric returns the sum of a metric over all its labels.
+func (d *Daemon) Metric(name string) (float64, error) {
+	client := &http.Client{Timeout: readyTimeout}
+	answer, err := client.Get("http://" + d.Platform + "/metrics")
+	if err != nil {
+		return 0, errors.Wrapf(err, "metrics of %s", d.Plan.ID)
+	}
+	defer answer.Body.Close()
+	sum := 0.0
+	lines := bufio.NewScanner(answer.Body)
+	for lines.Scan() {
+		rest, found := strings.CutPrefix(lines.Text(), name)
+		if !found || rest == "" || rest[0] != '{' && rest[0] != ' ' {
+			continue
+		}
+		value, err := strconv.ParseFloat(rest[strings.LastIndexByte(rest, ' ')+1:], 64)
+		if err != nil {
+			return 0, errors.Wrapf(err, "metric %s", name)
+		}
+		sum += value
+	}
+	return sum, errors.Wrap(lines.Err(), "read metrics")
+}
--- a/internal/trial/traffic/check.go
+++ b/internal/trial/traffic/check.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"net/http"
 	"sort"
@@ -45,7 +46,13 @@
 func checkTexts(calls []Call) []string {
 	var faults []string
 	for _, c := range calls {
-		if c.Kind != Completion || c.Status != http.StatusOK || !c.Whole {
+		if c.Status != http.StatusOK || !c.Whole {
+			continue
+		}
+		if c.Kind != Completion {
+			if want := c.mark(); !strings.Contains(c.Body, want) {
+				faults = append(faults, fmt.Sprintf("call %d, request %s: the answer %q has no %s", c.Number, c.Request, c.Body, want))
+			}
 			continue
 		}
 		prompt := make([]uint64, len(c.Prompt))
@@ -60,6 +67,14 @@
 	return faults
 }
 
+// mark returns a part of the answer of a service that no other call has.
+func (c Call) mark() string {
+	if c.Kind == Lookup {
+		return fmt.Sprintf(`"path":%q`, c.Key)
+	}
+	return fmt.Sprintf(`"digest":"%x"`, sha256.Sum256([]byte(c.Key)))
+}
+
 // ran tells what the stand-ins ran, by request, path and key.
 type ran struct {
 	requests map[fleet.RequestID]bool
--- a/internal/trial/traffic/traffic.go
+++ b/internal/trial/traffic/traffic.go
@@ -104,6 +104,22 @@
 	wg.Wait()
 }
 
+// SendFor sends calls for the given time, at most parallel at once, and waits for
+// their answers.
+func (t *Traffic) SendFor(d time.Duration, parallel int) {
+	end := time.Now().Add(d)
+	var wg sync.WaitGroup
+	for range parallel {
+		wg.Go(func() {
+			for time.Now().Before(end) {
+				c, d := t.next()
+				t.keep(send(d, c))
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // Calls returns all calls that were answered or failed.
 func (t *Traffic) Calls() []Call {
 	t.mu.Lock()
