--- a/internal/quorum/replica/leader.go
+++ b/internal/quorum/replica/leader.go
@@ -7,9 +7,13 @@
 	"github.com/pkg/errors"
 )
 
-// snapshotTimeouts is the number of election timeouts after which a leader tries
-// again to reach a member that got a snapshot.
-const snapshotTimeouts = 10
+// Election timeouts after which a leader tries again to reach a member that was
+// sent a snapshot: while the transport sends it, and after it was handed over. The
+// first is longer than the transport tries.
+const (
+	transferTimeouts = 100
+	installTimeouts  = 4
+)
 
 type flow int
 
@@ -29,6 +33,7 @@
 	sentCommit  quorum.Index
 	installed   quorum.Index
 	waited      int  // ticks since the snapshot was sent
+	patience    int  // ticks to wait
 	active      bool // answered since the last check of the quorum
 	recent      bool // answered in the period before
 	lost        bool
@@ -63,7 +68,7 @@
 		r.heartbeatDue = true
 	}
 	for _, p := range r.progress {
-		p.tick(r.options.ElectionTicks * snapshotTimeouts)
+		p.tick()
 	}
 	if r.electionElapsed < r.options.ElectionTicks {
 		return
@@ -80,12 +85,12 @@
 	}
 }
 
-func (p *progress) tick(patience int) {
+func (p *progress) tick() {
 	if p.flow != installing {
 		return
 	}
 	p.waited++
-	if p.waited >= patience {
+	if p.waited >= p.patience {
 		p.probe(p.match + 1)
 	}
 }
@@ -266,14 +271,21 @@
 	p.flow = installing
 	p.installed = s.Index
 	p.waited = 0
+	p.patience = transferTimeouts * r.options.ElectionTicks
 	p.inFlight = nil
 	r.sendEarly(Message{Kind: InstallSnapshot, To: id, Snapshot: &s})
 }
 
-// SnapshotFailed tells that a snapshot did not reach a member.
-func (r *Replica) SnapshotFailed(id quorum.VoterID) {
-	if p := r.progress[id]; p != nil && p.flow == installing {
-		p.waited = 0
+// SnapshotSent tells whether the transport handed a snapshot over to a member. A
+// member that got it answers with an AppendReply.
+func (r *Replica) SnapshotSent(id quorum.VoterID, ok bool) {
+	p := r.progress[id]
+	if p == nil || p.flow != installing {
+		return
+	}
+	p.patience = installTimeouts * r.options.ElectionTicks
+	p.waited = 0
+	if !ok {
 		p.probe(p.match + 1)
 		p.probed = true // The next heartbeat reply starts another try.
 	}
--- a/internal/quorum/voter/group.go
+++ b/internal/quorum/voter/group.go
@@ -133,8 +133,8 @@
 			return
 		}
 	}
-	g.voter.transport.send(to, envelope{group: g.id, message: msg}, func() {
-		g.post(func(m *member) { m.replica.SnapshotFailed(msg.To) })
+	g.voter.transport.send(to, envelope{group: g.id, message: msg}, func(err error) {
+		g.post(func(m *member) { m.replica.SnapshotSent(msg.To, err == nil) })
 	})
 }
 
--- a/internal/quorum/voter/member.go
+++ b/internal/quorum/voter/member.go
@@ -15,6 +15,13 @@
 // outcome after the replica lost the leadership.
 const patience = 4
 
+// The log between snapshots is held in memory and read at the next start, so its
+// size is bounded besides the number of its entries.
+const (
+	snapshotBytes = 32 << 20
+	keepBytes     = 4 << 20
+)
+
 // done receives the outcome of a proposal or read. It must not block.
 type done func(reply []byte, err error)
 
@@ -48,15 +55,17 @@
 // is driven from one goroutine: inputs first, then flush.
 type member struct {
 	memberConfig
-	replica   *replica.Replica
-	journal   *journal.Journal
-	applied   quorum.Index
-	snapshot  quorum.Index
-	waiters   map[quorum.Index]waiter
-	reads     map[uint64]query
-	nextRead  uint64
-	failure   error
-	leaderFor int // ticks as the leader since the last housekeeping
+	replica  *replica.Replica
+	journal  *journal.Journal
+	applied  quorum.Index
+	snapshot quorum.Index
+	// appliedBytes is the size of the commands since the last snapshot.
+	appliedBytes int
+	waiters      map[quorum.Index]waiter
+	reads        map[uint64]query
+	nextRead     uint64
+	failure      error
+	leaderFor    int // ticks as the leader since the last housekeeping
 }
 
 func openMember(c memberConfig) (*member, error) {
@@ -220,6 +229,7 @@
 		reply = m.machine.Apply(e.Index, e.Data)
 	}
 	m.applied = e.Index
+	m.appliedBytes += len(e.Data)
 	w, ok := m.waiters[e.Index]
 	if !ok {
 		return
@@ -247,7 +257,7 @@
 }
 
 func (m *member) takeSnapshot() error {
-	if m.applied < m.snapshot+quorum.Index(m.snapshotEntries) {
+	if m.applied < m.snapshot+quorum.Index(m.snapshotEntries) && m.appliedBytes < snapshotBytes {
 		return nil
 	}
 	state, err := m.machine.Snapshot()
@@ -255,14 +265,33 @@
 		return errors.Wrapf(err, "group %q: snapshot", m.group)
 	}
 	s := m.replica.MakeSnapshot(state)
-	m.replica.Compact(s, m.keepEntries)
+	m.replica.Compact(s, m.keep(s.Index))
 	if err := m.journal.Compact(s, m.replica.Retained()); err != nil {
 		return err
 	}
 	m.snapshot = s.Index
+	m.appliedBytes = 0
 	return nil
 }
 
+// keep returns how many entries before a snapshot stay in the log, bounded in
+// number and in bytes.
+func (m *member) keep(snapshot quorum.Index) int {
+	size := 0
+	n := 0
+	for _, e := range slices.Backward(m.replica.Retained()) {
+		if e.Index > snapshot {
+			continue
+		}
+		size += len(e.Data)
+		if n >= m.keepEntries || size > keepBytes {
+			break
+		}
+		n++
+	}
+	return n
+}
+
 // expire ends proposals whose outcome this replica may never learn.
 func (m *member) expire() {
 	if m.replica.Leader() == m.options.ID {
--- a/internal/quorum/voter/options.go
+++ b/internal/quorum/voter/options.go
@@ -158,6 +158,29 @@
 	return c, nil
 }
 
+// validate checks the settings of a Voter. A wrong list of initial voters would
+// form another group than the one that the others form.
+func (c *config) validate() error {
+	if c.folder == "" {
+		return errors.Errorf("voter of instance %q has no data folder", c.instance)
+	}
+	if c.address == "" {
+		return errors.Errorf("voter of instance %q has no address", c.instance)
+	}
+	ids := make(map[quorum.VoterID]bool)
+	instances := make(map[fleet.InstanceID]bool)
+	for _, p := range c.initial {
+		if p.ID == 0 || p.Instance == "" || p.Address == "" {
+			return errors.Errorf("initial voter %d of instance %q is incomplete", p.ID, p.Instance)
+		}
+		if ids[p.ID] || instances[p.Instance] {
+			return errors.Errorf("initial voter %d of instance %q is listed twice", p.ID, p.Instance)
+		}
+		ids[p.ID], instances[p.Instance] = true, true
+	}
+	return nil
+}
+
 // dialOptions come before those of the caller, which thus take precedence.
 func (c *config) dialOptions() []grpc.DialOption {
 	return append([]grpc.DialOption{
--- a/internal/quorum/voter/schedule_test.go
+++ b/internal/quorum/voter/schedule_test.go
@@ -117,6 +117,9 @@
 
 // passTime ticks all places, those with a slow clock less often.
 func (w *world) passTime() {
+	if w.random.IntN(10) == 0 {
+		w.endTransfers()
+	}
 	for _, p := range w.sites {
 		if p.member == nil || p.slow && w.random.IntN(4) > 0 {
 			continue
--- a/internal/quorum/voter/transport.go
+++ b/internal/quorum/voter/transport.go
@@ -110,13 +110,17 @@
 }
 
 // send queues a message. It drops the message when the queue is full or the link
-// is cut, which the protocol tolerates.
-func (t *transport) send(to replica.Voter, e envelope, failed func()) {
-	if t.config.cut(t.self.Instance, to.Instance) {
+// is cut, which the protocol tolerates. It calls sent once for each snapshot.
+func (t *transport) send(to replica.Voter, e envelope, sent func(error)) {
+	cut := t.config.cut(t.self.Instance, to.Instance)
+	if cut && e.message.Kind == replica.InstallSnapshot {
+		sent(errors.New("link is cut"))
+	}
+	if cut {
 		return
 	}
 	if e.message.Kind == replica.InstallSnapshot {
-		t.sendSnapshot(to, e, failed)
+		t.sendSnapshot(to, e, sent)
 		return
 	}
 	select {
@@ -168,7 +172,7 @@
 
 // sendSnapshot uses a stream of its own, so that heartbeats don't wait for the
 // snapshot.
-func (t *transport) sendSnapshot(to replica.Voter, e envelope, failed func()) {
+func (t *transport) sendSnapshot(to replica.Voter, e envelope, sent func(error)) {
 	t.wait.Go(func() {
 		ctx, cancel := context.WithTimeout(t.ctx, snapshotTimeout)
 		defer cancel()
@@ -176,9 +180,7 @@
 		if err == nil {
 			err = t.streamOnce(ctx, conn, e)
 		}
-		if err != nil {
-			failed()
-		}
+		sent(err)
 	})
 }
 
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -78,6 +78,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := c.validate(); err != nil {
+		return nil, err
+	}
 	if err := c.disk.MakeDir(c.folder); err != nil {
 		return nil, errors.Wrap(err, "data folder")
 	}
--- a/internal/quorum/voter/world_test.go
+++ b/internal/quorum/voter/world_test.go
@@ -25,10 +25,12 @@
 	sites   []*place
 	initial []replica.Voter
 	net     []replica.Message
-	cuts    map[[2]fleet.InstanceID]bool
-	nextID  quorum.VoterID
-	faults  int   // in 1000 steps
-	broken  error // first violated invariant
+	// transfers are snapshots whose end the sender was not told yet.
+	transfers []replica.Message
+	cuts      map[[2]fleet.InstanceID]bool
+	nextID    quorum.VoterID
+	faults    int   // in 1000 steps
+	broken    error // first violated invariant
 
 	leaders  map[quorum.Term]quorum.VoterID
 	entries  map[position]mark
@@ -163,6 +165,9 @@
 }
 
 func (p *place) send(m replica.Message) {
+	if m.Kind == replica.InstallSnapshot {
+		p.w.transfers = append(p.w.transfers, m)
+	}
 	if to := p.w.byID(m.To); to != nil && !p.w.cuts[[2]fleet.InstanceID{p.instance, to.instance}] {
 		p.w.net = append(p.w.net, m)
 	}
@@ -263,6 +268,17 @@
 	w.log = append(w.log, fmt.Sprintf(format, args...))
 }
 
+// endTransfers tells the senders of snapshots that these were handed over, or in
+// some cases that they failed.
+func (w *world) endTransfers() {
+	for _, m := range w.transfers {
+		if p := w.byID(m.From); p != nil && p.runs() {
+			p.member.replica.SnapshotSent(m.To, w.random.IntN(4) > 0)
+		}
+	}
+	w.transfers = nil
+}
+
 func (w *world) deliverAll() {
 	for len(w.net) > 0 && w.broken == nil {
 		w.deliver(0, false)
@@ -393,6 +409,7 @@
 		}
 	}
 	for round := range 2000 {
+		w.endTransfers()
 		for _, p := range w.sites {
 			p.tick(1)
 		}
