Ask running work over the quiet-hours bound to leave

Excess only counted it. Governor.Move now asks the work with the longest expected time first, Gate.Wake calls it, and the ticket shows it as a closed channel.

--- a/internal/admission/gate/gate.go
+++ b/internal/admission/gate/gate.go
@@ -99,9 +99,13 @@
 // reports have come.
 func (g *Gate) SetCapacity(p fleet.PoolID, c lane.Capacity) { g.lane(p).adapt(c) }
 
-// Wake hands out places again after the bound changed. A controller calls it a
-// few times a second while a bound may change.
+// Wake hands out places again after the bound changed, and asks work over the
+// bound to leave. A controller calls it a few times a second while a bound may
+// change.
 func (g *Gate) Wake() {
+	if g.bound != nil {
+		g.bound.Move(g.clock.Now())
+	}
 	for _, l := range g.all() {
 		l.wake()
 	}
--- a/internal/admission/gate/gate_test.go
+++ b/internal/admission/gate/gate_test.go
@@ -102,9 +102,19 @@
 		_, err := enter()
 		is.Equal(refusal.KindOf(err), refusal.QuietHours)
 		is.True(err.(*refusal.Error).RetryAfter > 0)
+		// The work that is still there leaves when the bound becomes smaller.
+		bound.SetFleet("self", 2, nil)
+		g.Wake()
+		moved := 0
 		for _, r := range running {
+			select {
+			case <-r.(gate.Movable).Moved():
+				moved++
+			default:
+			}
 			r.Done()
 		}
+		is.Equal(moved, 1)
 		bound.SetFleet("self", 5, nil) // the bound of 2 leaves nothing for one of 5
 		before := time.Now()
 		_, err = enter()
--- a/internal/admission/gate/wait.go
+++ b/internal/admission/gate/wait.go
@@ -78,6 +78,15 @@
 	return g.lane.Counters()
 }
 
+// Movable is implemented by the tickets of a Gate with a bound.
+type Movable interface {
+	// Moved returns a channel that is closed when the work has to leave this
+	// data centre, or be refused, because quiet hours have begun.
+	Moved() <-chan struct{}
+}
+
+var _ Movable = (*ticket)(nil)
+
 // ticket implements admission.Ticket.
 type ticket struct {
 	gate    *Gate
@@ -87,6 +96,9 @@
 	began   time.Time
 }
 
+// Moved implements Movable.
+func (t *ticket) Moved() <-chan struct{} { return t.waiter.Moved() }
+
 // Done implements admission.Ticket.
 func (t *ticket) Done() {
 	now := t.gate.clock.Now()
--- a/internal/admission/lane/lane.go
+++ b/internal/admission/lane/lane.go
@@ -37,8 +37,11 @@
 // safe for concurrent use; quiet/governor has one.
 type Bound interface {
 	// Start returns whether work of the expected time may start at now. When it
-	// may, end is called once when the work has ended.
-	Start(now time.Time, expected time.Duration) (end func(), ok bool)
+	// may, end is called once when the work has ended. move is called at most
+	// once, when the work has to leave.
+	Start(now time.Time, expected time.Duration, move func()) (end func(), ok bool)
+	// Move asks work over the bound to leave, and returns how much.
+	Move(now time.Time) int
 	// Retry returns the time for which no work can start at all, however much
 	// ends, or zero.
 	Retry(now time.Time) time.Duration
@@ -79,8 +82,13 @@
 	item   queue.Item
 	notify func(error)
 	end    func() // of the bound, or nil
+	moved  chan struct{}
 }
 
+// Moved returns a channel that is closed when the work has to leave because of
+// the bound. Without a bound it is nil.
+func (w *Waiter) Moved() <-chan struct{} { return w.moved }
+
 // New returns a Lane for a pool with room for so many waiting requests. bound
 // may be nil.
 func New(p fleet.PoolID, room int, bound Bound) *Lane {
@@ -225,8 +233,10 @@
 	if l.bound == nil {
 		return true
 	}
-	end, ok := l.bound.Start(now, i.Expected+i.Reserve)
-	i.Owner.(*Waiter).end = end
+	w := i.Owner.(*Waiter)
+	moved := make(chan struct{})
+	end, ok := l.bound.Start(now, i.Expected+i.Reserve, func() { close(moved) })
+	w.end, w.moved = end, moved
 	return ok
 }
 
--- a/internal/quiet/governor/governor.go
+++ b/internal/quiet/governor/governor.go
@@ -14,14 +14,18 @@
 //	g := governor.New(time.Second)
 //	g.SetFleet(self, 5, known)
 //	g.SetWindows(windows)
-//	end, ok := g.Start(now, expected)
+//	end, ok := g.Start(now, expected, cancel)
 //	if ok {
 //		defer end()
 //	}
+//
+// Work that runs on into a window although it was expected to end earlier may
+// exceed the bound. Move asks so much of it to stop as is over the bound.
 package governor
 
 import (
 	"container/heap"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +51,7 @@
 type Counters struct {
 	Started uint64
 	Refused uint64
+	Moved   uint64
 	Running int
 }
 
@@ -106,13 +111,14 @@
 }
 
 // Start returns whether work of the expected time may start at now. When it may,
-// end must be called once when the work has ended.
-func (g *Governor) Start(now time.Time, expected time.Duration) (end func(), ok bool) {
+// end must be called once when the work has ended. move is called at most once,
+// when the work has to leave because of a window; it may be nil.
+func (g *Governor) Start(now time.Time, expected time.Duration, move func()) (end func(), ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.advance(now)
 	allowed := time.Duration(float64(expected) * overrun)
-	r := &run{end: now.Add(allowed), extension: max(allowed, time.Second)}
+	r := &run{end: now.Add(allowed), extension: max(allowed, time.Second), move: move}
 	if !g.fits(r, now) {
 		g.counts.Refused++
 		return nil, false
@@ -150,13 +156,20 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.advance(now)
-	excess := 0
-	for _, s := range g.spans {
-		if open(s, now) {
-			excess = max(excess, len(g.running)-g.part(s.MaxInFlight))
+	return g.excess(now)
+}
+
+// Move asks running work to leave until no more than the bound is left, the work
+// that is expected to run longest first. A controller calls it a few times a
+// second. It returns the number of pieces of work that it asked.
+func (g *Governor) Move(now time.Time) int {
+	asked := g.leaving(now)
+	for _, r := range asked {
+		if r.move != nil {
+			r.move()
 		}
 	}
-	return excess
+	return len(asked)
 }
 
 // Counters returns the sums and the state.
@@ -168,6 +181,35 @@
 	return c
 }
 
+// leaving marks the work that has to leave and was not asked yet, and returns it.
+func (g *Governor) leaving(now time.Time) []*run {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.advance(now)
+	staying := slices.DeleteFunc(slices.Clone(g.running), func(r *run) bool { return r.moved })
+	over := g.excess(now) - (len(g.running) - len(staying))
+	if over <= 0 {
+		return nil
+	}
+	slices.SortFunc(staying, func(a, b *run) int { return b.end.Compare(a.end) })
+	asked := staying[:over]
+	for _, r := range asked {
+		r.moved = true
+	}
+	g.counts.Moved += uint64(len(asked))
+	return asked
+}
+
+func (g *Governor) excess(now time.Time) int {
+	excess := 0
+	for _, s := range g.spans {
+		if open(s, now) {
+			excess = max(excess, len(g.running)-g.part(s.MaxInFlight))
+		}
+	}
+	return excess
+}
+
 // fits returns whether r keeps every window that it meets within the bound.
 func (g *Governor) fits(r *run, now time.Time) bool {
 	for _, s := range g.spans {
--- a/internal/quiet/governor/governor_test.go
+++ b/internal/quiet/governor/governor_test.go
@@ -94,7 +94,7 @@
 	}
 	for range 3 {
 		expected := time.Duration(1+r.IntN(20)) * time.Second
-		end, ok := g.Start(now, expected)
+		end, ok := g.Start(now, expected, nil)
 		if !ok {
 			continue
 		}
@@ -138,14 +138,17 @@
 	is.True(!g.Bound(opens.Add(5*time.Minute + 31*time.Second)).Limited)
 
 	// Work that runs far longer than expected is reported when the window opens.
-	before := opens.Add(-time.Minute)
+	before, moved := opens.Add(-time.Minute), 0
 	for range 30 {
-		_, ok := g.Start(before, time.Second)
+		_, ok := g.Start(before, time.Second, func() { moved++ })
 		is.True(ok)
 	}
 	is.Equal(g.Excess(before), 0)
 	is.Equal(g.Excess(opens), 20)
-	_, ok := g.Start(opens, time.Second)
+	is.Equal(g.Move(opens), 20)
+	is.Equal(g.Move(opens), 0) // asked once
+	is.Equal(moved, 20)
+	_, ok := g.Start(opens, time.Second, nil)
 	is.True(!ok)
 	is.Equal(g.Retry(opens), time.Duration(0)) // work may start as soon as enough has ended
 
--- a/internal/quiet/governor/runs.go
+++ b/internal/quiet/governor/runs.go
@@ -8,6 +8,8 @@
 	extension time.Duration
 	spans     int // it counts for this many of the first spans
 	position  int
+	move      func()
+	moved     bool // move was called
 }
 
 // runs is a heap of runs, the one that ends first at the top.
