--- /dev/null
+++ b/internal/routing/dispatch/dispatch_test.go
@@ -0,0 +1,94 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/bilberryrock/bilberryrock/internal/document"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/fakeclock"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/routing/dispatch"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+)
+
+// services plays the upstreams of one pool. Each call takes the next outcome of
+// the script: an HTTP status or the code of an error kind.
+type services struct {
+	count    int
+	outcomes []string
+	called   []fleet.UpstreamID
+	budget   int
+}
+
+func (s *services) Usable(fleet.PoolID, time.Time) []upstream.Upstream {
+	var list []upstream.Upstream
+	for i := range s.count {
+		id := fleet.UpstreamID(fmt.Sprintf("s%d", i+1))
+		list = append(list, upstream.Upstream{
+			Announcement: upstream.Announcement{ID: id, Kind: upstream.Service, Pool: "desk", Slots: 4},
+			Confirmed:    fakeclock.Start,
+		})
+	}
+	return list
+}
+
+func (s *services) Get(fleet.UpstreamID) (upstream.Upstream, bool) { return upstream.Upstream{}, false }
+func (s *services) Engine(upstream.Upstream) upstream.EngineClient { return nil }
+
+func (s *services) Service(u upstream.Upstream) upstream.ServiceClient {
+	s.called = append(s.called, u.ID)
+	return s
+}
+
+func (s *services) Call(context.Context, upstream.Call) (upstream.Answer, error) {
+	next := s.outcomes[0]
+	s.outcomes = s.outcomes[1:]
+	var status int
+	if _, err := fmt.Sscan(next, &status); err == nil {
+		return upstream.Answer{Status: status}, nil
+	}
+	for _, k := range refusal.Kinds() {
+		if k.Answer().Code == next {
+			return upstream.Answer{}, refusal.New(k, "%s", next)
+		}
+	}
+	panic("unknown outcome " + next)
+}
+
+func (s *services) Deposit() {}
+
+func (s *services) Withdraw() bool {
+	s.budget--
+	return s.budget >= 0
+}
+
+// TestLookups guards against a lookup that is told as not run after an upstream
+// may have run it, against retries over the budget, and against a retry on an
+// upstream that was tried before.
+func TestLookups(t *testing.T) {
+	datadriven.RunTest(t, "testdata/lookups.txt", func(t *testing.T, d *datadriven.TestData) string {
+		s := &services{outcomes: strings.Fields(d.Input)}
+		d.ScanArgs(t, "upstreams", &s.count)
+		d.ScanArgs(t, "budget", &s.budget)
+		dispatcher := dispatch.New(s, s, fakeclock.New(fakeclock.Start), dispatch.WithBudget(s))
+		config := &document.Config{Pools: map[fleet.PoolID]document.Pool{"desk": {ID: "desk"}}}
+		dispatcher.Refresh(config, 0)
+		answer, err := dispatcher.Lookup(t.Context(), "r1", config.Pools["desk"], upstream.Call{})
+		distinct := make(map[fleet.UpstreamID]bool)
+		for _, id := range s.called {
+			distinct[id] = true
+		}
+		result := fmt.Sprint(answer.Status)
+		if err != nil {
+			kind := refusal.KindOf(err).Answer()
+			result = fmt.Sprintf("%s notRun=%t", kind.Code, kind.NotRun)
+		}
+		return fmt.Sprintf("%s\ncalls=%d distinct=%d\n", result, len(s.called), len(distinct))
+	})
+}
