--- a/internal/quorum/journal/journal.go
+++ b/internal/quorum/journal/journal.go
@@ -3,7 +3,8 @@
 //
 //	j, stored, err := journal.Open(journal.OS{}, dir)
 //	err = j.Save(state, entries)        // returns once both are synced
-//	err = j.Compact(snapshot, retained) // replaces the log before it
+//	p, err := j.Prepare(snapshot)
+//	err = j.Compact(p, retained) // replaces the log before the snapshot
 //
 // The log is a chain of segment files. A record holds a state and entries under
 // one checksum, the number of its segment and the length of the segment that was
@@ -43,6 +44,8 @@
 
 const (
 	snapshotName    = "snapshot"
+	preparedName    = "snapshot.prepared"
+	installedName   = "snapshot.installed"
 	temporarySuffix = ".tmp"
 	segmentSuffix   = ".log"
 	segmentBytes    = 16 << 20
@@ -113,22 +116,40 @@
 	return nil
 }
 
-// Compact stores a snapshot and drops all entries but the retained ones, which
-// must reach from the snapshot or before to the end of the log.
-func (j *Journal) Compact(s replica.Snapshot, retained []replica.Entry) error {
-	base := position{s.Index, s.Term}
+// Prepared is a snapshot that is stored, but not in force yet.
+type Prepared struct {
+	Snapshot replica.Snapshot
+	name     string
+}
+
+// Prepare stores a snapshot of the own state machine under a temporary name. It
+// may run while other methods are called, so that a large snapshot does not hold
+// up the log.
+func (j *Journal) Prepare(s replica.Snapshot) (Prepared, error) {
+	return j.prepare(s, preparedName, false)
+}
+
+// Compact puts a prepared snapshot in force and drops all entries but the retained
+// ones, which must reach from the snapshot or before to the end of the log.
+func (j *Journal) Compact(p Prepared, retained []replica.Entry) error {
+	base := position{p.Snapshot.Index, p.Snapshot.Term}
 	if len(retained) > 0 {
 		base = position{index: retained[0].Index - 1}
 	}
-	return j.replace(s, base, retained)
+	return j.replace(p, base, retained)
 }
 
 // Install stores a snapshot in place of the whole log, and the state with it.
 func (j *Journal) Install(s replica.Snapshot, st replica.State) error {
-	if j.failure == nil {
-		j.state = st
+	if j.failure != nil {
+		return j.failure
+	}
+	j.state = st
+	p, err := j.prepare(s, installedName, true)
+	if err != nil {
+		return j.fail(err)
 	}
-	return j.replace(s, position{s.Index, s.Term}, nil)
+	return j.replace(p, position{s.Index, s.Term}, nil)
 }
 
 // Close closes the file. Everything saved is synced already.
@@ -140,22 +161,27 @@
 	return j.file.Close()
 }
 
-func (j *Journal) replace(s replica.Snapshot, base position, retained []replica.Entry) error {
-	if j.failure != nil {
-		return j.failure
-	}
-	j.state.Commit = max(j.state.Commit, s.Index)
-	content, err := appendFrame(nil, &peerv1.JournalSnapshot{
-		Snapshot: replica.SnapshotToProto(&s), NextSegment: j.segment + 1,
-	})
+func (j *Journal) prepare(s replica.Snapshot, name string, installed bool) (Prepared, error) {
+	content, err := appendFrame(nil, &peerv1.JournalSnapshot{Snapshot: replica.SnapshotToProto(&s), Installed: installed})
 	if err != nil {
-		return j.fail(err)
+		return Prepared{}, err
 	}
-	f, err := replaceFile(j.disk, j.dir, snapshotName, content)
+	f, err := replaceFile(j.disk, j.dir, name, content)
 	if err != nil {
+		return Prepared{}, errors.Wrapf(err, "snapshot in %s", j.dir)
+	}
+	return Prepared{Snapshot: s, name: name}, f.Close()
+}
+
+func (j *Journal) replace(p Prepared, base position, retained []replica.Entry) error {
+	if j.failure != nil {
+		return j.failure
+	}
+	j.state.Commit = max(j.state.Commit, p.Snapshot.Index)
+	if err := j.disk.Rename(filepath.Join(j.dir, p.name), filepath.Join(j.dir, snapshotName)); err != nil {
 		return j.fail(err)
 	}
-	if err := f.Close(); err != nil {
+	if err := j.disk.SyncDir(j.dir); err != nil {
 		return j.fail(err)
 	}
 	if err := j.rebase(base, retained); err != nil {
--- a/internal/quorum/journal/load.go
+++ b/internal/quorum/journal/load.go
@@ -52,14 +52,14 @@
 	if len(list) == 0 && s.GetSnapshot() == nil {
 		return l, 0, nil
 	}
-	if err := checkChain(dir, list, s.GetNextSegment()); err != nil {
+	if err := checkChain(dir, list); err != nil {
 		return l, 0, err
 	}
 	if err := l.replay(list); err != nil {
 		return l, 0, err
 	}
 	last := list[len(list)-1]
-	if err := l.join(last, s.GetNextSegment()); err != nil {
+	if err := l.join(last, s.GetInstalled()); err != nil {
 		return l, 0, err
 	}
 	l.Dropped = last.dropped
@@ -135,11 +135,10 @@
 	return s, nil
 }
 
-// checkChain checks that no segment lost its end, and that the segment after the
-// snapshot exists. next is the number that the snapshot expects for it.
-func checkChain(dir string, list []segment, next uint64) error {
+// checkChain checks that no segment lost its end.
+func checkChain(dir string, list []segment) error {
 	if len(list) == 0 {
-		return missing(dir, next)
+		return &CorruptError{File: dir, Reason: "there is a snapshot, but all segments are missing"}
 	}
 	for i, s := range list[1:] {
 		if size := s.records[0].GetPreviousBytes(); size != uint64(list[i].size) {
@@ -149,15 +148,6 @@
 			}
 		}
 	}
-	// A crash after the snapshot was stored leaves the log without the segment
-	// that follows it, but with the segment before.
-	last := list[len(list)-1].number
-	if last+1 < next {
-		return missing(dir, last+1)
-	}
-	if list[0].number < next && last >= next {
-		return &CorruptError{File: filepath.Join(dir, segmentName(next)), Reason: "segment does not start at its snapshot"}
-	}
 	return nil
 }
 
@@ -208,8 +198,9 @@
 }
 
 // join checks that the log and the snapshot fit together. A log that ends before
-// the snapshot or differs from it was replaced by the snapshot.
-func (l *loaded) join(last segment, next uint64) error {
+// an installed snapshot or differs from it was to be replaced when the process
+// ended. A snapshot of the own state machine never goes beyond the log.
+func (l *loaded) join(last segment, installed bool) error {
 	s := l.Snapshot
 	end := l.base.index + quorum.Index(len(l.Entries))
 	if l.base.index > s.Index {
@@ -218,7 +209,7 @@
 			Reason: fmt.Sprintf("snapshot ends at entry %d, but the log starts after entry %d", s.Index, l.base.index),
 		}
 	}
-	if end < s.Index && last.number >= next {
+	if end < s.Index && !installed {
 		return &CorruptError{
 			File: last.name, Offset: int64(last.size - last.dropped),
 			Reason: fmt.Sprintf("log ends at entry %d before its snapshot at entry %d", end, s.Index),
--- a/internal/quorum/voter/group.go
+++ b/internal/quorum/voter/group.go
@@ -91,6 +91,18 @@
 	return now
 }
 
+// background runs work beside the goroutine of the group, and what it returns in
+// it.
+func (g *group) background(work func() (finish func())) {
+	g.voter.wait.Go(func() {
+		finish := work()
+		select {
+		case g.inbox <- func(*member) { finish() }:
+		case <-g.voter.ctx.Done():
+		}
+	})
+}
+
 // post queues an input. It drops the input when the group is overloaded.
 func (g *group) post(f func(*member)) {
 	select {
--- a/internal/quorum/voter/member.go
+++ b/internal/quorum/voter/member.go
@@ -45,6 +45,9 @@
 	dir     string
 	// send must not block. It may drop messages.
 	send func(replica.Message)
+	// background calls work, and then the function that work returns from the
+	// goroutine that drives the member.
+	background func(work func() (finish func()))
 	// snapshotEntries is the number of applied entries between snapshots, and
 	// keepEntries the number that the log keeps before a snapshot.
 	snapshotEntries int
@@ -55,10 +58,11 @@
 // is driven from one goroutine: inputs first, then flush.
 type member struct {
 	memberConfig
-	replica  *replica.Replica
-	journal  *journal.Journal
-	applied  quorum.Index
-	snapshot quorum.Index
+	replica   *replica.Replica
+	journal   *journal.Journal
+	applied   quorum.Index
+	snapshot  quorum.Index
+	preparing bool // a snapshot is being stored
 	// appliedBytes is the size of the commands since the last snapshot.
 	appliedBytes int
 	waiters      map[quorum.Index]waiter
@@ -256,8 +260,11 @@
 	}
 }
 
+// takeSnapshot copies the state machine, and stores the copy in the background: a
+// leader that waits for a large file sends no heartbeats and loses its place.
 func (m *member) takeSnapshot() error {
-	if m.applied < m.snapshot+quorum.Index(m.snapshotEntries) && m.appliedBytes < snapshotBytes {
+	due := m.applied >= m.snapshot+quorum.Index(m.snapshotEntries) || m.appliedBytes >= snapshotBytes
+	if !due || m.preparing {
 		return nil
 	}
 	state, err := m.machine.Snapshot()
@@ -265,15 +272,37 @@
 		return errors.Wrapf(err, "group %q: snapshot", m.group)
 	}
 	s := m.replica.MakeSnapshot(state)
-	m.replica.Compact(s, m.keep(s.Index))
-	if err := m.journal.Compact(s, m.replica.Retained()); err != nil {
-		return err
-	}
-	m.snapshot = s.Index
+	m.preparing = true
 	m.appliedBytes = 0
+	m.background(func() func() {
+		p, err := m.journal.Prepare(s)
+		return func() { m.finishSnapshot(p, err) }
+	})
 	return nil
 }
 
+// finishSnapshot drops the log before a stored snapshot.
+func (m *member) finishSnapshot(p journal.Prepared, err error) {
+	m.preparing = false
+	m.flush() // The log that is kept must not run ahead of what was saved.
+	if m.failure != nil {
+		return
+	}
+	if err != nil {
+		m.fail(err)
+		return
+	}
+	if p.Snapshot.Index <= m.snapshot {
+		return // The leader sent a newer one meanwhile.
+	}
+	m.replica.Compact(p.Snapshot, m.keep(p.Snapshot.Index))
+	if err := m.journal.Compact(p, m.replica.Retained()); err != nil {
+		m.fail(err)
+		return
+	}
+	m.snapshot = p.Snapshot.Index
+}
+
 // keep returns how many entries before a snapshot stay in the log, bounded in
 // number and in bytes.
 func (m *member) keep(snapshot quorum.Index) int {
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -165,7 +165,7 @@
 	g := &group{voter: v, id: id, inbox: make(chan func(*member), inboxInputs), stopped: make(chan struct{})}
 	m, err := openMember(memberConfig{
 		group: id, options: o, initial: v.initialVoters(), machine: v.config.machines[id],
-		disk: v.config.disk, dir: dir, send: g.send,
+		disk: v.config.disk, dir: dir, send: g.send, background: g.background,
 		snapshotEntries: v.config.snapshotEntries, keepEntries: v.config.keepEntries,
 	})
 	if err != nil {
