Ask for summaries of data centres instead of spreading them

A summary that was sent twice by each instance did not reach all data centres, and as it did not change again nobody repeated it: one of 6 data centres was shown with 5 of 7 instances for more than 60 s. Pings now carry the versions of the known summaries and answers bring those that differ.

--- a/internal/membership/gossip/centres.go
+++ b/internal/membership/gossip/centres.go
@@ -25,7 +25,7 @@
 	// heartbeatRestart is the silence after which any other heartbeat counts as
 	// newer, because the 16 bits may have wrapped.
 	heartbeatRestart = time.Hour
-	centreBytes      = 6
+	centreBytes      = 8
 	// introductionTime is the time for which an introduction is passed on.
 	introductionTime = 30 * time.Second
 )
@@ -249,8 +249,6 @@
 	c.nextSummary = now
 	s.Version = max(s.Version+1, uint64(now.UnixMilli()))
 	own.summary = s
-	c.sums.stale = true
-	c.enqueue(summaryKey(s.DataCentre))
 }
 
 func (c *Core) summaryDue(s, old *gossipv1.Summary, now time.Time) bool {
@@ -290,8 +288,6 @@
 	}
 	s.summary = u
 	c.highest = max(c.highest, fleet.Revision(u.HighestRevision))
-	c.sums.stale = true
-	c.enqueue(summaryKey(u.DataCentre))
 	if c.local(u.DataCentre) {
 		c.meet(u.Contacts, now)
 	}
@@ -405,17 +401,25 @@
 	return "", s.address
 }
 
-// packCentres returns, for each data centre, 4 bytes of the hash of its id and 2
-// bytes of its heartbeat.
+// version returns the low 16 bits of the version of the summary, which tell that
+// two summaries differ but not which is newer.
+func (s *centre) version() uint16 { return uint16(s.summary.GetVersion()) }
+
+// packCentres returns, for each data centre, 4 bytes of the hash of its id, 2
+// bytes of its heartbeat and 2 bytes of the version of its summary.
 func (c *Core) packCentres() []byte {
 	b := make([]byte, 0, centreBytes*len(c.centres))
 	for _, id := range sortedKeys(c.centres) {
+		s := c.centres[id]
 		b = binary.LittleEndian.AppendUint32(b, hash32(string(id), 0))
-		b = binary.LittleEndian.AppendUint16(b, c.centres[id].heartbeat)
+		b = binary.LittleEndian.AppendUint16(b, s.heartbeat)
+		b = binary.LittleEndian.AppendUint16(b, s.version())
 	}
 	return b
 }
 
+// mergeCentres applies heartbeats. Another version of a summary makes the next
+// ping ask for it.
 func (c *Core) mergeCentres(b []byte, now time.Time) {
 	byHash := make(map[uint32]*centre, len(c.centres))
 	for id, s := range c.centres {
@@ -424,9 +428,32 @@
 	for ; len(b) >= centreBytes; b = b[centreBytes:] {
 		s, ok := byHash[binary.LittleEndian.Uint32(b)]
 		if !ok {
+			c.lacksSummary = true
 			continue
 		}
 		s.advance(binary.LittleEndian.Uint16(b[4:]), now)
+		if s.version() != binary.LittleEndian.Uint16(b[6:]) {
+			c.lacksSummary = true
+		}
+	}
+}
+
+// serveSummaries adds the summaries that the sender of a ping has in another
+// version, as far as there is room.
+func (c *Core) serveSummaries(m *gossipv1.Message, theirs []byte) {
+	if len(theirs) == 0 {
+		return
+	}
+	versions := make(map[uint32]uint16)
+	for b := theirs; len(b) >= centreBytes; b = b[centreBytes:] {
+		versions[binary.LittleEndian.Uint32(b)] = binary.LittleEndian.Uint16(b[6:])
+	}
+	room := MaxMessage - proto.Size(m)
+	for _, id := range sortedKeys(c.centres) {
+		s := c.centres[id]
+		if s.summary != nil && versions[hash32(string(id), 0)] != s.version() {
+			room -= add(&m.Summaries, s.summary, room)
+		}
 	}
 }
 
--- a/internal/membership/gossip/core.go
+++ b/internal/membership/gossip/core.go
@@ -37,7 +37,8 @@
 // member records cross between data centres, so that today's fleets see the
 // revision of every instance anywhere. Above it only records of voters, one
 // Summary for each data centre and a heartbeat cross, so that the cost for an
-// instance does not grow with the fleet. Members of another data centre are
+// instance does not grow with the fleet. A ping that carries the versions of its
+// summaries is answered with those that differ. Members of another data centre are
 // judged by that data centre only; when its heartbeat stops they are shown as
 // suspect and later as dead, without any record of it, and return with the
 // heartbeat.
@@ -188,9 +189,11 @@
 
 	centres    map[fleet.DataCentreID]*centre
 	centreTurn int
-	ownPools   map[fleet.PoolID]int
-	ownUsage   []byte
-	usages     map[string]*usage
+	// lacksSummary tells that another instance has another version of a summary.
+	lacksSummary bool
+	ownPools     map[fleet.PoolID]int
+	ownUsage     []byte
+	usages       map[string]*usage
 
 	effects Effects
 }
--- a/internal/membership/gossip/probe.go
+++ b/internal/membership/gossip/probe.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	gossipv1 "github.com/bilberryrock/bilberryrock/api/gossip/v1"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 )
@@ -104,8 +106,9 @@
 		// The target hears of its suspicion at once and can refute it.
 		m.Members = append(m.Members, t.wire(now))
 	}
-	if !c.local(dataCentre) {
+	if !c.local(dataCentre) || c.lacksSummary {
 		m.Centres = c.packCentres()
+		c.lacksSummary = false
 	}
 	c.piggyback(m, dataCentre, maxPing, now)
 	c.send(to, address, m)
@@ -144,8 +147,10 @@
 		if ping.Repair != nil {
 			limit = repairBeats
 		}
+		limit = min(limit, MaxMessage-proto.Size(m)-4)
 		m.Beats = c.packBeats(c.local(ping.DataCentre), limit, now)
 	}
+	c.serveSummaries(m, ping.Centres)
 	c.serveRepair(m, ping, now)
 	c.piggyback(m, ping.DataCentre, MaxMessage, now)
 	c.send(fleet.InstanceID(ping.From), address, m)
--- a/internal/membership/gossip/queue.go
+++ b/internal/membership/gossip/queue.go
@@ -38,7 +38,6 @@
 // Keys of records: a letter for the type and the id.
 func memberKey(id string) string   { return "m/" + id }
 func upstreamKey(id string) string { return "u/" + id }
-func summaryKey(id string) string  { return "s/" + id }
 func usageKey(id string) string    { return "g/" + id }
 
 func (c *Core) enqueue(key string) {
@@ -51,8 +50,8 @@
 
 // transmissions is the number of times that a record is sent in one scope.
 func (c *Core) transmissions(key string) int {
-	// Usages and summaries are replaced soon, and lost ones don't harm.
-	if key[0] == 'g' || key[0] == 's' {
+	// Usages are replaced soon, and lost ones don't harm.
+	if key[0] == 'g' {
 		return 2
 	}
 	return 2 * bits.Len(uint(len(c.currentRing())))
@@ -121,8 +120,6 @@
 	case 'm':
 		m, ok := c.members[fleet.InstanceID(id)]
 		return ok && (!c.large || m.record.Voter)
-	case 's':
-		return true
 	case 'g':
 		u, ok := c.usages[id]
 		return ok && u.record.Wide
@@ -143,10 +140,6 @@
 		if found, ok := c.items[fleet.UpstreamID(id)]; ok {
 			return add(&m.Upstreams, found.wire(now), room)
 		}
-	case 's':
-		if found, ok := c.centres[fleet.DataCentreID(id)]; ok && found.summary != nil {
-			return add(&m.Summaries, found.summary, room)
-		}
 	case 'g':
 		if found, ok := c.usages[id]; ok {
 			return add(&m.Usages, found.record, room)
--- a/internal/membership/gossip/repair.go
+++ b/internal/membership/gossip/repair.go
@@ -43,11 +43,6 @@
 	for _, m := range c.members {
 		c.sumMember(m)
 	}
-	for id, s := range c.centres {
-		if s.summary != nil {
-			c.addSum(globalScope, summaryKey(string(id)), 0)
-		}
-	}
 	for _, i := range c.items {
 		if i.settled(c.last) {
 			continue
