--- a/internal/membership/gossip/probe.go
+++ b/internal/membership/gossip/probe.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	gossipv1 "github.com/bilberryrock/bilberryrock/api/gossip/v1"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 )
@@ -104,8 +106,9 @@
 		// The target hears of its suspicion at once and can refute it.
 		m.Members = append(m.Members, t.wire(now))
 	}
-	if !c.local(dataCentre) {
+	if !c.local(dataCentre) || c.lacksSummary {
 		m.Centres = c.packCentres()
+		c.lacksSummary = false
 	}
 	c.piggyback(m, dataCentre, maxPing, now)
 	c.send(to, address, m)
@@ -131,6 +134,7 @@
 	}
 	if introduces(ping) {
 		m.Members = append(m.Members, c.self.wire(now))
+		c.acquaint(m, ping, now)
 	}
 	// Heartbeats of data centres advance once a second, less often than answers
 	// are sent.
@@ -143,8 +147,10 @@
 		if ping.Repair != nil {
 			limit = repairBeats
 		}
+		limit = min(limit, MaxMessage-proto.Size(m)-4)
 		m.Beats = c.packBeats(c.local(ping.DataCentre), limit, now)
 	}
+	c.serveSummaries(m, ping.Centres)
 	c.serveRepair(m, ping, now)
 	c.piggyback(m, ping.DataCentre, MaxMessage, now)
 	c.send(fleet.InstanceID(ping.From), address, m)
@@ -173,7 +179,10 @@
 		return
 	}
 	delete(c.probes, ack.Sequence)
-	if !p.judged {
+	// Only a fast answer counts for this instance. With answers that are merely
+	// in time for the longer timeout, a slow instance would lose its score again
+	// and accuse others in every second round.
+	if now.Sub(p.sent) < probeTimeout {
 		c.score = max(c.score-1, 0)
 	}
 	if len(ack.Beats) > 0 {
@@ -216,7 +225,6 @@
 		}
 		if p.ring && !p.judged && age >= probeDeadline*slowness {
 			p.judged = true
-			c.score = min(c.score+1, maxScore)
 			c.suspect(p.target, now)
 		}
 		if age > probeDeadline*(maxScore+2) {
@@ -258,6 +266,8 @@
 		c.accuse(t, c.self.hash)
 		return
 	}
+	// A further failed probe of a suspect tells nothing of this instance.
+	c.score = min(c.score+1, maxScore)
 	record := clone(t.record)
 	record.Status = gossipv1.Status_STATUS_SUSPECT
 	record.Accuser = c.self.hash
