Bound the search for an upstream when the draws met none

With 12,000 upstreams without a recent confirmation a Pick looked at all of them. It now looks at 128.

--- a/internal/admission/lane/lane.go
+++ b/internal/admission/lane/lane.go
@@ -113,7 +113,7 @@
 		Deadline: a.Deadline,
 		Owner:    w,
 	}
-	if err := l.hopeless(w, now); err != nil {
+	if err := l.rejectEarly(w, now); err != nil {
 		return nil, err
 	}
 	if !l.waiting.Push(&w.item) {
@@ -199,8 +199,8 @@
 	return c
 }
 
-// hopeless returns an error when the work could not finish in time.
-func (l *Lane) hopeless(w *Waiter, now time.Time) error {
+// rejectEarly returns an error when the work could not finish in time.
+func (l *Lane) rejectEarly(w *Waiter, now time.Time) error {
 	if w.item.Deadline.IsZero() {
 		return nil
 	}
--- a/internal/routing/affinity/affinity.go
+++ b/internal/routing/affinity/affinity.go
@@ -1,10 +1,10 @@
-// Package affinity keeps a picture of which upstream probably has which prompt
+// Package affinity tracks which upstream probably has which prompt
 // prefixes in its cache.
 //
-// The picture comes from the work that this instance sent itself and from cache
+// The table is filled from the work that this instance sent itself and from cache
 // events of the engines. Events come late and with gaps. A gap makes everything
 // known of the upstream doubtful: its share counts half until later events
-// confirm it. The picture is a hint; when it is wrong, work takes longer but
+// confirm it. The table is a hint; when it is wrong, work takes longer but
 // stays correct.
 //
 // A prompt is a list of chained block hashes: the hash of a block covers all
@@ -55,7 +55,7 @@
 	Share  float64
 }
 
-// Table is the picture. The zero value is empty and ready for use. It is safe
+// Table maps block hashes to upstreams. The zero value is empty and ready for use. It is safe
 // for concurrent use and must not be copied after first use.
 type Table struct {
 	shards [shardCount]shard
--- a/internal/routing/affinity/affinity_test.go
+++ b/internal/routing/affinity/affinity_test.go
@@ -22,7 +22,7 @@
 	return 0
 }
 
-// Guards against a picture that stays certain after events were lost, that takes
+// Guards against a table that stays certain after events were lost, that takes
 // late events for new ones, or that keeps what an engine dropped.
 func TestEvents(t *testing.T) {
 	is := is.New(t)
--- a/internal/routing/pool/members.go
+++ b/internal/routing/pool/members.go
@@ -33,9 +33,9 @@
 	Upstreams int
 }
 
-// judge takes over the healths. When more upstreams are out than a pool may
+// updateHealth takes over the health of every node. When more upstreams are out than a pool may
 // have out, all are taken to be sound.
-func (m *members) judge(now time.Time) {
+func (m *members) updateHealth(now time.Time) {
 	out := 0
 	for _, n := range m.nodes {
 		h := n.ejection.Health(now)
--- a/internal/routing/pool/pool.go
+++ b/internal/routing/pool/pool.go
@@ -40,6 +40,10 @@
 	maxCandidates = sampleSize + affinity.MaxHolders
 	// drawFactor bounds the draws, because a draw may repeat a candidate.
 	drawFactor = 3
+	// scanSize bounds the search for an upstream when the draws met none. Refresh
+	// leaves out upstreams without a recent confirmation and those out of use are
+	// not drawn, so longer searches only happen between two calls of Refresh.
+	scanSize = 128
 	// confirmationLimit is the age of the last confirmation at which an upstream
 	// gets no new work, even when Refresh is late.
 	confirmationLimit = 3 * time.Second
@@ -134,7 +138,7 @@
 		next.byID[n.id] = n
 	}
 	p.relax(next, now)
-	next.judge(now)
+	next.updateHealth(now)
 	next.weigh(p.offset(now))
 	p.retire(old, next)
 	p.refreshed = now
@@ -224,7 +228,8 @@
 // offerOnly offers listed upstreams, from a random place in the list on.
 func (p *Pool) offerOnly(s *scratch, m *members, a *Ask, now time.Time) {
 	from := int(p.draw() % uint64(len(a.Only)))
-	for i := range a.Only {
+	length := min(len(a.Only), scanSize)
+	for i := range length {
 		if s.count == sampleSize {
 			return
 		}
@@ -235,7 +240,7 @@
 	if s.count > 0 {
 		return
 	}
-	for i := range a.Only {
+	for i := range length {
 		n := m.byID[a.Only[(from+i)%len(a.Only)]]
 		if n != nil && p.confirmed(n, now) && !avoided(a.Avoid, n.id) {
 			s.add(n, n.candidate(m, a, n.health(), p.offset(now)))
@@ -248,13 +253,14 @@
 // met none. When none is sound it offers one that is out of use.
 func (p *Pool) scan(s *scratch, m *members, a *Ask, now time.Time) {
 	from := int(p.draw() % uint64(max(len(m.nodes), 1)))
-	for i := range m.nodes {
+	length := min(len(m.nodes), scanSize)
+	for i := range length {
 		p.offer(s, m, m.nodes[(from+i)%len(m.nodes)], a, now)
 		if s.count > 0 {
 			return
 		}
 	}
-	for i := range m.nodes {
+	for i := range length {
 		n := m.nodes[(from+i)%len(m.nodes)]
 		if p.confirmed(n, now) && !avoided(a.Avoid, n.id) {
 			s.add(n, n.candidate(m, a, n.health(), p.offset(now)))
--- a/internal/routing/pool/pool_test.go
+++ b/internal/routing/pool/pool_test.go
@@ -142,6 +142,13 @@
 				}
 			})
 		})
+		b.Run(fmt.Sprint("PickNone/", n), func(b *testing.B) {
+			old := pool.New(c, scoring.Policy{})
+			old.Refresh(usable(n, c.Now().Add(-time.Hour)), 14)
+			for b.Loop() {
+				_, _ = old.Pick(pool.Ask{})
+			}
+		})
 		b.Run(fmt.Sprint("Refresh/", n), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
