Add the comparison of the daemon with direct calls

Runs completions and lookups through a daemon process and directly to the same stand-ins, in alternating rounds, at 1, 16 and 64 streams. Nothing is asserted.

--- /dev/null
+++ b/internal/trial/overhead/rig.go
@@ -0,0 +1,186 @@
+package overhead
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/trial/processes"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/engine"
+)
+
+const (
+	layers = 8
+	// replicas is the number of engines for each half of the layers.
+	replicas = 2
+	// stepTime is the time of one batch of an engine and callTime the time of
+	// one lookup.
+	stepTime = 5 * time.Millisecond
+	callTime = 2 * time.Millisecond
+	// slots is above the greatest number of streams, so that nothing queues.
+	slots = 128
+	// maxTokens bounds one completion.
+	maxTokens = 32
+	// patience bounds each wait of the start.
+	patience = 30 * time.Second
+)
+
+const section = `[dataCentre "dc1"]
+region = midlands
+
+[pool "engines"]
+kind = engine
+timeout = 10s
+
+[pool "plots"]
+kind = service
+timeout = 5s
+
+[model "transcriber"]
+version = v1
+layers = 8
+pool = engines
+minHolders = 1
+maxTokens = 256
+
+[account "parish"]
+keySha256 = %s
+weight = 10
+`
+
+// Rig is a daemon with stand-ins of both kinds.
+type Rig struct {
+	fleet   *processes.Fleet
+	daemon  *processes.Daemon
+	client  *http.Client
+	dialer  *engine.Dialer
+	engines [2][]upstream.EngineClient
+	service []upstream.ServiceClient
+}
+
+// Start starts the programs in bin with files in dir, and waits until the daemon
+// answers completions and lookups.
+func Start(bin, dir string) (*Rig, error) {
+	f, err := processes.New(bin, dir)
+	if err != nil {
+		return nil, err
+	}
+	r := &Rig{
+		fleet:  f,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: slots}},
+		dialer: engine.NewDialer(),
+	}
+	for _, step := range []func() error{r.startDaemon, r.startStandins, r.submit, r.warm} {
+		if err := step(); err != nil {
+			r.Close()
+			return nil, errors.Wrap(err, f.Logs(1000))
+		}
+	}
+	return r, nil
+}
+
+// Close ends all processes.
+func (r *Rig) Close() {
+	r.fleet.Close()
+	r.client.CloseIdleConnections()
+	r.dialer.Close()
+}
+
+func (r *Rig) startDaemon() error {
+	list, err := r.fleet.PlanDaemons(processes.DaemonPlan{ID: "a", DataCentre: "dc1", Voter: 1, Extra: "[log]\nlevel = warn"})
+	if err != nil {
+		return err
+	}
+	r.daemon = list[0]
+	if err := r.daemon.Start(); err != nil {
+		return err
+	}
+	return r.daemon.AwaitLive(patience)
+}
+
+func (r *Rig) startStandins() error {
+	for half := range 2 {
+		for i := range replicas {
+			s, err := r.fleet.StartStandin(fmt.Sprintf("engine-%d-%d", half, i), "dc1",
+				"--kind", "engine", "--pool", "engines", "--model", "transcriber", "--version", "v1",
+				"--layers", fmt.Sprintf("%d:%d", half*layers/2, (half+1)*layers/2), "--totalLayers", fmt.Sprint(layers),
+				"--stepTime", stepTime.String(), "--slots", fmt.Sprint(slots))
+			if err != nil {
+				return err
+			}
+			r.engines[half] = append(r.engines[half], r.dialer.Engine(at(s)))
+		}
+	}
+	for i := range replicas {
+		s, err := r.fleet.StartStandin(fmt.Sprintf("desk-%d", i), "dc1",
+			"--kind", "service", "--pool", "plots", "--slots", fmt.Sprint(slots), "--callTime", callTime.String())
+		if err != nil {
+			return err
+		}
+		r.service = append(r.service, r.dialer.Service(at(s)))
+	}
+	return nil
+}
+
+func at(s *processes.Standin) upstream.Upstream {
+	return upstream.Upstream{Announcement: upstream.Announcement{ID: fleet.UpstreamID(s.ID), Address: s.Address}}
+}
+
+func (r *Rig) submit() error {
+	path := r.fleet.Path("alpha.section")
+	if err := os.WriteFile(path, fmt.Appendf(nil, section, processes.Digest(processes.APIKey)), 0o600); err != nil {
+		return errors.Wrap(err, "write section")
+	}
+	err := retry(func() error {
+		output, status, err := r.daemon.Operator("submit", "--team", processes.Team, "--change", "overhead-1", "--operator", "trial", path)
+		if err == nil && status != 0 {
+			err = errors.Errorf("submit ended with status %d: %s", status, output)
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return r.daemon.AwaitReady(patience)
+}
+
+// warm waits until all upstreams are in use: one request of each kind must pass
+// through the daemon after the stand-ins have announced themselves.
+func (r *Rig) warm() error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return retry(func() error {
+		if err := r.daemonLookup(ctx, 0, newTimes()); err != nil {
+			return err
+		}
+		return r.daemonCompletion(ctx, 0, newTimes())
+	})
+}
+
+func retry(do func() error) error {
+	end := time.Now().Add(patience)
+	for {
+		err := do()
+		if err == nil || time.Now().After(end) {
+			return err
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+func (r *Rig) request(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+r.daemon.Callers+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	request.Header.Set("Authorization", "Bearer "+processes.APIKey)
+	request.Header.Set("Content-Type", "application/json")
+	return r.client.Do(request)
+}
--- /dev/null
+++ b/internal/trial/overhead/work.go
@@ -0,0 +1,141 @@
+package overhead
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+)
+
+// prompt is the prompt of request i on both sides, so that both generate the
+// same text.
+func prompt(i int) string { return fmt.Sprintf("row %d of the ledger", i) }
+
+// daemonCompletion streams a completion through the daemon.
+func (r *Rig) daemonCompletion(ctx context.Context, i int, t *Times) error {
+	started := time.Now()
+	body := fmt.Appendf(nil, `{"model":"transcriber","prompt":%q,"max_tokens":%d,"stream":true}`, prompt(i), maxTokens)
+	answer, err := r.request(ctx, http.MethodPost, "/v1/completions", body)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d", answer.StatusCode)
+	}
+	last := started
+	lines := bufio.NewScanner(answer.Body)
+	for lines.Scan() {
+		event, found := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
+		if !found {
+			continue
+		}
+		if string(event) == "[DONE]" {
+			return errors.Wrap(t.Request.RecordValue(int64(time.Since(started))), "record request")
+		}
+		if bytes.Contains(event, []byte(`"finish_reason":null`)) {
+			if last, err = t.token(last); err != nil {
+				return err
+			}
+		}
+	}
+	return errors.New("stream without [DONE]")
+}
+
+// token records one token that arrived now.
+func (t *Times) token(last time.Time) (time.Time, error) {
+	now := time.Now()
+	t.Units++
+	return now, errors.Wrap(t.Token.RecordValue(int64(now.Sub(last))), "record token")
+}
+
+// directCompletion runs the steps of a completion as the daemon does.
+func (r *Rig) directCompletion(ctx context.Context, i int, t *Times) error {
+	started := time.Now()
+	id := fleet.InstanceID("direct").NewRequestID()
+	first, second := r.engines[0][i%replicas], r.engines[1][i%replicas]
+	text := prompt(i)
+	input := make([]uint64, len(text))
+	for j := range len(text) {
+		input[j] = uint64(text[j])
+	}
+	last, position := started, 0
+	for range maxTokens {
+		result, err := pass(ctx, first, second, id, fleet.Position(position), input)
+		if err != nil {
+			return err
+		}
+		if last, err = t.token(last); err != nil {
+			return err
+		}
+		if result.End {
+			break
+		}
+		position += len(input)
+		input = result.Output[len(result.Output)-1:]
+	}
+	if err := t.Request.RecordValue(int64(time.Since(started))); err != nil {
+		return errors.Wrap(err, "record request")
+	}
+	for _, e := range []upstream.EngineClient{first, second} {
+		if err := e.Cancel(ctx, id); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pass sends the input through both stages.
+func pass(ctx context.Context, first, second upstream.EngineClient, id fleet.RequestID, position fleet.Position, input []uint64) (upstream.StepResult, error) {
+	s := upstream.Step{
+		Request: id, Epoch: 1, Position: position, Model: "transcriber", Version: "v1",
+		Layers: upstream.LayerRange{From: 0, To: layers / 2}, Input: input,
+	}
+	result, err := first.Step(ctx, s)
+	if err != nil {
+		return result, err
+	}
+	s.Layers = upstream.LayerRange{From: layers / 2, To: layers}
+	s.Input = result.Output
+	return second.Step(ctx, s)
+}
+
+func lookupPath(i int) string { return fmt.Sprintf("/lookups/row-%d", i) }
+
+func (r *Rig) daemonLookup(ctx context.Context, i int, t *Times) error {
+	started := time.Now()
+	answer, err := r.request(ctx, http.MethodGet, "/services/plots"+lookupPath(i), nil)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	return t.lookup(started, answer.StatusCode)
+}
+
+func (r *Rig) directLookup(ctx context.Context, i int, t *Times) error {
+	started := time.Now()
+	answer, err := r.service[i%replicas].Call(ctx, upstream.Call{Method: http.MethodGet, Path: lookupPath(i)})
+	if err != nil {
+		return err
+	}
+	return t.lookup(started, answer.Status)
+}
+
+func (t *Times) lookup(started time.Time, status int) error {
+	if status != http.StatusOK {
+		return errors.Errorf("status %d", status)
+	}
+	t.Units++
+	return errors.Wrap(t.Request.RecordValue(int64(time.Since(started))), "record lookup")
+}
