--- a/internal/entry/caller/completion.go
+++ b/internal/entry/caller/completion.go
@@ -7,7 +7,6 @@
 	"strings"
 	"unicode/utf8"
 
-	"github.com/bilberryrock/bilberryrock/internal/admission"
 	"github.com/bilberryrock/bilberryrock/internal/document"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
@@ -141,14 +140,7 @@
 	if err != nil {
 		return err
 	}
-	ticket, err := a.parts.Gate.Enter(r.Context(), admission.Ask{
-		Request:  q.id,
-		Account:  q.account.ID,
-		Weight:   q.account.Weight,
-		Priority: q.account.Priority,
-		Pool:     model.Pool,
-		Deadline: q.deadline,
-	})
+	ticket, err := a.parts.Gate.Enter(r.Context(), q.ask(model.Pool))
 	if err != nil {
 		return err
 	}
--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/bilberryrock/bilberryrock/internal/admission"
 	"github.com/bilberryrock/bilberryrock/internal/document"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
@@ -36,6 +37,18 @@
 // without this request knowing. Then no refusal may say "not run".
 func (q *request) mayHaveRun() bool { return q.keyed && !q.ledgerAsked }
 
+// ask describes the request to the gate.
+func (q *request) ask(pool fleet.PoolID) admission.Ask {
+	return admission.Ask{
+		Request:  q.id,
+		Account:  q.account.ID,
+		Weight:   q.account.Weight,
+		Priority: q.account.Priority,
+		Pool:     pool,
+		Deadline: q.deadline,
+	}
+}
+
 type handler func(w http.ResponseWriter, r *http.Request, q *request) error
 
 // serve wraps h with what all paths need: request id, client account, deadline,
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/bilberryrock/bilberryrock/internal/admission"
 	"github.com/bilberryrock/bilberryrock/internal/document"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
@@ -39,14 +38,7 @@
 	if err != nil {
 		return err
 	}
-	ticket, err := a.parts.Gate.Enter(r.Context(), admission.Ask{
-		Request:  q.id,
-		Account:  q.account.ID,
-		Weight:   q.account.Weight,
-		Priority: q.account.Priority,
-		Pool:     pool.ID,
-		Deadline: q.deadline,
-	})
+	ticket, err := a.parts.Gate.Enter(r.Context(), q.ask(pool.ID))
 	if err != nil {
 		return err
 	}
--- a/internal/trial/processes/client.go
+++ b/internal/trial/processes/client.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,3 +55,31 @@
 	}
 	return string(raw), 0, errors.Wrap(err, "run bilberryrock")
 }
+
+// JoinEvents joins the text of a streamed completion and tells whether its end
+// was seen.
+func JoinEvents(raw []byte) (text string, done bool) {
+	var b strings.Builder
+	for line := range bytes.SplitSeq(raw, []byte("\n")) {
+		data, found := bytes.CutPrefix(line, []byte("data: "))
+		if !found {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			done = true
+			continue
+		}
+		var event struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal(data, &event) != nil {
+			continue // half an event of a broken stream
+		}
+		for _, choice := range event.Choices {
+			b.WriteString(choice.Text)
+		}
+	}
+	return b.String(), done
+}
