--- a/internal/quorum/voter/world_test.go
+++ b/internal/quorum/voter/world_test.go
@@ -9,6 +9,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
+	"github.com/bilberryrock/bilberryrock/internal/quorum/journal"
 	"github.com/bilberryrock/bilberryrock/internal/quorum/quorumtest"
 	"github.com/bilberryrock/bilberryrock/internal/quorum/replica"
 	"github.com/cespare/xxhash/v2"
@@ -30,6 +31,7 @@
 	cuts      map[[2]fleet.InstanceID]bool
 	nextID    quorum.VoterID
 	faults    int   // in 1000 steps
+	sent      int   // messages, some of which are checked
 	broken    error // first violated invariant
 
 	leaders  map[quorum.Term]quorum.VoterID
@@ -167,6 +169,10 @@
 }
 
 func (p *place) send(m replica.Message) {
+	p.w.sent++
+	if !p.lied && !m.Reject && p.w.sent%8 == 0 {
+		p.checkDurable(m)
+	}
 	if m.Kind == replica.InstallSnapshot {
 		p.w.transfers = append(p.w.transfers, m)
 	}
@@ -175,6 +181,24 @@
 	}
 }
 
+// checkDurable checks that a power loss now would not take back what a message
+// promises.
+func (p *place) checkDurable(m replica.Message) {
+	if m.Kind != replica.Vote && m.Kind != replica.VoteReply && m.Kind != replica.AppendReply {
+		return
+	}
+	_, s, err := journal.Open(p.disk.Copy(), "data")
+	last := s.Snapshot.Index
+	if n := len(s.Entries); n > 0 {
+		last = max(last, s.Entries[n-1].Index)
+	}
+	vote := m.Kind == replica.VoteReply && s.State.Vote != m.To || m.Kind == replica.Vote && s.State.Vote != p.id
+	entry := m.Kind == replica.AppendReply && last < m.LogIndex
+	if err != nil || s.State.Term < m.Term || vote || entry {
+		p.w.violate("voter %d sent a %s of term %d that was not synced (%+v, %v)", p.id, m.Kind, m.Term, s.State, err)
+	}
+}
+
 func (w *world) byID(id quorum.VoterID) *place {
 	for _, p := range w.sites {
 		if p.id == id {
