Bound the introductions that a seed passes on

A ping can carry the record of its sender twice, and both were kept, so the list passed its bound and answers of a seed reached 1510 bytes with 180 members. The fake network now refuses messages above MaxMessage in every test.

--- a/internal/membership/gossip/centres.go
+++ b/internal/membership/gossip/centres.go
@@ -166,14 +166,12 @@
 	for _, i := range s.introduced {
 		answer.Members = append(answer.Members, i.record)
 	}
-	if len(s.introduced) == contactCount {
-		s.introduced = s.introduced[1:]
-	}
-	for _, u := range ping.Members {
-		if u.Id == ping.From && !ended(u) {
-			s.introduced = append(s.introduced, introduction{record: u, at: now})
-		}
+	at := slices.IndexFunc(ping.Members, func(u *gossipv1.Member) bool { return u.Id == ping.From })
+	if at < 0 || ended(ping.Members[at]) {
+		return
 	}
+	s.introduced = append(s.introduced, introduction{record: ping.Members[at], at: now})
+	s.introduced = s.introduced[max(0, len(s.introduced)-contactCount):]
 }
 
 // silence is the time since the last heartbeat of a data centre.
--- a/internal/membership/gossip/world_test.go
+++ b/internal/membership/gossip/world_test.go
@@ -234,7 +234,7 @@
 	h.busy += time.Since(start)
 	h.sent.messages++
 	h.sent.bytes += len(data)
-	if len(data) > 1400 {
+	if proto.Size(s.Message) > gossip.MaxMessage {
 		w.t.Fatalf("a message has %d bytes", len(data))
 	}
 	to := w.at(s.Address)
