Keep going with late and overloaded engines; cancel up to an epoch

With no other engine, the courier goes on with one that was late or overloaded under a new epoch, or with one that was lost before. A cancel now names its epoch, and a newer one is left alone.

An engine that stays overloaded is reported as overloaded, not as failed. Views of the planner are renewed at most 1% of the time.

--- a/internal/pipeline/courier/courier.go
+++ b/internal/pipeline/courier/courier.go
@@ -184,14 +184,19 @@
 }
 
 // release frees the memory of a request on an engine, even after ctx has ended.
-func (c *Courier) release(ctx context.Context, r fleet.RequestID, u upstream.Upstream) {
+// The engine may serve a newer epoch when the call arrives.
+func (c *Courier) release(ctx context.Context, r fleet.RequestID, e fleet.Epoch, client upstream.EngineClient) {
 	c.pending.Add(1)
 	go func() {
 		defer c.pending.Done()
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 		defer cancel()
 		// An engine that cannot be reached drops the request by itself.
-		_ = c.dialer.Engine(u).Cancel(ctx, r)
+		if x, ok := client.(upstream.EpochCanceller); ok {
+			_ = x.CancelEpoch(ctx, r, e)
+			return
+		}
+		_ = client.Cancel(ctx, r)
 	}()
 }
 
--- a/internal/pipeline/courier/courier_test.go
+++ b/internal/pipeline/courier/courier_test.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,7 +36,7 @@
 	counts   inflight.Counts
 }
 
-func serve(record *standin.Recorder, ranges []upstream.LayerRange, each int) *served {
+func serve(record *standin.Recorder, ranges []upstream.LayerRange, each int, base standin.Config) *served {
 	f := &served{
 		standins: make(map[fleet.UpstreamID]*standin.Standin),
 		servers:  make(map[fleet.UpstreamID]*httptest.Server), record: record,
@@ -42,13 +45,13 @@
 		for n := range each {
 			id := fleet.UpstreamID(fmt.Sprintf("%c%d", 'a'+i, n))
 			server := httptest.NewUnstartedServer(nil)
-			s := standin.New(standin.Config{
-				Announcement: upstream.Announcement{
-					ID: id, Kind: upstream.Engine, Model: "ledger", Version: "1",
-					Layers: layers, Address: server.Listener.Addr().String(),
-				},
-				TotalLayers: ranges[len(ranges)-1].To, Recorder: record,
-			})
+			config := base
+			config.Announcement = upstream.Announcement{
+				ID: id, Kind: upstream.Engine, Model: "ledger", Version: "1", Slots: base.Announcement.Slots,
+				Layers: layers, Address: server.Listener.Addr().String(),
+			}
+			config.TotalLayers, config.Recorder = ranges[len(ranges)-1].To, record
+			s := standin.New(config)
 			server.Config.Handler = s
 			server.Start()
 			f.standins[id], f.servers[id] = s, server
@@ -89,7 +92,7 @@
 	}
 	p := planner.New(f, models, learned, systemclock.Clock{}, planner.WithCounts(&f.counts), planner.WithRefresh(0))
 	return courier.New(p, dialer, courier.WithSpeeds(learned), courier.WithObserver(learned),
-		courier.WithRoster(f), courier.WithGauge(&f.counts))
+		courier.WithRoster(f), courier.WithGauge(&f.counts), courier.WithTimeouts(3*time.Second, time.Minute))
 }
 
 // used returns an engine of a range that serves the request.
@@ -110,7 +113,7 @@
 func TestFaultsOverHTTP(t *testing.T) {
 	is := is.New(t)
 	var record bytes.Buffer
-	f := serve(standin.NewRecorder(&record), []upstream.LayerRange{{From: 0, To: 3}, {From: 3, To: 4}, {From: 4, To: 8}}, 3)
+	f := serve(standin.NewRecorder(&record), []upstream.LayerRange{{From: 0, To: 3}, {From: 3, To: 4}, {From: 4, To: 8}}, 3, standin.Config{})
 	dialer := engine.NewDialer()
 	c := f.courier(dialer, 8)
 	prompt := []uint64{5, 7, 11}
@@ -162,12 +165,75 @@
 	is.True(epoch >= 3) // the frozen and the dead engine were replaced
 }
 
+// BenchmarkStreams measures tokens of 64 requests at once over four engines on
+// loopback, each with a batch limit of 64 and 2 ms for a batch.
+func BenchmarkStreams(b *testing.B) {
+	const streams = 64
+	ranges := []upstream.LayerRange{{From: 0, To: 2}, {From: 2, To: 4}, {From: 4, To: 6}, {From: 6, To: 8}}
+	for _, name := range []string{"courier", "direct"} {
+		b.Run(name, func(b *testing.B) {
+			f := serve(nil, ranges, 1, standin.Config{StepTime: 2 * time.Millisecond, Announcement: upstream.Announcement{Slots: streams}})
+			defer f.close()
+			dialer := engine.NewDialer()
+			defer dialer.Close()
+			c := f.courier(dialer, 8)
+			defer c.Close()
+			var tokens atomic.Int64
+			var streaming sync.WaitGroup
+			for range streams {
+				streaming.Go(func() {
+					for tokens.Load() < int64(b.N) {
+						if name == "direct" {
+							f.direct(b, dialer, ranges, &tokens)
+							continue
+						}
+						g := pipeline.Generation{Request: fleet.NewRequestID(), Model: "ledger", Prompt: []uint64{rand.Uint64()}, MaxTokens: 50}
+						_, err := c.Run(context.Background(), g, func(pipeline.Piece) error {
+							tokens.Add(1)
+							return nil
+						})
+						if err != nil {
+							b.Error(err)
+							return
+						}
+					}
+				})
+			}
+			streaming.Wait()
+			b.ReportMetric(float64(tokens.Load())/b.Elapsed().Seconds(), "tokens/s")
+		})
+	}
+}
+
+// direct runs 50 tokens of one request by calls of the client.
+func (f *served) direct(b *testing.B, dialer *engine.Dialer, ranges []upstream.LayerRange, tokens *atomic.Int64) {
+	request := fleet.NewRequestID()
+	input := []uint64{rand.Uint64()}
+	for n := range 50 {
+		for i, layers := range ranges {
+			u, _ := f.Get(fleet.UpstreamID(fmt.Sprintf("%c0", 'a'+i)))
+			s := upstream.Step{Request: request, Epoch: 1, Position: fleet.Position(n), Model: "ledger", Version: "1", Layers: layers, Input: input}
+			result, err := dialer.Engine(u).Step(context.Background(), s)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			input = result.Output
+		}
+		tokens.Add(1)
+	}
+	for i := range ranges {
+		u, _ := f.Get(fleet.UpstreamID(fmt.Sprintf("%c0", 'a'+i)))
+		_ = dialer.Engine(u).Cancel(context.Background(), request)
+	}
+}
+
 // BenchmarkToken measures one token over four engines on loopback: through the
 // courier, and by direct calls of the client in the same order.
 func BenchmarkToken(b *testing.B) {
 	ranges := []upstream.LayerRange{{From: 0, To: 2}, {From: 2, To: 4}, {From: 4, To: 6}, {From: 6, To: 8}}
 	b.Run("courier", func(b *testing.B) {
-		f := serve(nil, ranges, 1)
+		f := serve(nil, ranges, 1, standin.Config{})
 		defer f.close()
 		dialer := engine.NewDialer()
 		defer dialer.Close()
@@ -187,7 +253,7 @@
 		}
 	})
 	b.Run("direct", func(b *testing.B) {
-		f := serve(nil, ranges, 1)
+		f := serve(nil, ranges, 1, standin.Config{})
 		defer f.close()
 		dialer := engine.NewDialer()
 		defer dialer.Close()
--- a/internal/pipeline/courier/local_test.go
+++ b/internal/pipeline/courier/local_test.go
@@ -88,7 +88,9 @@
 	// faults maps a position to the fault of the step that covers it.
 	faults map[fleet.Position]string
 	dead   bool
-	last   upstream.StepResult
+	// overloaded engines refuse every step.
+	overloaded bool
+	last       upstream.StepResult
 }
 
 func newWorld(layers int) *world {
@@ -185,6 +187,9 @@
 	w := e.world
 	ev := event{id: e.ID, epoch: s.Epoch, end: s.Position + fleet.Position(len(s.Input)), began: w.clock.Now()}
 	fault := e.faults[ev.end-1]
+	if e.overloaded {
+		fault = "refuse"
+	}
 	delete(e.faults, ev.end-1)
 	if fault == "freeze" {
 		// The event is there before the courier goes on.
@@ -273,6 +278,10 @@
 	return e.post(http.MethodPost, "/v1/requests/"+string(r)+"/cancel", nil, new(struct{}))
 }
 
+func (e *local) CancelEpoch(_ context.Context, r fleet.RequestID, epoch fleet.Epoch) error {
+	return e.post(http.MethodPost, fmt.Sprintf("/v1/requests/%s/cancel?epoch=%d", r, epoch), nil, new(struct{}))
+}
+
 func (e *local) Export(_ context.Context, r fleet.RequestID) (upstream.KV, error) {
 	var kv upstream.KV
 	err := e.post(http.MethodGet, "/v1/requests/"+string(r)+"/kv", nil, &kv)
--- a/internal/pipeline/courier/recovery.go
+++ b/internal/pipeline/courier/recovery.go
@@ -24,12 +24,17 @@
 	}
 	r.recoveries++
 	if r.recoveries > maxRecoveries {
-		return refusal.Because(refusal.UpstreamFailed, cause, "request %s was recovered %d times in vain", r.request.Request, maxRecoveries)
+		return refusal.Because(refusal.KindOf(cause), cause, "request %s was recovered %d times in vain", r.request.Request, maxRecoveries)
 	}
 	old := r.chain.Stages[i]
 	r.lost = append(r.lost, old.Upstream.ID)
 	r.suspect(old.Upstream.ID, cause)
 	next, err := r.replan(index, r.lost)
+	if err != nil && len(r.lost) > 1 {
+		// An engine that was lost before may have come back.
+		r.lost = []fleet.UpstreamID{old.Upstream.ID}
+		next, err = r.replan(index, r.lost)
+	}
 	if err != nil {
 		return r.retain(i, cause, err)
 	}
@@ -59,21 +64,27 @@
 	}
 }
 
-// retain starts the same chain again under a new epoch, with stage i from the
-// first position on, when there is no other engine. An engine that answered may
-// have restarted or lost its cache.
+// retain goes on with the same chain under a new epoch when there is no other
+// engine. An engine that answered may have restarted or lost its cache, so stage i
+// starts from the first position on, unless it was only overloaded or late.
 func (r *run) retain(i int, cause, planning error) error {
 	switch refusal.KindOf(cause) {
-	case refusal.NoUpstream, refusal.Deadline, refusal.Stopping:
+	case refusal.NoUpstream, refusal.Stopping:
 		return planning
 	}
-	r.lost = r.lost[:len(r.lost)-1]
+	r.lost = nil
 	have := append([]fleet.Position(nil), r.have...)
-	have[i] = 0
+	chosen := "send again to the same engine"
+	switch refusal.KindOf(cause) {
+	case refusal.Overloaded, refusal.Deadline:
+	default:
+		have[i] = 0
+		chosen = "compute again on the same engine"
+	}
 	r.take(r.chain, have)
 	r.courier.record(r.request.Request, report.Entry{
 		Known:  fmt.Sprintf("stage %s failed: %v", r.chain.Stages[i].Upstream.ID, cause),
-		Chosen: "compute again on the same engine", Reason: planning.Error(),
+		Chosen: chosen, Reason: planning.Error(),
 	})
 	return nil
 }
@@ -128,7 +139,7 @@
 		}
 		r.restore(ctx, o, cause)
 	}
-	r.releaseUnused(ctx, old)
+	r.releaseUnused(ctx, old, oldClients)
 }
 
 // option is a way to fill the KV cache of a stage. Without a client there is no
@@ -229,14 +240,14 @@
 
 // releaseUnused frees the memory of the request on engines of the old chain that
 // are not in the new one.
-func (r *run) releaseUnused(ctx context.Context, old pipeline.Chain) {
-	for _, o := range old.Stages {
+func (r *run) releaseUnused(ctx context.Context, old pipeline.Chain, clients []upstream.EngineClient) {
+	for i, o := range old.Stages {
 		used := false
 		for _, s := range r.chain.Stages {
 			used = used || s.Upstream.ID == o.Upstream.ID
 		}
 		if !used {
-			r.courier.release(ctx, r.request.Request, o.Upstream)
+			r.courier.release(ctx, r.request.Request, r.epoch-1, clients[i])
 		}
 	}
 }
--- a/internal/pipeline/courier/recovery_test.go
+++ b/internal/pipeline/courier/recovery_test.go
@@ -261,6 +261,13 @@
 	w.engines["a"].dead = true
 	_, err = w.generate(w.courier(), 5, 5)
 	is.Equal(refusal.KindOf(err), refusal.NoUpstream)
+
+	// An engine that stays overloaded ran nothing.
+	busy := newWorld(4)
+	defer busy.close()
+	busy.add("a", 0, 4, speed(1, 1, 1, 1)).overloaded = true
+	_, err = busy.generate(busy.courier(), 5, 5)
+	is.Equal(refusal.KindOf(err), refusal.Overloaded)
 }
 
 // TestVersionChange guards against a text of mixed versions: before the first
--- a/internal/pipeline/courier/run.go
+++ b/internal/pipeline/courier/run.go
@@ -63,9 +63,9 @@
 
 // end frees the memory of the request on all engines of the chain.
 func (r *run) end(ctx context.Context) {
-	for _, s := range r.chain.Stages {
+	for i, s := range r.chain.Stages {
 		r.courier.count(s.Upstream.ID, -1)
-		r.courier.release(ctx, r.request.Request, s.Upstream)
+		r.courier.release(ctx, r.request.Request, r.epoch, r.clients[i])
 	}
 }
 
--- a/internal/pipeline/planner/planner.go
+++ b/internal/pipeline/planner/planner.go
@@ -33,6 +33,9 @@
 const (
 	// DefaultRefresh is the age at which a view of the engines is renewed.
 	DefaultRefresh = 250 * time.Millisecond
+	// renewalShare bounds the share of time that goes into renewals: a view stays
+	// for at least renewalShare times the time that it took to build it.
+	renewalShare = 100
 	// suspicion is the time for which a suspect is avoided. It is longer than the
 	// time after which an upstream without a confirmation gets no new work.
 	suspicion = 5 * time.Second
@@ -226,7 +229,7 @@
 	}
 	now := p.clock.Now()
 	v := cell.view.Load()
-	if v != nil && v.fits(model) && now.Sub(v.built) < p.refresh {
+	if v != nil && v.fits(model) && now.Sub(v.built) < max(p.refresh, renewalShare*v.took) {
 		return v, nil
 	}
 	if v != nil && v.fits(model) {
@@ -238,6 +241,7 @@
 	}
 	defer cell.mu.Unlock()
 	v = newView(model, p.roster.Usable(model.Pool, now), now, p.speeds, p.counts)
+	v.took = p.clock.Now().Sub(now)
 	cell.view.Advance(v, func(*view) bool { return true })
 	return v, nil
 }
--- a/internal/pipeline/planner/view.go
+++ b/internal/pipeline/planner/view.go
@@ -22,6 +22,7 @@
 // after it was built, apart from the counters.
 type view struct {
 	built    time.Time
+	took     time.Duration // time to build it
 	revision document.Model
 	layers   fleet.Layer
 	// groups are the engines by version and adapter. The one in force is first;
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -40,6 +40,12 @@
 	return c.pool.exchange(ctx, http.MethodPost, requestPath(r)+"/cancel", nil, nil)
 }
 
+// CancelEpoch implements upstream.EpochCanceller.
+func (c *Client) CancelEpoch(ctx context.Context, r fleet.RequestID, e fleet.Epoch) error {
+	path := requestPath(r) + "/cancel?epoch=" + strconv.FormatUint(uint64(e), 10)
+	return c.pool.exchange(ctx, http.MethodPost, path, nil, nil)
+}
+
 // Export returns the KV cache of a request.
 func (c *Client) Export(ctx context.Context, r fleet.RequestID) (upstream.KV, error) {
 	var kv upstream.KV
--- a/internal/upstream/standin/engine.go
+++ b/internal/upstream/standin/engine.go
@@ -328,13 +328,13 @@
 	return seed
 }
 
-// cancel ends the current epoch of r. Its cache stays when keep is set, so that
-// a newer epoch can go on with it.
-func (e *engine) cancel(r fleet.RequestID, keep bool) {
+// cancel ends the current epoch of r unless it is newer than the given one. Its
+// cache stays when keep is set, so that a newer epoch can go on with it.
+func (e *engine) cancel(r fleet.RequestID, epoch fleet.Epoch, keep bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	n, ok := e.sessions[r]
-	if !ok {
+	if !ok || n.epoch > epoch {
 		return
 	}
 	n.ended = true
--- a/internal/upstream/standin/protocol.go
+++ b/internal/upstream/standin/protocol.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 
@@ -35,8 +36,17 @@
 }
 
 func (e *engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	epoch := uint64(math.MaxUint32)
+	if text := r.URL.Query().Get("epoch"); text != "" {
+		parsed, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			writeError(w, http.StatusBadRequest, "badRequest", "epoch is not a number")
+			return
+		}
+		epoch = parsed
+	}
 	keep := r.URL.Query().Get("keep") == "true"
-	e.cancel(fleet.RequestID(chi.URLParam(r, "id")), keep)
+	e.cancel(fleet.RequestID(chi.URLParam(r, "id")), fleet.Epoch(epoch), keep)
 	respond(w, struct{}{}, nil)
 }
 
