--- a/internal/pipeline/courier/recovery.go
+++ b/internal/pipeline/courier/recovery.go
@@ -133,7 +133,7 @@
 		if i >= 0 && old.Stages[i].Upstream.ID == s.Upstream.ID && same {
 			continue
 		}
-		o := option{stage: k, positions: len(r.values[0])}
+		o := restoration{stage: k, positions: len(r.values[0])}
 		if export && same && i >= 0 && oldHave[i] > 0 {
 			o.from, o.client = old.Stages[i].Upstream, oldClients[i]
 		}
@@ -142,9 +142,9 @@
 	r.releaseUnused(ctx, old, oldClients)
 }
 
-// option is a way to fill the KV cache of a stage. Without a client there is no
+// restoration is a way to fill the KV cache of a stage. Without a client there is no
 // engine to import from.
-type option struct {
+type restoration struct {
 	stage     int
 	positions int
 	from      upstream.Upstream
@@ -154,7 +154,7 @@
 // estimate returns the expected times until a stage has answered the newest
 // position, with an import and with a computation. An import that is not possible
 // takes for ever.
-func (r *run) estimate(s pipeline.Stage, o option) (copying, computing time.Duration) {
+func (r *run) estimate(s pipeline.Stage, o restoration) (copying, computing time.Duration) {
 	c := r.courier
 	to, layers := c.speeds.Speed(s.Upstream), s.Layers.Len()
 	computing = stepTime(to, layers, o.positions)
@@ -170,7 +170,7 @@
 
 // restore fills the KV cache of a new stage by the faster way and records the
 // decision. A cache that is not imported is computed by the next step.
-func (r *run) restore(ctx context.Context, o option, cause string) {
+func (r *run) restore(ctx context.Context, o restoration, cause string) {
 	s := r.chain.Stages[o.stage]
 	copying, computing := r.estimate(s, o)
 	e := report.Entry{
@@ -208,7 +208,7 @@
 }
 
 // transfer moves the KV cache of an old stage to a new one.
-func (r *run) transfer(ctx context.Context, o option) error {
+func (r *run) transfer(ctx context.Context, o restoration) error {
 	c, s, request, k := r.courier, r.chain.Stages[o.stage], r.request.Request, o.stage
 	size := s.Layers.Len() * o.positions * c.kvBytes
 	expected := transferTime(c.speeds.Speed(o.from), c.speeds.Speed(s.Upstream), size)
@@ -298,7 +298,7 @@
 		if i >= 0 && r.chain.Stages[i].Upstream.ID == s.Upstream.ID {
 			continue
 		}
-		o := option{stage: k, positions: len(r.values[0])}
+		o := restoration{stage: k, positions: len(r.values[0])}
 		if i >= 0 {
 			o.from, o.client = r.chain.Stages[i].Upstream, r.clients[i]
 		}
--- a/internal/pipeline/planner/cover.go
+++ b/internal/pipeline/planner/cover.go
@@ -87,7 +87,7 @@
 	list := s.kept[first:]
 	n := 0
 	for _, i := range list {
-		if !s.worst(i, list) {
+		if !s.dominated(i, list) {
 			list[n] = i
 			n++
 		}
@@ -95,7 +95,7 @@
 	s.kept = s.kept[:first+n]
 }
 
-func (s *scratch) worst(i int, list []int) bool {
+func (s *scratch) dominated(i int, list []int) bool {
 	for _, k := range list {
 		if worse(s.fixed[i], s.whole[i], s.fixed[k], s.whole[k]) {
 			return true
--- a/internal/pipeline/repair/cover.go
+++ b/internal/pipeline/repair/cover.go
@@ -13,8 +13,8 @@
 // of a model with some holders have together.
 const noHolder = 1000
 
-// date notes since when layers lack holders.
-func (c *Controller) date(now time.Time, f *census) {
+// noteLacking notes since when layers lack holders.
+func (c *Controller) noteLacking(now time.Time, f *census) {
 	lacking := make(map[layerKey]time.Time)
 	for _, m := range f.models {
 		for l := fleet.Layer(0); l < m.Layers; l++ {
--- a/internal/pipeline/repair/repair.go
+++ b/internal/pipeline/repair/repair.go
@@ -147,7 +147,7 @@
 func (c *Controller) Tick(in Input) []Effect {
 	c.observe(in)
 	f := newCensus(in, c.pending)
-	c.date(in.Now, f)
+	c.noteLacking(in.Now, f)
 	tallies := c.tally(in.Now, f)
 	var effects []Effect
 	for len(effects) < len(in.Engines) && c.storeIdle(in.Now) {
