Bound the age of a planner view

With 12,000 engines a view took 35 ms to build on the busy machine, so a share of 1% alone would keep it for 3.5 s. That is too long for a leaving engine; one second is the limit now.

--- a/internal/pipeline/planner/planner.go
+++ b/internal/pipeline/planner/planner.go
@@ -34,8 +34,10 @@
 	// DefaultRefresh is the age at which a view of the engines is renewed.
 	DefaultRefresh = 250 * time.Millisecond
 	// renewalShare bounds the share of time that goes into renewals: a view stays
-	// for at least renewalShare times the time that it took to build it.
+	// for renewalShare times the time that it took to build it, but not longer
+	// than maxAge, because a leaving engine has to be noticed within seconds.
 	renewalShare = 100
+	maxAge       = time.Second
 	// suspicion is the time for which a suspect is avoided. It is longer than the
 	// time after which an upstream without a confirmation gets no new work.
 	suspicion = 5 * time.Second
@@ -229,7 +231,7 @@
 	}
 	now := p.clock.Now()
 	v := cell.view.Load()
-	if v != nil && v.fits(model) && now.Sub(v.built) < max(p.refresh, renewalShare*v.took) {
+	if v != nil && v.fits(model) && now.Sub(v.built) < max(p.refresh, min(renewalShare*v.took, maxAge)) {
 		return v, nil
 	}
 	if v != nil && v.fits(model) {
