--- a/internal/entry/caller/caller_test.go
+++ b/internal/entry/caller/caller_test.go
@@ -12,6 +12,7 @@
 	"regexp"
 	"sort"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,18 +41,20 @@
 	refuse  error
 	fail    error
 	breakAt int
-	held    int
+	held    atomic.Int32
 }
 
 func (f *fake) Enter(context.Context, admission.Ask) (admission.Ticket, error) {
 	if f.refuse != nil {
 		return nil, f.refuse
 	}
-	f.held++
+	f.held.Add(1)
 	return f, nil
 }
 
-func (f *fake) Done() { f.held-- }
+func (f *fake) Done() { f.held.Add(-1) }
+
+func (f *fake) tickets() int { return int(f.held.Load()) }
 
 func (f *fake) Run(_ context.Context, g pipeline.Generation, emit func(pipeline.Piece) error) (pipeline.FinishReason, error) {
 	for i := range g.MaxTokens {
@@ -113,11 +116,19 @@
 	}
 }
 
-func newAPI(f *fake) *caller.API {
-	return caller.New(caller.Parts{
+func newAPI(f *fake, change ...func(*caller.Parts)) *caller.API {
+	parts := caller.Parts{
 		Config: config, Gate: f, Courier: f, Lookups: f, Orders: f,
 		Trail: noTrail{}, Clock: systemclock.Clock{}, Log: zap.NewNop(),
-	}, caller.WithLimits(entry.Limits{MaxBody: 2000}))
+	}
+	for _, c := range change {
+		c(&parts)
+	}
+	return caller.New(parts, caller.WithLimits(entry.Limits{MaxBody: 2000}))
+}
+
+func withCourier(c pipeline.Courier) func(*caller.Parts) {
+	return func(p *caller.Parts) { p.Courier = c }
 }
 
 var changing = regexp.MustCompile(`[0-9a-f]{32}|"created":\d+`)
@@ -136,8 +147,8 @@
 		}
 		w := httptest.NewRecorder()
 		newAPI(f).Handler().ServeHTTP(w, request)
-		if f.held != 0 {
-			t.Errorf("%s: %d tickets were not given back", d.Pos, f.held)
+		if f.tickets() != 0 {
+			t.Errorf("%s: %d tickets were not given back", d.Pos, f.tickets())
 		}
 		retry := ""
 		if after := w.Header().Get("Retry-After"); after != "" {
--- /dev/null
+++ b/internal/entry/caller/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package caller_test
+
+const cancelledRequests = 10000
