Use the buffer of a stream again for each event

Marshalling an event allocated its JSON, the copy as a string and the copy with the prefix. One buffer for each stream now holds all three. The bytes sent are the same.

--- a/internal/entry/caller/stream.go
+++ b/internal/entry/caller/stream.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -80,19 +81,32 @@
 	control *http.ResponseController
 	timeout time.Duration
 	started bool
+	// buffer holds the event that is being written; its memory is used again.
+	buffer bytes.Buffer
 }
 
+const eventPrefix = "data: "
+
+// send sends one event. The encoder ends it with one of the two line breaks.
 func (s *eventStream) send(event any) error {
-	data, err := json.Marshal(event)
-	if err != nil {
+	s.buffer.Reset()
+	s.buffer.WriteString(eventPrefix)
+	if err := json.NewEncoder(&s.buffer).Encode(event); err != nil {
 		return errors.Wrap(err, "encode event")
 	}
-	return s.sendRaw(string(data))
+	s.buffer.WriteByte('\n')
+	return s.flush()
 }
 
-// sendRaw writes one event and flushes it. A caller that does not read within
-// the write timeout makes it fail.
 func (s *eventStream) sendRaw(data string) error {
+	s.buffer.Reset()
+	s.buffer.WriteString(eventPrefix + data + "\n\n")
+	return s.flush()
+}
+
+// flush writes the event in the buffer. A caller that does not read within the
+// write timeout makes it fail.
+func (s *eventStream) flush() error {
 	if !s.started {
 		s.w.Header().Set("Content-Type", "text/event-stream")
 		s.w.Header().Set("Cache-Control", "no-store")
@@ -100,7 +114,7 @@
 	}
 	// A ResponseWriter without deadlines, as in tests, is fine.
 	_ = s.control.SetWriteDeadline(time.Now().Add(s.timeout))
-	if _, err := s.w.Write([]byte("data: " + data + "\n\n")); err != nil {
+	if _, err := s.w.Write(s.buffer.Bytes()); err != nil {
 		return errors.Wrap(err, "write event")
 	}
 	return errors.Wrap(s.control.Flush(), "flush event")
