End completions over the bound of a quiet-hours window; carry time zones in the programs

The gate told its tickets that work has to leave, and nobody listened: a completion that ran longer than expected into a window went on. It now ends with upstreamFailed, or with a broken stream, which both say that it may have run.

--- a/cmd/bilberryrock/main.go
+++ b/cmd/bilberryrock/main.go
@@ -4,6 +4,9 @@
 import (
 	"os"
 
+	// Time zones of quiet-hours windows must not depend on the host.
+	_ "time/tzdata"
+
 	"github.com/bilberryrock/bilberryrock/internal/entry/console"
 )
 
--- a/cmd/bilberryrockd/main.go
+++ b/cmd/bilberryrockd/main.go
@@ -19,6 +19,9 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	// Time zones of quiet-hours windows must not depend on the host.
+	_ "time/tzdata"
+
 	"github.com/bilberryrock/bilberryrock/internal/entry/daemon"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/settings"
 )
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -28,6 +28,14 @@
 	Done()
 }
 
+// Movable is a Ticket of a Gate with a quiet-hours bound.
+type Movable interface {
+	Ticket
+	// Moved returns a channel that is closed when the work has to leave this
+	// data centre, or be refused, because quiet hours have begun.
+	Moved() <-chan struct{}
+}
+
 // Gate admits requests. Errors are of kind refusal.AccountLimit,
 // refusal.Overloaded, refusal.QuietHours, refusal.Deadline or refusal.Stopping
 // and all mean that the request was not run.
--- a/internal/admission/gate/gate_test.go
+++ b/internal/admission/gate/gate_test.go
@@ -108,7 +108,7 @@
 		moved := 0
 		for _, r := range running {
 			select {
-			case <-r.(gate.Movable).Moved():
+			case <-r.(admission.Movable).Moved():
 				moved++
 			default:
 			}
--- a/internal/admission/gate/wait.go
+++ b/internal/admission/gate/wait.go
@@ -78,14 +78,7 @@
 	return g.lane.Counters()
 }
 
-// Movable is implemented by the tickets of a Gate with a bound.
-type Movable interface {
-	// Moved returns a channel that is closed when the work has to leave this
-	// data centre, or be refused, because quiet hours have begun.
-	Moved() <-chan struct{}
-}
-
-var _ Movable = (*ticket)(nil)
+var _ admission.Movable = (*ticket)(nil)
 
 // ticket implements admission.Ticket.
 type ticket struct {
@@ -96,7 +89,7 @@
 	began   time.Time
 }
 
-// Moved implements Movable.
+// Moved implements admission.Movable.
 func (t *ticket) Moved() <-chan struct{} { return t.waiter.Moved() }
 
 // Done implements admission.Ticket.
--- a/internal/entry/caller/caller_test.go
+++ b/internal/entry/caller/caller_test.go
@@ -42,6 +42,10 @@
 	fail    error
 	breakAt int
 	held    atomic.Int32
+	// moveAt is the number of tokens after which quiet hours begin, if moved is
+	// set.
+	moveAt int
+	moved  chan struct{}
 }
 
 func (f *fake) Enter(context.Context, admission.Ask) (admission.Ticket, error) {
@@ -54,13 +58,20 @@
 
 func (f *fake) Done() { f.held.Add(-1) }
 
+func (f *fake) Moved() <-chan struct{} { return f.moved }
+
 func (f *fake) tickets() int { return int(f.held.Load()) }
 
-func (f *fake) Run(_ context.Context, g pipeline.Generation, emit func(pipeline.Piece) error) (pipeline.FinishReason, error) {
+func (f *fake) Run(ctx context.Context, g pipeline.Generation, emit func(pipeline.Piece) error) (pipeline.FinishReason, error) {
 	for i := range g.MaxTokens {
 		if f.fail != nil && i == f.breakAt {
 			return 0, f.fail
 		}
+		if f.moved != nil && i == f.moveAt {
+			close(f.moved)
+			<-ctx.Done()
+			return 0, ctx.Err()
+		}
 		if err := emit(pipeline.Piece{Index: i, Text: fmt.Sprintf(" t%d", i)}); err != nil {
 			return 0, err
 		}
@@ -168,6 +179,11 @@
 			t.Fatal(err)
 		}
 		f.fail = refusal.New(refusal.UpstreamFailed, "stage lost")
+	case "moveAt":
+		if _, err := fmt.Sscan(values[0], &f.moveAt); err != nil {
+			t.Fatal(err)
+		}
+		f.moved = make(chan struct{})
 	case "noUpstream":
 		f.fail = refusal.New(refusal.NoUpstream, "no upstream")
 	case "internal":
--- a/internal/entry/caller/completion.go
+++ b/internal/entry/caller/completion.go
@@ -145,6 +145,9 @@
 		return err
 	}
 	defer ticket.Done()
+	ctx, stop := untilMoved(r.Context(), ticket)
+	defer stop()
+	r = r.WithContext(ctx)
 	work := pipeline.Generation{
 		Request:   q.id,
 		Model:     model.ID,
--- a/internal/entry/caller/stream.go
+++ b/internal/entry/caller/stream.go
@@ -30,7 +30,7 @@
 		return nil
 	})
 	if err != nil {
-		return err
+		return whyEnded(r.Context(), err)
 	}
 	writeJSON(w, http.StatusOK, shape.whole(head, text.String(), reason.String(), newUsage(g, count)))
 	return nil
@@ -47,7 +47,7 @@
 		return s.send(shape.piece(head, p.Text, count == 1))
 	})
 	if err != nil {
-		return a.breakStream(s, r, head, err)
+		return a.breakStream(s, r, head, whyEnded(r.Context(), err))
 	}
 	if err := s.send(shape.end(head, reason.String())); err != nil {
 		return &brokenStream{cause: err}
--- a/internal/trial/failure/failure.go
+++ b/internal/trial/failure/failure.go
@@ -109,11 +109,7 @@
 			return nil, errors.Wrap(err, f.Logs(1500))
 		}
 	}
-	var list []*processes.Daemon
-	for _, name := range r.names {
-		list = append(list, r.daemons[name])
-	}
-	r.traffic = traffic.New(list, seed)
+	r.traffic = traffic.New(r.Daemons(), seed)
 	r.watching.Go(r.watch)
 	return r, nil
 }
@@ -129,6 +125,15 @@
 	r.fleet.Close()
 }
 
+// Daemons returns the daemons in the order of their names.
+func (r *Run) Daemons() []*processes.Daemon {
+	var list []*processes.Daemon
+	for _, name := range r.names {
+		list = append(list, r.daemons[name])
+	}
+	return list
+}
+
 // Logs returns the end of all logs.
 func (r *Run) Logs() string { return r.fleet.Logs(3000) }
 
--- /dev/null
+++ b/internal/trial/footprint/idle_test.go
@@ -0,0 +1,141 @@
+// Package footprint measures what idle daemons cost, as real processes, by the
+// number of daemons and upstreams.
+package footprint
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bilberryrock/bilberryrock/internal/trial/failure"
+	"github.com/bilberryrock/bilberryrock/internal/trial/processes"
+)
+
+const (
+	settle   = 5 * time.Second
+	measured = 10 * time.Second
+	// ticksPerSecond is the unit of processor times in /proc on Linux.
+	ticksPerSecond = 100
+)
+
+// sample is the state of the counters of one daemon.
+type sample struct{ cpu, sent, received float64 }
+
+// cost sums what the daemons of one role used.
+type cost struct{ daemons, cpu, memory, sent, received float64 }
+
+// BenchmarkIdle reports for voters and for other daemons the processor time in
+// percent of a core, the resident memory in MB and the bytes of gossip a second.
+func BenchmarkIdle(b *testing.B) {
+	bin := b.TempDir()
+	build := exec.Command("go", "build", "-o", bin+string(filepath.Separator), "./cmd/...")
+	build.Dir = filepath.Join("..", "..", "..")
+	if out, err := build.CombinedOutput(); err != nil {
+		b.Fatalf("%v\n%s", err, out)
+	}
+	for _, size := range []failure.Size{
+		{DataCentres: 3, Daemons: 3, Engines: 6, Services: 3},
+		{DataCentres: 3, Daemons: 6, Engines: 6, Services: 3},
+		{DataCentres: 3, Daemons: 12, Engines: 6, Services: 3},
+		{DataCentres: 3, Daemons: 12, Engines: 40, Services: 3},
+		{DataCentres: 3, Daemons: 24, Engines: 40, Services: 3},
+	} {
+		b.Run(fmt.Sprintf("daemons=%d/upstreams=%d", size.Daemons, size.Engines+size.Services), func(b *testing.B) {
+			for range b.N {
+				measure(b, bin, size)
+			}
+		})
+	}
+}
+
+func measure(b *testing.B, bin string, size failure.Size) {
+	b.Helper()
+	r, err := failure.Start(bin, b.TempDir(), size, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer r.Close()
+	time.Sleep(settle)
+	before := make(map[string]sample)
+	for _, d := range r.Daemons() {
+		before[d.Plan.ID] = take(b, d)
+	}
+	time.Sleep(measured)
+	costs := map[string]*cost{"voter": {}, "other": {}}
+	for _, d := range r.Daemons() {
+		role := "other"
+		if d.Plan.Voter != 0 {
+			role = "voter"
+		}
+		costs[role].add(before[d.Plan.ID], take(b, d), memory(b, d))
+	}
+	for role, c := range costs {
+		if c.daemons > 0 {
+			b.ReportMetric(c.cpu/c.daemons, role+"-%core")
+			b.ReportMetric(c.memory/c.daemons, role+"-MB")
+			b.ReportMetric(c.sent/c.daemons, role+"-sentB/s")
+			b.ReportMetric(c.received/c.daemons, role+"-receivedB/s")
+		}
+	}
+}
+
+func (c *cost) add(before, after sample, memory float64) {
+	c.daemons++
+	c.cpu += (after.cpu - before.cpu) / measured.Seconds() * 100
+	c.sent += (after.sent - before.sent) / measured.Seconds()
+	c.received += (after.received - before.received) / measured.Seconds()
+	c.memory += memory
+}
+
+func take(b *testing.B, d *processes.Daemon) sample {
+	b.Helper()
+	sent, err := d.Metric("bilberryrock_gossip_sent_bytes_total")
+	if err != nil {
+		b.Fatal(err)
+	}
+	received, err := d.Metric("bilberryrock_gossip_received_bytes_total")
+	if err != nil {
+		b.Fatal(err)
+	}
+	return sample{cpu: processorTime(b, d), sent: sent, received: received}
+}
+
+// processorTime returns the user and system time of the process in seconds.
+func processorTime(b *testing.B, d *processes.Daemon) float64 {
+	b.Helper()
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.PID()))
+	if err != nil {
+		b.Fatal(err)
+	}
+	// The fields after the name in parentheses begin with the state, the third
+	// field; user and system time are the 14th and 15th.
+	fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+1:]))
+	user, err := strconv.ParseFloat(fields[11], 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	system, err := strconv.ParseFloat(fields[12], 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return (user + system) / ticksPerSecond
+}
+
+// memory returns the resident memory in MB.
+func memory(b *testing.B, d *processes.Daemon) float64 {
+	b.Helper()
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", d.PID()))
+	if err != nil {
+		b.Fatal(err)
+	}
+	pages, err := strconv.ParseFloat(strings.Fields(string(raw))[1], 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return pages * float64(os.Getpagesize()) / 1e6
+}
--- a/internal/trial/processes/processes.go
+++ b/internal/trial/processes/processes.go
@@ -140,6 +140,9 @@
 	return p, nil
 }
 
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error {
 	return errors.Wrapf(p.cmd.Process.Signal(s), "signal %s", p.Name)
