--- a/internal/trial/failure/failure.go
+++ b/internal/trial/failure/failure.go
@@ -76,6 +76,7 @@
 	base    fleet.Revision
 	changes int
 
+	watch    sync.Once
 	watching sync.WaitGroup
 	ended    chan struct{}
 	// killed tells that a process was ended or frozen without notice, so that
@@ -110,7 +111,6 @@
 		}
 	}
 	r.traffic = traffic.New(r.Daemons(), seed)
-	r.watching.Go(r.watch)
 	return r, nil
 }
 
@@ -264,9 +264,9 @@
 	return s, json.NewDecoder(answer.Body).Decode(&s)
 }
 
-// watch checks all the time that no ready daemon goes back to a lower revision,
+// watchRevisions checks all the time that no ready daemon goes back to a lower revision,
 // also over restarts.
-func (r *Run) watch() {
+func (r *Run) watchRevisions() {
 	for {
 		for _, name := range r.names {
 			if s, err := r.status(r.daemons[name]); err == nil && s.Revision > 0 {
@@ -290,12 +290,14 @@
 	r.revisions[name] = revision
 }
 
-// Execute runs one line of a script.
+// Execute runs one line of a script. From the first one on, the revisions of all
+// daemons are watched.
 func (r *Run) Execute(line string) error {
 	words := strings.Fields(line)
 	if len(words) == 0 || strings.HasPrefix(line, "#") {
 		return nil
 	}
+	r.watch.Do(func() { r.watching.Go(r.watchRevisions) })
 	command, args := words[0], words[1:]
 	switch command {
 	case "traffic", "calm":
