--- a/internal/quorum/voter/member.go
+++ b/internal/quorum/voter/member.go
@@ -283,8 +283,10 @@
 
 // finishSnapshot drops the log before a stored snapshot.
 func (m *member) finishSnapshot(p journal.Prepared, err error) {
+	// The log that is kept must not run ahead of what was saved. The flush must not
+	// start another snapshot, which would replace this one before it is in force.
+	m.flush()
 	m.preparing = false
-	m.flush() // The log that is kept must not run ahead of what was saved.
 	if m.failure != nil {
 		return
 	}
--- a/internal/quorum/voter/world_test.go
+++ b/internal/quorum/voter/world_test.go
@@ -60,7 +60,8 @@
 	lied     bool
 	slow     bool // its clock runs at a quarter of the speed
 	state    chain
-	jobs     []func() func() // snapshots to store
+	work     func() func() // stores a snapshot
+	finishes []func()      // to call after the work
 }
 
 type position struct {
@@ -152,13 +153,13 @@
 		group: "test", machine: &p.state, disk: p.disk, dir: "data",
 		options: replica.Options{ID: p.id, Seed: p.w.random.Uint64(), MaxInFlight: 4, MaxAppendBytes: 64},
 		send:    p.send, snapshotEntries: 20, keepEntries: 5,
-		background: func(work func() func()) { p.jobs = append(p.jobs, work) },
+		background: p.background,
 	}
 	c.options.ElectionTicks, c.options.HeartbeatTicks = electionTicks, 1
 	if p.joined {
 		c.initial = p.w.initial
 	}
-	p.state, p.jobs = chain{p: p}, nil
+	p.state, p.work, p.finishes = chain{p: p}, nil, nil
 	m, err := openMember(c)
 	if err != nil {
 		return err
@@ -213,7 +214,11 @@
 // flush executes the effects and checks the invariants of this member.
 func (p *place) flush() {
 	p.member.flush()
-	if p.member.failure != nil {
+	if err := p.member.failure; err != nil {
+		var lost *replica.LostError
+		if !errors.Is(err, quorumtest.ErrDisk) && !errors.As(err, &lost) {
+			p.w.violate("voter %d failed: %v", p.id, err)
+		}
 		return
 	}
 	r := p.member.replica
@@ -260,14 +265,39 @@
 }
 
 func (p *place) tick(n int) {
-	if len(p.jobs) > 0 && p.w.random.IntN(3) == 0 {
-		p.jobs[0]()()
-		p.jobs = nil
-	}
 	p.member.tick(n, electionTicks)
+	p.runBackground() // before the flush, as in a batch of inputs
 	p.flush()
 }
 
+// background stores a snapshot at once or at a later tick, and finishes it later.
+func (p *place) background(work func() func()) {
+	if p.work != nil {
+		p.w.violate("voter %d stores two snapshots at once", p.id)
+	}
+	p.work = work
+	if p.w.random.IntN(2) == 0 {
+		p.doWork()
+	}
+}
+
+func (p *place) doWork() {
+	p.finishes = append(p.finishes, p.work())
+	p.work = nil
+}
+
+func (p *place) runBackground() {
+	switch {
+	case p.work == nil && len(p.finishes) == 0 || p.w.random.IntN(3) > 0:
+	case len(p.finishes) > 0:
+		finish := p.finishes[0]
+		p.finishes = p.finishes[1:]
+		finish()
+	case p.work != nil:
+		p.doWork()
+	}
+}
+
 // thaw lets a frozen member run again. It counts the missed ticks first, as
 // group.run does.
 func (p *place) thaw() {
