Bound the time of every body and every write on the HTTP listeners

Tests with real sockets found three faults. A caller that stopped reading the answer of a service held its ticket without end, because only streams had a write deadline. A sender that stopped in the middle of a body held its connection and goroutine without end, with a valid key and without one: the read deadline was removed after a failed read, or never set, and net/http reads the rest of a small body before it answers.

The listener now sets a read deadline for each body, which its end removes, and a write deadline for each 64 KiB of an answer, so a large answer to a slow reader is not cut off. Package caller no longer sets deadlines. ReadTimeout and WriteTimeout of http.Server were ruled out: they cut off long answers.

Huge bodies and headers, broken JSON, bad UTF-8, 2000 idle connections against a bound of 50 and callers that leave were right before.

--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -98,15 +98,9 @@
 	return nil
 }
 
-// readBody reads the body within limits. The read deadline is removed
-// afterwards: net/http cancels the request's context when it passes while the
-// answer is still being written.
+// readBody reads the body within the size limit. The listener bounds its time.
 func (a *API) readBody(w http.ResponseWriter, r *http.Request, q *request) error {
-	control := http.NewResponseController(w)
-	// A ResponseWriter without deadlines, as in tests, is fine.
-	_ = control.SetReadDeadline(time.Now().Add(a.limits.ReadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.limits.MaxBody))
-	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return refusal.New(refusal.TooLarge, "the body is larger than %d bytes", tooLarge.Limit)
--- a/internal/entry/caller/stream.go
+++ b/internal/entry/caller/stream.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -40,7 +39,7 @@
 // status is sent with the first token, so that an error before it is answered
 // like that of any other request.
 func (a *API) stream(w http.ResponseWriter, r *http.Request, g pipeline.Generation, head answerHead, shape answerShape, withUsage bool) error {
-	s := &eventStream{w: w, control: http.NewResponseController(w), timeout: a.limits.WriteTimeout}
+	s := &eventStream{w: w, control: http.NewResponseController(w)}
 	count := 0
 	reason, err := a.parts.Courier.Run(r.Context(), g, func(p pipeline.Piece) error {
 		count++
@@ -79,7 +78,6 @@
 type eventStream struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
-	timeout time.Duration
 	started bool
 	// buffer holds the event that is being written; its memory is used again.
 	buffer bytes.Buffer
@@ -104,16 +102,14 @@
 	return s.flush()
 }
 
-// flush writes the event in the buffer. A caller that does not read within the
-// write timeout makes it fail.
+// flush writes the event in the buffer. It fails when the caller does not read
+// within the write timeout of the listener.
 func (s *eventStream) flush() error {
 	if !s.started {
 		s.w.Header().Set("Content-Type", "text/event-stream")
 		s.w.Header().Set("Cache-Control", "no-store")
 		s.started = true
 	}
-	// A ResponseWriter without deadlines, as in tests, is fine.
-	_ = s.control.SetWriteDeadline(time.Now().Add(s.timeout))
 	if _, err := s.w.Write(s.buffer.Bytes()); err != nil {
 		return errors.Wrap(err, "write event")
 	}
--- a/internal/entry/daemon/listener.go
+++ b/internal/entry/daemon/listener.go
@@ -26,17 +26,17 @@
 // failure is sent to failed. With a certificate and key it serves TLS.
 //
 // ReadTimeout and WriteTimeout of http.Server stay zero: they would cut off
-// answers that take longer. Handlers set deadlines for each body and write.
+// answers that take longer. Each body and write has a deadline instead.
 func startServer(name, address string, h http.Handler, l entry.Limits, certificate, key string, log *zap.Logger, failed chan<- error) (*server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "open listener %s", name)
 	}
 	l = l.WithDefaults()
-	listener = netutil.LimitListener(listener, l.MaxConnections)
+	listener = timedListener{Listener: netutil.LimitListener(listener, l.MaxConnections), timeout: l.WriteTimeout}
 	s := &server{name: name}
 	s.http = &http.Server{
-		Handler:           s.closing(h),
+		Handler:           s.closing(timedBody(h, l.ReadTimeout)),
 		ReadHeaderTimeout: l.ReadTimeout,
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    l.MaxHeader,
