Compare lookups of 20 ms besides those of 2 ms

With calls of 2 ms, 64 streams in a closed loop keep all processors of one machine busy, so the comparison shows the CPU of a second hop rather than its latency. Calls of 20 ms leave time. The order of the benchmarks is now fixed.

--- a/internal/trial/overhead/overhead.go
+++ b/internal/trial/overhead/overhead.go
@@ -21,10 +21,13 @@
 // Kind is the kind of work that is compared.
 type Kind int
 
-// The kinds of work.
+// The kinds of work. Lookups are so short that the processors of one machine bound
+// both sides at many streams; SlowLookups leave them time, like those of a
+// service on machines of its own.
 const (
 	Completions Kind = iota
 	Lookups
+	SlowLookups
 )
 
 // Rounds of one comparison. Each runs direct and through the daemon, so that a
@@ -33,8 +36,11 @@
 
 // perStream is the number of requests of one stream in a round.
 func (k Kind) perStream() int {
-	if k == Completions {
+	switch k {
+	case Completions:
 		return 4
+	case SlowLookups:
+		return 50
 	}
 	return 200
 }
@@ -93,8 +99,8 @@
 // Compare runs the same work on both sides with a number of concurrent streams.
 func (r *Rig) Compare(ctx context.Context, k Kind, streams int) (Comparison, error) {
 	direct, daemon := r.directCompletion, r.daemonCompletion
-	if k == Lookups {
-		direct, daemon = r.directLookup, r.daemonLookup
+	if k != Completions {
+		direct, daemon = r.lookups(k)
 	}
 	c := Comparison{Direct: newTimes(), Daemon: newTimes()}
 	for range rounds {
--- a/internal/trial/overhead/overhead_test.go
+++ b/internal/trial/overhead/overhead_test.go
@@ -25,15 +25,18 @@
 		b.Fatal(err)
 	}
 	defer r.Close()
-	for name, kind := range map[string]overhead.Kind{"completions": overhead.Completions, "lookups": overhead.Lookups} {
+	for _, w := range []struct {
+		name string
+		kind overhead.Kind
+	}{{"completions", overhead.Completions}, {"lookups", overhead.Lookups}, {"slowLookups", overhead.SlowLookups}} {
 		for _, streams := range []int{1, 16, 64} {
-			b.Run(fmt.Sprintf("%s/streams=%d", name, streams), func(b *testing.B) {
+			b.Run(fmt.Sprintf("%s/streams=%d", w.name, streams), func(b *testing.B) {
 				for b.Loop() {
-					c, err := r.Compare(b.Context(), kind, streams)
+					c, err := r.Compare(b.Context(), w.kind, streams)
 					if err != nil {
 						b.Fatal(err)
 					}
-					report(b, kind, c)
+					report(b, w.kind, c)
 				}
 			})
 		}
--- a/internal/trial/overhead/rig.go
+++ b/internal/trial/overhead/rig.go
@@ -20,10 +20,8 @@
 	layers = 8
 	// replicas is the number of engines for each half of the layers.
 	replicas = 2
-	// stepTime is the time of one batch of an engine and callTime the time of
-	// one lookup.
+	// stepTime is the time of one batch of an engine.
 	stepTime = 5 * time.Millisecond
-	callTime = 2 * time.Millisecond
 	// slots is above the greatest number of streams, so that nothing queues.
 	slots = 128
 	// maxTokens bounds one completion.
@@ -32,6 +30,15 @@
 	patience = 30 * time.Second
 )
 
+// services are the pools of plain services with the time of one call.
+var services = map[Kind]struct {
+	pool     string
+	callTime time.Duration
+}{
+	Lookups:     {"plots", 2 * time.Millisecond},
+	SlowLookups: {"archive", 20 * time.Millisecond},
+}
+
 const section = `[dataCentre "dc1"]
 region = midlands
 
@@ -43,6 +50,10 @@
 kind = service
 timeout = 5s
 
+[pool "archive"]
+kind = service
+timeout = 5s
+
 [model "transcriber"]
 version = v1
 layers = 8
@@ -57,12 +68,12 @@
 
 // Rig is a daemon with stand-ins of both kinds.
 type Rig struct {
-	fleet   *processes.Fleet
-	daemon  *processes.Daemon
-	client  *http.Client
-	dialer  *engine.Dialer
-	engines [2][]upstream.EngineClient
-	service []upstream.ServiceClient
+	fleet    *processes.Fleet
+	daemon   *processes.Daemon
+	client   *http.Client
+	dialer   *engine.Dialer
+	engines  [2][]upstream.EngineClient
+	services map[Kind][]upstream.ServiceClient
 }
 
 // Start starts the programs in bin with files in dir, and waits until the daemon
@@ -73,9 +84,10 @@
 		return nil, err
 	}
 	r := &Rig{
-		fleet:  f,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: slots}},
-		dialer: engine.NewDialer(),
+		fleet:    f,
+		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: slots}},
+		dialer:   engine.NewDialer(),
+		services: make(map[Kind][]upstream.ServiceClient),
 	}
 	for _, step := range []func() error{r.startDaemon, r.startStandins, r.submit, r.warm} {
 		if err := step(); err != nil {
@@ -118,13 +130,15 @@
 			r.engines[half] = append(r.engines[half], r.dialer.Engine(at(s)))
 		}
 	}
-	for i := range replicas {
-		s, err := r.fleet.StartStandin(fmt.Sprintf("desk-%d", i), "dc1",
-			"--kind", "service", "--pool", "plots", "--slots", fmt.Sprint(slots), "--callTime", callTime.String())
-		if err != nil {
-			return err
+	for kind, service := range services {
+		for i := range replicas {
+			s, err := r.fleet.StartStandin(fmt.Sprintf("%s-%d", service.pool, i), "dc1",
+				"--kind", "service", "--pool", service.pool, "--slots", fmt.Sprint(slots), "--callTime", service.callTime.String())
+			if err != nil {
+				return err
+			}
+			r.services[kind] = append(r.services[kind], r.dialer.Service(at(s)))
 		}
-		r.service = append(r.service, r.dialer.Service(at(s)))
 	}
 	return nil
 }
@@ -157,8 +171,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	return retry(func() error {
-		if err := r.daemonLookup(ctx, 0, newTimes()); err != nil {
-			return err
+		for kind := range services {
+			_, lookup := r.lookups(kind)
+			if err := lookup(ctx, 0, newTimes()); err != nil {
+				return err
+			}
 		}
 		return r.daemonCompletion(ctx, 0, newTimes())
 	})
--- a/internal/trial/overhead/work.go
+++ b/internal/trial/overhead/work.go
@@ -110,26 +110,29 @@
 
 func lookupPath(i int) string { return fmt.Sprintf("/lookups/row-%d", i) }
 
-func (r *Rig) daemonLookup(ctx context.Context, i int, t *Times) error {
-	started := time.Now()
-	answer, err := r.request(ctx, http.MethodGet, "/services/plots"+lookupPath(i), nil)
-	if err != nil {
-		return err
-	}
-	defer answer.Body.Close()
-	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
-		return errors.Wrap(err, "read answer")
+// lookups returns the two sides of lookups at the services of a kind.
+func (r *Rig) lookups(k Kind) (direct, daemon task) {
+	direct = func(ctx context.Context, i int, t *Times) error {
+		started := time.Now()
+		answer, err := r.services[k][i%replicas].Call(ctx, upstream.Call{Method: http.MethodGet, Path: lookupPath(i)})
+		if err != nil {
+			return err
+		}
+		return t.lookup(started, answer.Status)
 	}
-	return t.lookup(started, answer.StatusCode)
-}
-
-func (r *Rig) directLookup(ctx context.Context, i int, t *Times) error {
-	started := time.Now()
-	answer, err := r.service[i%replicas].Call(ctx, upstream.Call{Method: http.MethodGet, Path: lookupPath(i)})
-	if err != nil {
-		return err
+	daemon = func(ctx context.Context, i int, t *Times) error {
+		started := time.Now()
+		answer, err := r.request(ctx, http.MethodGet, "/services/"+services[k].pool+lookupPath(i), nil)
+		if err != nil {
+			return err
+		}
+		defer answer.Body.Close()
+		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+			return errors.Wrap(err, "read answer")
+		}
+		return t.lookup(started, answer.StatusCode)
 	}
-	return t.lookup(started, answer.Status)
+	return direct, daemon
 }
 
 func (t *Times) lookup(started time.Time, status int) error {
