--- a/internal/entry/daemon/tls_test.go
+++ b/internal/entry/daemon/tls_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/goleak"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -157,8 +158,12 @@
 
 // TestTLS guards against an operators' listener that serves plain HTTP or another
 // certificate than that of its settings, and against peers that let in whoever
-// has no certificate of their authority.
+// has no certificate of their authority. It also guards against a goroutine of a
+// daemon that outlives its stop.
 func TestTLS(t *testing.T) {
+	// Cleanups run in reverse order, so this one runs after the daemon's stop.
+	before := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, before) })
 	ours := newAuthority(t, t.TempDir(), "ours")
 	theirs := newAuthority(t, t.TempDir(), "theirs")
 	s := startSecure(t, ours)
