--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -111,15 +111,12 @@
 	return nil
 }
 
-// readBody reads the body within limits. The read deadline is removed
-// afterwards: net/http cancels the request's context when it passes while the
-// answer is still being written.
+// readBody reads the body within the size limit. The listener bounds its time.
 func (a *API) readBody(w http.ResponseWriter, r *http.Request, q *request) error {
-	control := http.NewResponseController(w)
-	// A ResponseWriter without deadlines, as in tests, is fine.
-	_ = control.SetReadDeadline(time.Now().Add(a.limits.ReadTimeout))
+	if r.Body == http.NoBody {
+		return nil
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.limits.MaxBody))
-	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return refusal.New(refusal.TooLarge, "the body is larger than %d bytes", tooLarge.Limit)
@@ -143,7 +140,12 @@
 	a.parts.Trail.Add(string(q.id), report.Entry{
 		At: a.parts.Clock.Now(), Part: "caller", Chosen: code, Reason: reason(err),
 	})
-	a.parts.Log.Debug("Request ended.",
+	// The fields are built only for a level that is logged.
+	entry := a.parts.Log.Check(zap.DebugLevel, "Request ended.")
+	if entry == nil {
+		return
+	}
+	entry.Write(
 		zap.String("request", string(q.id)), zap.String("account", string(q.account.ID)),
 		zap.String("path", r.URL.Path), zap.String("code", code), zap.Duration("took", took))
 }
