--- a/cmd/bilberryrock-standin/main.go
+++ b/cmd/bilberryrock-standin/main.go
@@ -81,7 +81,7 @@
 	}
 	logger := zap.Must(zap.NewProduction()).Named("standin")
 	if err := run(o, logger); err != nil {
-		logger.Error("stopped", zap.Error(err))
+		logger.Error("The stand-in stopped with an error.", zap.Error(err))
 		os.Exit(1)
 	}
 }
@@ -107,7 +107,7 @@
 	server := &http.Server{Handler: s, ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
-	logger.Info("listening", zap.String("id", o.ID), zap.String("address", config.Announcement.Address))
+	logger.Info("The stand-in listens.", zap.String("id", o.ID), zap.String("address", config.Announcement.Address))
 
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/internal/pipeline/repair/loop.go
+++ b/internal/pipeline/repair/loop.go
@@ -52,7 +52,7 @@
 	}
 	for _, e := range l.Controller.Tick(in) {
 		err := l.Commander.Send(ctx, e.Upstream, e.Command)
-		l.Logger.Info("command sent", zap.String("upstream", string(e.Upstream.ID)), zap.String("reason", e.Reason), zap.Error(err))
+		l.Logger.Info("A command was sent.", zap.String("upstream", string(e.Upstream.ID)), zap.String("reason", e.Reason), zap.Error(err))
 		if err != nil {
 			l.Controller.Failed(e.Upstream.ID, now)
 		}
--- a/internal/quorum/voter/form.go
+++ b/internal/quorum/voter/form.go
@@ -35,7 +35,7 @@
 	for waited := 0; waited < settlePauses; {
 		v.askAll(f)
 		if f.lost {
-			v.config.logger.Warn("voter id belongs to a lost data folder", zap.Uint64("voter", uint64(f.own)))
+			v.config.logger.Warn("The voter id belongs to a lost data folder.", zap.Uint64("voter", uint64(f.own)))
 			return v.settleAndStart(0)
 		}
 		if len(f.bound) == others {
@@ -158,7 +158,7 @@
 			return
 		}
 		if err := v.askToJoin(g.id); err != nil {
-			v.config.logger.Info("not joined yet", zap.String("group", string(g.id)), zap.Error(err))
+			v.config.logger.Info("This voter has not joined its group yet.", zap.String("group", string(g.id)), zap.Error(err))
 		}
 		if !v.pause(joinPause) {
 			return
--- a/internal/quorum/voter/group.go
+++ b/internal/quorum/voter/group.go
@@ -82,7 +82,7 @@
 	m := g.member
 	now := sight{leader: m.replica.Leader(), term: m.replica.Term(), failed: m.failure != nil}
 	if now.leader != seen.leader || now.term != seen.term {
-		g.voter.config.logger.Info("leader changed", zap.String("group", string(g.id)),
+		g.voter.config.logger.Info("The leader changed.", zap.String("group", string(g.id)),
 			zap.Uint64("leader", uint64(now.leader)), zap.Uint64("term", uint64(now.term)))
 	}
 	if now.failed && !seen.failed {
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -312,7 +312,7 @@
 func (v *Voter) Failed() <-chan error { return v.failed }
 
 func (v *Voter) fail(err error) {
-	v.config.logger.Error("replica failed", zap.Error(err))
+	v.config.logger.Error("A replica failed.", zap.Error(err))
 	v.noteDamage(err)
 	select {
 	case v.failed <- err:
@@ -330,7 +330,7 @@
 	defer v.mu.Unlock()
 	v.identity.Damage = lost.Error()
 	if err := journal.SaveIdentity(v.config.disk, v.config.folder, v.identity); err != nil {
-		v.config.logger.Error("damage of the data folder is not noted", zap.Error(err))
+		v.config.logger.Error("The damage of the data folder could not be noted.", zap.Error(err))
 	}
 }
 
--- a/internal/upstream/standin/announcer.go
+++ b/internal/upstream/standin/announcer.go
@@ -55,7 +55,7 @@
 func (a *Announcer) Announce(ctx context.Context) {
 	body, err := json.Marshal(a.standin.Announce())
 	if err != nil {
-		a.logger.Error("announcement not encoded", zap.Error(err))
+		a.logger.Error("The announcement could not be encoded.", zap.Error(err))
 		return
 	}
 	for range a.targets {
@@ -64,7 +64,7 @@
 		if err == nil || ctx.Err() != nil {
 			return
 		}
-		a.logger.Info("announcement failed", zap.String("target", target), zap.Error(err))
+		a.logger.Info("The announcement failed.", zap.String("target", target), zap.Error(err))
 		a.next++
 	}
 }
