--- a/internal/fleet/settings/keys.go
+++ b/internal/fleet/settings/keys.go
@@ -131,7 +131,7 @@
 		size(section, "maxBody", "4MiB", 1<<10, 1<<30, "greatest body of a request", func(s *Settings) *int64 { return &s.Limits.MaxBody }),
 		number(section, "maxHeader", "65536", 4096, 1<<20, "greatest header of a request, in bytes", func(s *Settings) *int { return &s.Limits.MaxHeader }),
 		duration(section, "readTimeout", entry.DefaultReadTimeout.String(), time.Second, time.Hour, "greatest time to read a request", func(s *Settings) *time.Duration { return &s.Limits.ReadTimeout }),
-		duration(section, "writeTimeout", entry.DefaultWriteTimeout.String(), time.Second, time.Hour, "greatest time of one write of an answer", func(s *Settings) *time.Duration { return &s.Limits.WriteTimeout }),
+		duration(section, "writeTimeout", entry.DefaultWriteTimeout.String(), time.Second, time.Hour, "greatest time to write 64 KiB of an answer", func(s *Settings) *time.Duration { return &s.Limits.WriteTimeout }),
 		duration(section, "idleTimeout", entry.DefaultIdleTimeout.String(), time.Second, time.Hour, "greatest time between requests of a connection", func(s *Settings) *time.Duration { return &s.Limits.IdleTimeout }),
 		number(section, "maxConnections", strconv.Itoa(entry.DefaultMaxConnections), 1, 1000000, "greatest number of open connections of a listener", func(s *Settings) *int { return &s.Limits.MaxConnections }),
 	}
