--- a/cmd/bilberryrockd/main.go
+++ b/cmd/bilberryrockd/main.go
@@ -86,9 +86,10 @@
 	defer func() { _ = log.Sync() }()
 	d, err := daemon.New(s, daemon.WithLog(log))
 	if err != nil {
-		log.Error("The daemon could not start.", zap.Error(err))
+		log.Named("daemon").Error("The daemon could not start.", zap.Error(err))
 		return exitFailed
 	}
+	log = log.Named("daemon")
 	signals, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	var failed error
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -35,10 +35,12 @@
 // Daemon is a running entry instance.
 type Daemon struct {
 	settings settings.Settings
-	log      *zap.Logger
-	clock    fleet.Clock
-	health   platform.Health
-	metrics  *prometheus.Registry
+	// base is the logger of all parts, and log the one of the daemon itself.
+	base    *zap.Logger
+	log     *zap.Logger
+	clock   fleet.Clock
+	health  platform.Health
+	metrics *prometheus.Registry
 
 	security peer.Security
 	peers    *peer.Connections
@@ -63,13 +65,13 @@
 type Option func(*Daemon)
 
 // WithLog sets the logger.
-func WithLog(log *zap.Logger) Option { return func(d *Daemon) { d.log = log } }
+func WithLog(log *zap.Logger) Option { return func(d *Daemon) { d.base = log } }
 
 // New starts the daemon.
 func New(s settings.Settings, options ...Option) (*Daemon, error) {
 	d := &Daemon{
 		settings: s,
-		log:      zap.NewNop(),
+		base:     zap.NewNop(),
 		clock:    systemclock.Clock{},
 		metrics:  prometheus.NewRegistry(),
 		failed:   make(chan error, 8),
@@ -80,6 +82,7 @@
 	for _, option := range options {
 		option(d)
 	}
+	d.log = d.base.Named("daemon")
 	for _, step := range []func() error{d.secure, d.openState, d.openDecisions, d.openMembership, d.openFollower, d.openRequests, d.startRepair, d.listen} {
 		if err := step(); err != nil {
 			return nil, errors.Wrap(err, "start daemon")
--- a/internal/entry/daemon/membership.go
+++ b/internal/entry/daemon/membership.go
@@ -23,7 +23,7 @@
 		Voter:       s.Instance.Votes,
 	},
 		packet.WithClock(d.clock),
-		packet.WithLogger(d.log),
+		packet.WithLogger(d.base),
 		packet.WithSecret(s.Membership.Secret),
 		packet.WithSeeds(s.Membership.Seeds...),
 		packet.WithRoster(d.decisions.roster),
--- a/internal/entry/daemon/repairer.go
+++ b/internal/entry/daemon/repairer.go
@@ -36,7 +36,7 @@
 		Models:    d.modelsToRepair,
 		Commander: commander{fencing.NewCommander(holder, d.decisions.dialer)},
 		Clock:     d.clock,
-		Logger:    d.log.Named("repair"),
+		Logger:    d.base.Named("repair"),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.loops.Go(func() { loop.Run(ctx) })
--- a/internal/entry/daemon/requests.go
+++ b/internal/entry/daemon/requests.go
@@ -30,7 +30,7 @@
 }
 
 func (d *Daemon) openRequests() error {
-	r := &requests{daemon: d, desk: desk.New(d.state.ledger, d.clock, d.settings.Instance.ID, d.log)}
+	r := &requests{daemon: d, desk: desk.New(d.state.ledger, d.clock, d.settings.Instance.ID, d.base)}
 	d.requests = r
 	s := d.settings
 	r.callers = caller.New(caller.Parts{
@@ -42,7 +42,7 @@
 		Orders:   r,
 		Trail:    d.state.trail,
 		Clock:    d.clock,
-		Log:      d.log.Named("caller"),
+		Log:      d.base.Named("caller"),
 	},
 		caller.WithLimits(s.Limits),
 		caller.WithDeadlines(s.Requests.Deadline, s.Requests.MaxDeadline),
@@ -56,7 +56,7 @@
 		Status:    d.status,
 		Tokens:    s.Operators.Tokens,
 		Clock:     d.clock,
-		Log:       d.log.Named("operator"),
+		Log:       d.base.Named("operator"),
 	}, operator.WithLimits(s.Limits), operator.WithTimeout(2*s.Quorum.ProposalTimeout)).Handler()
 	r.upstreams = roster.NewHandler(d.decisions.roster, d.clock, roster.WithToken(string(s.Upstreams.Token)))
 	var injection http.Handler
@@ -89,7 +89,7 @@
 		{"operators", l.Operators, d.requests.operators, d.settings.Operators.Certificate, d.settings.Operators.Key},
 		{"callers", l.Callers, d.requests.callers, "", ""},
 	} {
-		s, err := startServer(one.name, one.address, one.handler, d.settings.Limits, one.certificate, one.key, d.log.Named(one.name), d.failed)
+		s, err := startServer(one.name, one.address, one.handler, d.settings.Limits, one.certificate, one.key, d.base.Named(one.name), d.failed)
 		if err != nil {
 			return err
 		}
--- a/internal/entry/daemon/state.go
+++ b/internal/entry/daemon/state.go
@@ -94,7 +94,7 @@
 		voter.Tick(s.Quorum.Tick),
 		voter.AttemptTimeout(s.Quorum.ProposalTimeout),
 		voter.Dial(grpc.WithTransportCredentials(d.security.Client)),
-		voter.Logger(d.log),
+		voter.Logger(d.base),
 		voter.Cut(d.faults.cut),
 	}
 }
@@ -121,7 +121,7 @@
 // to the other instances.
 func (d *Daemon) openFollower() error {
 	s := d.state
-	s.follower = follower.New(d.node, fetcher{d}, d.clock, &s.config, d.log)
+	s.follower = follower.New(d.node, fetcher{d}, d.clock, &s.config, d.base)
 	server := grpc.NewServer(append(voter.ServerOptions(), grpc.Creds(d.security.Server))...)
 	var log peerv1.PeerServer
 	if s.voter != nil {
