--- a/internal/entry/caller/completion.go
+++ b/internal/entry/caller/completion.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	ticket, err := a.parts.Gate.Enter(r.Context(), q.ask(model.Pool))
+	ticket, err := a.enter(r.Context(), q, model.Pool)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -49,6 +50,25 @@
 	}
 }
 
+// enter asks the gate and records its decision.
+func (a *API) enter(ctx context.Context, q *request, pool fleet.PoolID) (admission.Ticket, error) {
+	asked := a.parts.Clock.Now()
+	ticket, err := a.parts.Gate.Enter(ctx, q.ask(pool))
+	now := a.parts.Clock.Now()
+	entry := report.Entry{
+		At:     now,
+		Part:   "admission",
+		Known:  fmt.Sprintf("pool %s, %s left until the deadline", pool, q.deadline.Sub(asked).Round(time.Millisecond)),
+		Chosen: "admitted",
+		Reason: fmt.Sprintf("a place was free after %s", now.Sub(asked)),
+	}
+	if err != nil {
+		entry.Chosen, entry.Reason = refusal.KindOf(err).Answer().Code, err.Error()
+	}
+	a.parts.Trail.Add(string(q.id), entry)
+	return ticket, err
+}
+
 type handler func(w http.ResponseWriter, r *http.Request, q *request) error
 
 // serve wraps h with what all paths need: request id, client account, deadline,
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	ticket, err := a.parts.Gate.Enter(r.Context(), q.ask(pool.ID))
+	ticket, err := a.enter(r.Context(), q, pool.ID)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/daemon/requests.go
+++ b/internal/entry/daemon/requests.go
@@ -11,8 +11,10 @@
 	"github.com/bilberryrock/bilberryrock/internal/entry/operator"
 	"github.com/bilberryrock/bilberryrock/internal/entry/platform"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/order"
 	"github.com/bilberryrock/bilberryrock/internal/order/desk"
+	"github.com/bilberryrock/bilberryrock/internal/report"
 	"github.com/bilberryrock/bilberryrock/internal/routing/dispatch"
 	"github.com/bilberryrock/bilberryrock/internal/routing/pool"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
@@ -109,7 +111,26 @@
 // Order implements caller.Orders.
 func (r *requests) Order(ctx context.Context, id fleet.RequestID, k order.Key, p document.Pool, c upstream.Call) (upstream.Answer, error) {
 	picks := &picks{daemon: r.daemon, request: id, pool: p.ID}
-	return r.desk.Run(ctx, desk.Order{Key: k, Request: id, Call: c, Timeout: p.Timeout, Pick: picks.next})
+	answer, err := r.desk.Run(ctx, desk.Order{Key: k, Request: id, Call: c, Timeout: p.Timeout, Pick: picks.next})
+	r.record(id, k, picks, err)
+	return answer, err
+}
+
+// record keeps what came of an order in the decision record of the request.
+func (r *requests) record(id fleet.RequestID, k order.Key, p *picks, err error) {
+	entry := report.Entry{
+		At:     r.daemon.clock.Now(),
+		Part:   "order",
+		Known:  "key " + k.Name,
+		Chosen: "sent to an upstream, answer recorded",
+	}
+	switch {
+	case err != nil:
+		entry.Chosen, entry.Reason = refusal.KindOf(err).Answer().Code, err.Error()
+	case len(p.tried) == 0:
+		entry.Chosen, entry.Reason = "not sent", "the recorded answer of the key was given again"
+	}
+	r.daemon.state.trail.Add(string(id), entry)
 }
 
 // picks chooses the upstreams of one order, each of them once.
--- a/internal/trial/demo/main.go
+++ b/internal/trial/demo/main.go
@@ -84,7 +84,8 @@
 	fleet    *processes.Fleet
 	daemons  []*processes.Daemon
 	standins []*processes.Standin
-	request  string
+	// requests are the ids of the lookup, the completion and the repeated order.
+	requests []string
 }
 
 func say(format string, args ...any) { fmt.Printf(format+"\n", args...) }
@@ -195,6 +196,7 @@
 	if err != nil {
 		return err
 	}
+	d.keep(reply)
 	say("lookup through a: %s", bytes.TrimSpace(reply.Body))
 	return nil
 }
@@ -216,7 +218,7 @@
 	if text != want || !done {
 		return errors.Errorf("completion: got %q (end seen: %t), want %q", text, done, want)
 	}
-	d.request = reply.Header.Get("X-Request-Id")
+	d.keep(reply)
 	return nil
 }
 
@@ -231,6 +233,7 @@
 	if err != nil {
 		return err
 	}
+	d.keep(again)
 	say("same order through c: %s", bytes.TrimSpace(again.Body))
 	if !bytes.Equal(first.Body, again.Body) {
 		return errors.New("the repeated order got another answer")
@@ -240,7 +243,18 @@
 
 func (d *demo) status() error { return d.print("status") }
 
-func (d *demo) explain() error { return d.print("explain", d.request) }
+func (d *demo) keep(r processes.Reply) {
+	d.requests = append(d.requests, r.Header.Get("X-Request-Id"))
+}
+
+func (d *demo) explain() error {
+	for _, id := range d.requests {
+		if err := d.print("explain", id); err != nil {
+			return err
+		}
+	}
+	return nil
+}
 
 func (d *demo) print(args ...string) error {
 	output, status, err := d.daemons[0].Operator(args...)
