--- a/internal/membership/gossip/gossip_test.go
+++ b/internal/membership/gossip/gossip_test.go
@@ -83,14 +83,14 @@
 	}
 }
 
-// statuses lists the members at h, with the revision and the age of its start in steps of
-// 5 s, because the age loses up to 1 s on each hop.
+// statuses lists the members at h, with the revision and the age of its start. The
+// age loses up to 1 s on each hop, so it is that much below the true one.
 func (w *world) statuses(h *host) string {
 	var b strings.Builder
 	for _, m := range h.core.Members(w.now) {
 		fmt.Fprintf(&b, "%s %s %v", m.ID, m.DataCentre, m.Status)
 		if m.Revision > 0 {
-			fmt.Fprintf(&b, " revision %d since %v", m.Revision, w.now.Sub(m.Since).Round(5*time.Second))
+			fmt.Fprintf(&b, " revision %d since %v", m.Revision, w.now.Sub(m.Since).Round(time.Second))
 		}
 		fmt.Fprintln(&b)
 	}
