--- a/internal/membership/gossip/centres.go
+++ b/internal/membership/gossip/centres.go
@@ -205,13 +205,13 @@
 	return size
 }
 
-// beat advances the heartbeat, the summary and the usage of the data centre when
+// advanceHeartbeat advances the heartbeat, the summary and the usage of the data centre when
 // this instance speaks for it, and the usage of this instance.
-func (c *Core) beat(now time.Time) {
-	if now.Before(c.nextBeat) {
+func (c *Core) advanceHeartbeat(now time.Time) {
+	if now.Before(c.nextSummaryHeartbeat) {
 		return
 	}
-	c.nextBeat = now.Add(heartbeatPeriod)
+	c.nextSummaryHeartbeat = now.Add(heartbeatPeriod)
 	own := c.centre(fleet.DataCentreID(c.self.record.DataCentre), now)
 	c.publishUsage(now)
 	if !c.speaks() {
--- a/internal/membership/gossip/core.go
+++ b/internal/membership/gossip/core.go
@@ -59,7 +59,7 @@
 
 // DetailLimit is the number of live instances up to which the records of all
 // members cross between data centres. It is twice the size of today's fleets. A
-// beat takes about 8 bytes in every answer, so 32 members cost 0.8 KB/s, and 60
+// report takes about 8 bytes in every answer, so 32 members cost 0.8 KB/s, and 60
 // cost 1.5 KB/s, half of the budget of 3 KB/s.
 const DetailLimit = 32
 
@@ -172,7 +172,7 @@
 	score    int
 	answers  int
 
-	nextProbe, nextCross, nextRejoin, nextBeat, nextPrune, nextUsage, nextSummary, nextSeed time.Time
+	nextProbe, nextCross, nextRejoin, nextSummaryHeartbeat, nextPrune, nextUsage, nextSummary, nextSeed time.Time
 
 	queue  map[string]*queued
 	queued uint64
@@ -181,11 +181,11 @@
 	repairs [2]repair
 	sums    digests
 
-	tables     map[uint32]*table
-	slot       uint32
-	items      map[fleet.UpstreamID]*item
-	beatOffset int
-	highest    fleet.Revision
+	tables       map[uint32]*table
+	slot         uint32
+	items        map[fleet.UpstreamID]*item
+	reportOffset int
+	highest      fleet.Revision
 	// answered is the highest revision that the sender of the answer in work
 	// knows of.
 	answered fleet.Revision
@@ -259,7 +259,7 @@
 	c.expireProbes(now)
 	c.expireSuspicions(now)
 	c.prune(now)
-	c.beat(now)
+	c.advanceHeartbeat(now)
 	c.probeRing(now)
 	c.probeCentres(now)
 	c.rejoin(now)
--- a/internal/membership/gossip/probe.go
+++ b/internal/membership/gossip/probe.go
@@ -150,12 +150,12 @@
 		m.Centres = c.packCentres()
 	}
 	if c.local(ping.DataCentre) || !c.large {
-		limit := maxBeats
+		limit := maxReports
 		if ping.Repair != nil {
-			limit = repairBeats
+			limit = repairReports
 		}
 		limit = min(limit, MaxMessage-proto.Size(m)-4)
-		m.Beats = c.packBeats(c.local(ping.DataCentre), limit, now)
+		m.Reports = c.packReports(c.local(ping.DataCentre), limit, now)
 	}
 	c.serveSummaries(m, ping.Centres)
 	c.serveRepair(m, ping, now)
@@ -192,9 +192,9 @@
 	if now.Sub(p.sent) < probeTimeout {
 		c.score = max(c.score-1, 0)
 	}
-	if len(ack.Beats) > 0 {
+	if len(ack.Reports) > 0 {
 		c.answered = fleet.Revision(ack.Revision)
-		c.mergeBeats(ack.Beats, p.sent, now)
+		c.mergeReports(ack.Reports, p.sent, now)
 	}
 	c.noteRepair(ack)
 }
--- a/internal/membership/gossip/beats.go
+++ b/internal/membership/gossip/reports.go
@@ -14,7 +14,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 )
 
-// Beats are a list of entries, one for each instance:
+// Reports are a list of entries, one for each instance:
 //
 //	hash of id and boot    4 bytes
 //	lag                    varint, 1 + highest revision - its revision; 0 for none
@@ -28,11 +28,11 @@
 	ageUnit = 50 * time.Millisecond
 	ageBits = 6
 	noAge   = 1<<ageBits - 1
-	// maxBeats bounds the beats of one message in bytes. What does not fit goes
+	// maxReports bounds the reports of one message in bytes. What does not fit goes
 	// into the next message.
-	maxBeats = 1000
-	// repairBeats bounds them in an answer that also repairs.
-	repairBeats = 400
+	maxReports = 1000
+	// repairReports bounds them in an answer that also repairs.
+	repairReports = 400
 	// minWindow is the number of unused slots that a window may have besides a
 	// quarter of the used ones.
 	minWindow = 8
@@ -347,25 +347,25 @@
 	c.compact(now)
 }
 
-// packBeats returns the beats of the members and, within the data centre, the
+// packReports returns the reports of the members and, within the data centre, the
 // ages of the confirmations.
-func (c *Core) packBeats(ages bool, limit int, now time.Time) []byte {
-	entries := c.beatOrder()
+func (c *Core) packReports(ages bool, limit int, now time.Time) []byte {
+	entries := c.reportOrder()
 	var b []byte
 	for n := range entries {
-		e := entries[(c.beatOffset+n)%len(entries)]
+		e := entries[(c.reportOffset+n)%len(entries)]
 		before := len(b)
-		b = c.packBeat(b, e, ages, now)
+		b = c.packReport(b, e, ages, now)
 		if len(b) > limit {
-			c.beatOffset = (c.beatOffset + n) % len(entries)
+			c.reportOffset = (c.reportOffset + n) % len(entries)
 			return b[:before]
 		}
 	}
 	return b
 }
 
-// beatOrder lists the hashes of present members and of other owners of slots.
-func (c *Core) beatOrder() []uint32 {
+// reportOrder lists the hashes of present members and of other owners of slots.
+func (c *Core) reportOrder() []uint32 {
 	var hashes []uint32
 	for _, m := range c.byID() {
 		if m.present() && (!c.large || c.local(m.record.DataCentre)) {
@@ -380,7 +380,7 @@
 	return hashes
 }
 
-func (c *Core) packBeat(b []byte, hash uint32, ages bool, now time.Time) []byte {
+func (c *Core) packReport(b []byte, hash uint32, ages bool, now time.Time) []byte {
 	b = binary.LittleEndian.AppendUint32(b, hash)
 	var lag, since uint64
 	if m, ok := c.byHash[hash]; ok && m.revision > 0 {
@@ -450,9 +450,9 @@
 	return uint32(min(units, noAge))
 }
 
-// mergeBeats applies the beats of an answer to a ping that was sent at sent.
-func (c *Core) mergeBeats(b []byte, sent, now time.Time) {
-	r := beatReader{bytes: b}
+// mergeReports applies the reports of an answer to a ping that was sent at sent.
+func (c *Core) mergeReports(b []byte, sent, now time.Time) {
+	r := reportReader{bytes: b}
 	for len(r.bytes) > 0 {
 		hash, lag, since := r.uint32(), r.uvarint(), r.uvarint()
 		base, count := r.uvarint(), r.uvarint()
@@ -545,14 +545,14 @@
 	return v
 }
 
-// beatReader reads fields until the bytes end. After a failure all reads return
+// reportReader reads fields until the bytes end. After a failure all reads return
 // zero.
-type beatReader struct {
+type reportReader struct {
 	bytes  []byte
 	failed bool
 }
 
-func (r *beatReader) take(n int) []byte {
+func (r *reportReader) take(n int) []byte {
 	if r.failed || n > len(r.bytes) {
 		r.failed = true
 		r.bytes = nil
@@ -563,14 +563,14 @@
 	return taken
 }
 
-func (r *beatReader) uint32() uint32 {
+func (r *reportReader) uint32() uint32 {
 	if b := r.take(4); b != nil {
 		return binary.LittleEndian.Uint32(b)
 	}
 	return 0
 }
 
-func (r *beatReader) uvarint() uint64 {
+func (r *reportReader) uvarint() uint64 {
 	v, n := binary.Uvarint(r.bytes)
 	if n <= 0 {
 		r.failed = true
