--- a/internal/admission/share/share_test.go
+++ b/internal/admission/share/share_test.go
@@ -206,3 +206,17 @@
 		l.Tick(now)
 	}
 }
+
+// BenchmarkConfigureAt42000Accounts measures what a new revision costs.
+func BenchmarkConfigureAt42000Accounts(b *testing.B) {
+	l := share.New(instances)
+	accounts := make(map[fleet.AccountID]document.Account)
+	for i := range 42000 {
+		id := fleet.AccountID(fmt.Sprint(i))
+		accounts[id] = document.Account{ID: id}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Configure(accounts)
+	}
+}
--- a/internal/entry/daemon/decisions.go
+++ b/internal/entry/daemon/decisions.go
@@ -27,6 +27,9 @@
 // windows allow for.
 const clockError = 2 * time.Second
 
+// usageInterval is the time between two exchanges of account usage.
+const usageInterval = time.Second
+
 // firstSpeed is the speed of an engine of which nothing is known yet.
 var firstSpeed = pipeline.Speed{
 	Fixed:    time.Millisecond,
@@ -45,6 +48,12 @@
 	dispatcher *dispatch.Dispatcher
 	counts     inflight.Counts
 	courier    *courier.Courier
+
+	// configured is the configuration that the controllers work with, exchanged
+	// the time of the last exchange of account usage. Only the control loop uses
+	// them.
+	configured *document.Config
+	exchanged  time.Time
 }
 
 func (d *Daemon) openDecisions() error {
@@ -101,18 +110,30 @@
 		return
 	}
 	c, now := d.decisions, d.clock.Now()
+	c.configure(config, d.settings.Instance.DataCentre)
 	alive := aliveIn(members, d.settings.Instance.DataCentre)
-	c.limiter.Configure(config.Accounts)
 	c.limiter.SetInstances(max(len(aliveIn(members, "")), 1))
-	d.exchangeUsage(now)
-	c.governor.SetWindows(windowsOf(config, d.settings.Instance.DataCentre))
+	if now.Sub(c.exchanged) >= usageInterval {
+		c.exchanged = now
+		d.exchangeUsage(now)
+	}
 	c.governor.SetFleet(d.settings.Instance.ID, d.settings.Instance.FleetSize, alive)
 	c.dispatcher.Refresh(config, max(len(alive)-1, 0))
 	for id := range config.Pools {
 		c.gate.SetCapacity(id, d.capacity(id, len(alive)))
 	}
 	c.gate.Wake()
-	c.roster.Sweep(now)
+}
+
+// configure hands over what depends on the configuration alone. It takes time for
+// each account, so it is done once for each revision.
+func (c *decisions) configure(config *document.Config, id fleet.DataCentreID) {
+	if c.configured == config {
+		return
+	}
+	c.configured = config
+	c.limiter.Configure(config.Accounts)
+	c.governor.SetWindows(windowsOf(config, id))
 }
 
 // capacity returns what the pool can run.
