--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 TOOLS := bin/buf bin/protoc-gen-go bin/protoc-gen-go-grpc bin/stringer bin/staticcheck bin/gofumpt bin/benchstat
 
-.PHONY: build demo test check generate bench tools
+.PHONY: build demo test check generate bench table trial tools
 
 build:
 	go build -o bin/ ./cmd/...
@@ -21,8 +21,17 @@
 	bin/buf generate
 	go generate ./...
 
+# All benchmarks. Those of whole fleets take most of an hour.
 bench:
-	go test -run '^$$' -bench . -benchmem ./...
+	go test -run '^$$' -bench . -benchmem -timeout 2h ./...
+
+# The routing policy against its baselines, under load and faults.
+table:
+	go test ./internal/routing -run Table -v
+
+# The failure runs with the real programs, the long ones included.
+trial:
+	BILBERRYROCK_LONG=1 go test ./internal/trial/failure -run Scripts -v -count=1 -timeout 20m
 
 tools: $(TOOLS)
 
