--- /dev/null
+++ b/internal/trial/failure/watch.go
@@ -0,0 +1,92 @@
+package failure
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bilberryrock/bilberryrock/internal/entry/operator"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/trial/processes"
+)
+
+const pollInterval = 100 * time.Millisecond
+
+func (r *Run) status(d *processes.Daemon) (operator.Status, error) {
+	var s operator.Status
+	request, err := http.NewRequest(http.MethodGet, "http://"+d.Operators+"/v1/status", nil)
+	if err != nil {
+		return s, err
+	}
+	request.Header.Set("Authorization", "Bearer "+processes.Token)
+	client := &http.Client{Timeout: 2 * time.Second}
+	answer, err := client.Do(request)
+	if err != nil {
+		return s, err
+	}
+	defer answer.Body.Close()
+	return s, json.NewDecoder(answer.Body).Decode(&s)
+}
+
+// watchRevisions checks all the time that no ready daemon goes back to a lower revision,
+// also over restarts.
+func (r *Run) watchRevisions() {
+	for {
+		for _, name := range r.names {
+			if s, err := r.status(r.daemons[name]); err == nil && s.Revision > 0 {
+				r.noteRevision(name, s.Revision)
+			}
+		}
+		select {
+		case <-r.ended:
+			return
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func (r *Run) noteRevision(name string, revision fleet.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if revision < r.revisions[name] {
+		r.faults = append(r.faults, fmt.Sprintf("daemon %s went back from revision %d to %d", name, r.revisions[name], revision))
+	}
+	r.revisions[name] = revision
+}
+
+// awaitRepair waits until a voter with a wiped folder has been replaced by its
+// successor, as every running voter sees it.
+func (r *Run) awaitRepair(name string) error {
+	end := time.Now().Add(patience)
+	for {
+		repaired := true
+		for _, voter := range r.names[:Voters] {
+			s, err := r.status(r.daemons[voter])
+			repaired = repaired && err == nil && isRepaired(s, name)
+		}
+		if repaired {
+			return nil
+		}
+		if time.Now().After(end) {
+			return errors.Errorf("the voter on %s was not replaced within %s", name, patience)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func isRepaired(s operator.Status, name string) bool {
+	for _, g := range s.Groups {
+		if len(g.Voters) != Voters {
+			return false
+		}
+		for _, v := range g.Voters {
+			if v.Learner || v.Instance == name && v.ID <= Voters {
+				return false
+			}
+		}
+	}
+	return len(s.Groups) > 0
+}
