--- a/internal/trial/failure/watch.go
+++ b/internal/trial/failure/watch.go
@@ -90,3 +90,27 @@
 	}
 	return len(s.Groups) > 0
 }
+
+// inForcePoll is the time between two looks at all daemons.
+const inForcePoll = 2 * time.Millisecond
+
+// AwaitInForce waits until all daemons have the last accepted revision in force.
+func (r *Run) AwaitInForce(wait time.Duration) error {
+	r.mu.Lock()
+	revision := r.base
+	r.mu.Unlock()
+	end := time.Now().Add(wait)
+	for _, d := range r.Daemons() {
+		for {
+			s, err := r.status(d)
+			if err == nil && s.Revision >= revision {
+				break
+			}
+			if time.Now().After(end) {
+				return errors.Errorf("%s did not reach revision %d within %s: %d %v", d.Plan.ID, revision, wait, s.Revision, err)
+			}
+			time.Sleep(inForcePoll)
+		}
+	}
+	return nil
+}
--- a/internal/trial/footprint/idle_test.go
+++ b/internal/trial/footprint/idle_test.go
@@ -32,12 +32,7 @@
 // BenchmarkIdle reports for voters and for other daemons the processor time in
 // percent of a core, the resident memory in MB and the bytes of gossip a second.
 func BenchmarkIdle(b *testing.B) {
-	bin := b.TempDir()
-	build := exec.Command("go", "build", "-o", bin+string(filepath.Separator), "./cmd/...")
-	build.Dir = filepath.Join("..", "..", "..")
-	if out, err := build.CombinedOutput(); err != nil {
-		b.Fatalf("%v\n%s", err, out)
-	}
+	bin := build(b)
 	for _, size := range []failure.Size{
 		{DataCentres: 3, Daemons: 3, Engines: 6, Services: 3},
 		{DataCentres: 3, Daemons: 6, Engines: 6, Services: 3},
@@ -53,6 +48,18 @@
 	}
 }
 
+// build builds the programs into a folder of the benchmark.
+func build(b *testing.B) string {
+	b.Helper()
+	bin := b.TempDir()
+	cmd := exec.Command("go", "build", "-o", bin+string(filepath.Separator), "./cmd/...")
+	cmd.Dir = filepath.Join("..", "..", "..")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		b.Fatalf("build: %v\n%s", err, out)
+	}
+	return bin
+}
+
 func measure(b *testing.B, bin string, size failure.Size) {
 	b.Helper()
 	r, err := failure.Start(bin, b.TempDir(), size, 1)
