--- a/cmd/bilberryrock-standin/main.go
+++ b/cmd/bilberryrock-standin/main.go
@@ -65,6 +65,7 @@
 	WeightRate  int64         `long:"weightRate" description:"rate of the weight store in bytes per second; no limit when 0"`
 	LayerBytes  int64         `long:"layerBytes" description:"weights of one layer in bytes"`
 	OncePaths   []string      `long:"oncePath" description:"path prefix of a service that may not be repeated; may be given several times"`
+	Linger      time.Duration `long:"linger" description:"least time after the leave grace in which new requests are refused and recorded as late"`
 	LeaveGrace  time.Duration `long:"leaveGrace" default:"4s" description:"time after SIGTERM in which new requests are still taken"`
 	Seed        uint64        `long:"seed" description:"seed of faults and lost events"`
 	Faults      string        `long:"faults" description:"faults at the start, as the JSON that POST /faults takes"`
@@ -123,18 +124,18 @@
 	case <-term.Done():
 	}
 	<-announced
-	return leave(s, server, announcer, o.LeaveGrace, o.Drain)
+	return leave(s, server, announcer, o.LeaveGrace+o.Linger, o.Drain)
 }
 
-// leave tells the instances, takes new work for the grace time, finishes the
-// work in progress and closes the listener.
-func leave(s *standin.Standin, server *http.Server, announcer *standin.Announcer, grace, drain time.Duration) error {
-	ctx, cancel := context.WithTimeout(context.Background(), grace+drain)
+// leave tells the instances, stays for the least time, in the beginning of which
+// new work is taken, finishes the work in progress and closes the listener.
+func leave(s *standin.Standin, server *http.Server, announcer *standin.Announcer, least, drain time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), least+drain)
 	defer cancel()
 	s.Leave()
 	announcer.Announce(ctx)
 	go announcer.Run(ctx)
-	end := time.Now().Add(grace)
+	end := time.Now().Add(least)
 	for (s.Busy() > 0 || time.Now().Before(end)) && ctx.Err() == nil {
 		time.Sleep(drainPoll)
 	}
--- a/internal/trial/failure/start.go
+++ b/internal/trial/failure/start.go
@@ -60,8 +60,11 @@
 	return nil
 }
 
+// linger is the time in which a leaving stand-in records new work as late.
+const linger = 2 * time.Second
+
 func (r *Run) startStandin(id string, i int, size Size, args ...string) error {
-	s, err := r.fleet.StartStandin(id, fmt.Sprintf("dc%d", i%size.DataCentres+1), args...)
+	s, err := r.fleet.StartStandin(id, fmt.Sprintf("dc%d", i%size.DataCentres+1), append(args, "--linger", linger.String())...)
 	r.standins[id] = s
 	return err
 }
--- a/internal/trial/traffic/check.go
+++ b/internal/trial/traffic/check.go
@@ -17,13 +17,15 @@
 //   - a whole answer has the text of its own request;
 //   - what was refused as "not run" was not run;
 //   - an order ran at most once, and exactly once if it was answered;
-//   - each layer ran once for each position of an epoch, in order.
+//   - each layer ran once for each position of an epoch, in order;
+//   - no upstream got new work after it had left for its grace time.
 func Check(calls []Call, runs []standin.Run) []string {
 	var faults []string
 	faults = append(faults, checkTexts(calls)...)
 	faults = append(faults, checkNotRun(calls, runs)...)
 	faults = append(faults, checkOrders(calls, runs)...)
-	return append(faults, checkLayers(runs)...)
+	faults = append(faults, checkLayers(runs)...)
+	return append(faults, checkLeavers(runs)...)
 }
 
 // CheckCutOff returns a line for every call that reached a daemon and was not
@@ -198,6 +200,21 @@
 	return faults
 }
 
+func checkLeavers(runs []standin.Run) []string {
+	late := make(map[fleet.UpstreamID]int)
+	for _, run := range runs {
+		if run.What == "late" {
+			late[run.Upstream]++
+		}
+	}
+	var faults []string
+	for id, n := range late {
+		faults = append(faults, fmt.Sprintf("upstream %s got new work %d times after it had left", id, n))
+	}
+	sort.Strings(faults)
+	return faults
+}
+
 // ranBefore tells whether the layer before p ran for the same position, in the
 // epoch of p or an earlier one: a recovery computes only the lost stage again,
 // from the kept outputs of the stage before it.
--- a/internal/upstream/standin/engine.go
+++ b/internal/upstream/standin/engine.go
@@ -255,6 +255,7 @@
 	n, ok := e.sessions[r]
 	if !ok {
 		if e.standin.refusesNew() {
+			e.standin.config.Recorder.late(e.standin.config.Announcement.ID)
 			return nil, refuse(http.StatusServiceUnavailable, "stopping", "engine is leaving")
 		}
 		n = &session{states: make(map[fleet.Layer][]uint64)}
--- a/internal/upstream/standin/record.go
+++ b/internal/upstream/standin/record.go
@@ -11,7 +11,8 @@
 
 // Run is one line of the record file: something that a stand-in ran.
 type Run struct {
-	// What is "step", "import", "call" or "command".
+	// What is "step", "import", "call" or "command", or "late" for new work that
+	// came after the leave grace and was refused.
 	What     string           `json:"what"`
 	Upstream fleet.UpstreamID `json:"upstream"`
 
@@ -51,6 +52,11 @@
 	return &Recorder{encoder: json.NewEncoder(w)}
 }
 
+// late records new work that was refused because it came too late.
+func (r *Recorder) late(id fleet.UpstreamID) {
+	r.add(Run{What: "late", Upstream: id})
+}
+
 func (r *Recorder) add(run Run) {
 	if r == nil {
 		return
--- a/internal/upstream/standin/service.go
+++ b/internal/upstream/standin/service.go
@@ -41,6 +41,7 @@
 	}
 	config := s.standin.config
 	if s.standin.refusesNew() {
+		config.Recorder.late(config.Announcement.ID)
 		writeError(w, http.StatusServiceUnavailable, "stopping", "service is leaving")
 		return
 	}
