Let no restarted daemon act on an older configuration than before

Cause: a voter asks itself for the document, and a replica that has just restarted applies its log step by step; the first step was taken for the newest revision of the reached peers, so daemons got ready with revisions 2, 4 and 5. A daemon that was not ready also answered Fetch, and the callers' API used a configuration before readiness. Ruled out: a lost entry (all three reached revision 7 within 0.7 s) and the watcher (the logs say 'ready' with the old revisions). Now a daemon that is not ready reads its document through a majority, refuses Fetch, and has no configuration in force for callers, gossip and status. Price: a voter that restarts without a majority and without a ready peer stays not ready, and says so.

--- a/internal/entry/daemon/control.go
+++ b/internal/entry/daemon/control.go
@@ -27,7 +27,10 @@
 
 func (d *Daemon) round() {
 	status := d.state.follower.Status()
-	d.node.SetRevision(status.Revision, status.Since)
+	if status.State == follower.Ready {
+		d.ready.Store(true)
+		d.node.SetRevision(status.Revision, status.Since)
+	}
 	members := d.members()
 	d.spread.observe(members, d.clock.Now())
 	d.steer(members)
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -54,6 +54,9 @@
 	requests  *requests
 	spread    spread
 
+	// ready tells that the configuration in force is at least as new as any that
+	// was in force here before. It stays true.
+	ready    atomic.Bool
 	stopping atomic.Bool
 	failed   chan error
 	ended    chan struct{}
--- a/internal/entry/daemon/decisions.go
+++ b/internal/entry/daemon/decisions.go
@@ -94,7 +94,7 @@
 
 // model returns a model of the configuration in force.
 func (d *Daemon) model(id fleet.ModelID) (document.Model, bool) {
-	config := d.state.config.Load()
+	config := d.inForce()
 	if config == nil {
 		return document.Model{}, false
 	}
@@ -105,7 +105,7 @@
 // steer hands the configuration, the members and the reports of the upstreams to
 // the controllers.
 func (d *Daemon) steer(members []membership.Member) {
-	config := d.state.config.Load()
+	config := d.inForce()
 	if config == nil {
 		return
 	}
--- a/internal/entry/daemon/fetcher.go
+++ b/internal/entry/daemon/fetcher.go
@@ -24,7 +24,7 @@
 	d := f.daemon
 	self := d.settings.Instance.ID
 	if from.ID == self {
-		return d.readReplica(ctx, after, wait)
+		return d.readOwn(ctx, after, wait)
 	}
 	if d.faults.cut(self, from.ID) || d.faults.cut(from.ID, self) {
 		return follower.Reply{}, errors.Errorf("the link to %s is cut", from.ID)
@@ -55,6 +55,21 @@
 	return reply
 }
 
+// readOwn reads the document through the own voter. Until the daemon is ready, a
+// majority has to confirm that there is nothing newer: a replica that has just
+// restarted applies its log step by step, and what it has applied so far can be
+// older than what was in force here before.
+func (d *Daemon) readOwn(ctx context.Context, after fleet.Revision, wait time.Duration) (follower.Reply, error) {
+	if d.ready.Load() {
+		return d.readReplica(ctx, after, wait)
+	}
+	changed, full, err := d.state.register.ChangesSince(ctx, after)
+	if err != nil {
+		return follower.Reply{}, errors.Wrap(err, "read from the voters")
+	}
+	return follower.Reply{Document: changed, Full: full}, nil
+}
+
 // readReplica returns what the own voter has applied after a revision.
 func (d *Daemon) readReplica(ctx context.Context, after fleet.Revision, wait time.Duration) (follower.Reply, error) {
 	if d.state.replica == nil {
--- a/internal/entry/daemon/metrics.go
+++ b/internal/entry/daemon/metrics.go
@@ -81,7 +81,7 @@
 
 // Collect implements prometheus.Collector.
 func (m *poolMetrics) Collect(out chan<- prometheus.Metric) {
-	config := m.daemon.state.config.Load()
+	config := m.daemon.inForce()
 	if config == nil {
 		return
 	}
--- a/internal/entry/daemon/repairer.go
+++ b/internal/entry/daemon/repairer.go
@@ -53,7 +53,7 @@
 // commands apart.
 func (d *Daemon) modelsToRepair() []document.Model {
 	alive := aliveIn(d.members(), d.settings.Instance.DataCentre)
-	config := d.state.config.Load()
+	config := d.inForce()
 	if config == nil || len(alive) == 0 || alive[0] != d.settings.Instance.ID {
 		return nil
 	}
--- a/internal/entry/daemon/requests.go
+++ b/internal/entry/daemon/requests.go
@@ -37,7 +37,7 @@
 	s := d.settings
 	r.callers = caller.New(caller.Parts{
 		Instance: s.Instance.ID,
-		Config:   d.state.config.Load,
+		Config:   d.inForce,
 		Gate:     d.decisions.gate,
 		Courier:  d.decisions.courier,
 		Lookups:  d.decisions.dispatcher,
@@ -71,7 +71,7 @@
 
 // owner returns the team of a client account in the configuration in force.
 func (d *Daemon) owner(id fleet.AccountID) (fleet.TeamID, bool) {
-	config := d.state.config.Load()
+	config := d.inForce()
 	if config == nil {
 		return "", false
 	}
--- a/internal/entry/daemon/state.go
+++ b/internal/entry/daemon/state.go
@@ -131,9 +131,17 @@
 	return d.serveGRPC(server)
 }
 
+// inForce returns the configuration in force, or nil before the daemon is ready.
+func (d *Daemon) inForce() *document.Config {
+	if !d.ready.Load() {
+		return nil
+	}
+	return d.state.config.Load()
+}
+
 // revision returns the revision in force, or zero.
 func (d *Daemon) revision() fleet.Revision {
-	if c := d.state.config.Load(); c != nil {
+	if c := d.inForce(); c != nil {
 		return c.Revision
 	}
 	return 0
--- a/internal/entry/daemon/status.go
+++ b/internal/entry/daemon/status.go
@@ -18,7 +18,7 @@
 	follower := d.state.follower.Status()
 	s := operator.Status{
 		Instance:     d.settings.Instance.ID,
-		Revision:     follower.Revision,
+		Revision:     d.revision(),
 		ConfirmedAgo: operator.InSeconds(follower.Age(now)),
 		Instances:    []operator.InstanceStatus{},
 		Changes:      d.spread.changes(members),
--- a/internal/entry/peer/peer.go
+++ b/internal/entry/peer/peer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
@@ -27,6 +28,8 @@
 	// ChangesSince returns what is in force after a revision, and waits for it
 	// up to wait.
 	ChangesSince(ctx context.Context, after fleet.Revision, wait time.Duration) follower.Reply
+	// Status tells whether the document is at least as new as any before.
+	Status() follower.Status
 }
 
 // Server implements peerv1.PeerServer. The methods of the replicated logs are
@@ -47,8 +50,13 @@
 }
 
 // Fetch returns the sections that are newer than the asking instance's revision.
-// It waits for a newer revision for the time that the request names.
+// It waits for a newer revision for the time that the request names. An instance
+// that is not ready refuses: the asking one could take an old revision for the
+// newest.
 func (s *Server) Fetch(ctx context.Context, r *peerv1.FetchRequest) (*peerv1.FetchReply, error) {
+	if state := s.source.Status().State; state != follower.Ready {
+		return nil, status.Errorf(codes.Unavailable, "the configuration of this instance is %s", state)
+	}
 	wait := min(time.Duration(r.GetWaitMs())*time.Millisecond, maxFetchWait)
 	changes := s.source.ChangesSince(ctx, fleet.Revision(r.GetAfter()), wait)
 	if err := ctx.Err(); err != nil {
--- a/internal/trial/failure/failure.go
+++ b/internal/trial/failure/failure.go
@@ -230,6 +230,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	faults := append([]string(nil), r.faults...)
+	for _, name := range r.names {
+		found, err := r.checkLog(name)
+		if err != nil {
+			return nil, err
+		}
+		faults = append(faults, found...)
+	}
 	if !r.killed {
 		faults = append(faults, traffic.CheckCutOff(r.traffic.Calls())...)
 	}
