--- a/internal/trial/failure/watch.go
+++ b/internal/trial/failure/watch.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -114,3 +115,14 @@
 	}
 	return nil
 }
+
+// States returns the replicated logs as each voter sees them, for a failed test.
+func (r *Run) States() string {
+	var b strings.Builder
+	for _, name := range r.names[:Voters] {
+		s, err := r.status(r.daemons[name])
+		raw, _ := json.Marshal(s.Groups)
+		fmt.Fprintf(&b, "%s: revision %d, %s %v\n", name, s.Revision, raw, err)
+	}
+	return b.String()
+}
