Ask a voter that did not answer last

Cause: the client had remembered a as the leader, whose answers were cut off in one direction, and an unknown outcome did not make it forget a, so each call asked a first. A frozen leader has the same effect. Ruled out: the replicated log (b was elected after the cut and kept its majority) and the transport between voters. Now a voter that did not answer is forgotten as the leader and asked last until it answers again.

--- a/internal/quorum/voter/client.go
+++ b/internal/quorum/voter/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,9 @@
 	local   func(ctx context.Context, c call) ([]byte, error)
 	mu      sync.Mutex
 	leaders map[quorum.GroupID]Peer
+	// silent are the addresses that did not answer a call in time. They are asked
+	// last, until they answer again.
+	silent map[quorum.GroupID]string
 }
 
 var _ quorum.Proposer = (*Client)(nil)
@@ -56,7 +60,7 @@
 }
 
 func newClient(c *config, conns *connections) *Client {
-	return &Client{config: c, conns: conns, leaders: make(map[quorum.GroupID]Peer)}
+	return &Client{config: c, conns: conns, leaders: make(map[quorum.GroupID]Peer), silent: make(map[quorum.GroupID]string)}
 }
 
 // Propose hands a command to the leader of a group.
@@ -110,6 +114,9 @@
 				c.remember(k.group, p)
 				return reply, nil
 			}
+			if refusal.KindOf(err) == refusal.OutcomeUnknown {
+				c.avoid(k.group, p)
+			}
 			if !mayRetry(k, err) {
 				return nil, err
 			}
@@ -122,10 +129,12 @@
 	return nil, err
 }
 
-// order returns the supposed leader, the own instance and the other voters.
+// order returns the supposed leader, the own instance and the other voters. A
+// silent one comes last.
 func (c *Client) order(g quorum.GroupID) []Peer {
 	c.mu.Lock()
 	leader, ok := c.leaders[g]
+	silent := c.silent[g]
 	c.mu.Unlock()
 	var ps []Peer
 	if ok {
@@ -134,13 +143,37 @@
 	if c.local != nil {
 		ps = append(ps, Peer{Instance: c.config.instance, Address: c.config.address})
 	}
-	return append(ps, c.config.initial...)
+	ps = append(ps, c.config.initial...)
+	slices.SortStableFunc(ps, func(a, b Peer) int {
+		return rank(a.Address == silent) - rank(b.Address == silent)
+	})
+	return ps
+}
+
+func rank(last bool) int {
+	if last {
+		return 1
+	}
+	return 0
+}
+
+// avoid forgets a leader that did not answer. A frozen leader, or one whose
+// answers are lost, would otherwise be asked first by every later call, although
+// the others have elected another one.
+func (c *Client) avoid(g quorum.GroupID, p Peer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.leaders, g)
+	c.silent[g] = p.Address
 }
 
 func (c *Client) remember(g quorum.GroupID, p Peer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leaders[g] = p
+	if c.silent[g] == p.Address {
+		delete(c.silent, g)
+	}
 }
 
 // follow returns the leader that an error names, or the zero value.
