--- a/internal/entry/daemon/decisions.go
+++ b/internal/entry/daemon/decisions.go
@@ -73,6 +73,7 @@
 	c.gate = gate.New(d.clock, c.limiter, gate.WithQueue(d.settings.Requests.QueueLength), gate.WithBound(c.governor))
 	c.dispatcher = dispatch.New(r, c.dialer, d.clock, dispatch.WithBudget(budget.New()), dispatch.WithTrail(d.state.trail))
 	learned := speeds.New(firstSpeed)
+	longest := d.settings.Upstreams.StepTimeout
 	plan := planner.New(r, d.model, learned, d.clock, planner.WithCounts(&c.counts))
 	c.courier = courier.New(plan, c.dialer,
 		courier.WithClock(d.clock),
@@ -81,7 +82,7 @@
 		courier.WithRoster(r),
 		courier.WithTrail(d.state.trail),
 		courier.WithGauge(&c.counts),
-		courier.WithTimeouts(courier.DefaultMinTimeout, d.settings.Upstreams.StepTimeout),
+		courier.WithTimeouts(min(courier.DefaultMinTimeout, longest), longest),
 	)
 	d.decisions = c
 	return nil
