--- a/internal/entry/console/client.go
+++ b/internal/entry/console/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -42,21 +43,12 @@
 	if err != nil {
 		return exit(ExitUnreachable, "the answer of %s was cut off: %v", o.Server, err)
 	}
-	if answer.StatusCode == http.StatusOK || contains(accepted, answer.StatusCode) && isResult(raw) {
+	if answer.StatusCode == http.StatusOK || slices.Contains(accepted, answer.StatusCode) && isResult(raw) {
 		return errors.Wrap(json.Unmarshal(raw, result), "decode answer")
 	}
 	return failure(answer.StatusCode, raw)
 }
 
-func contains(list []int, n int) bool {
-	for _, x := range list {
-		if x == n {
-			return true
-		}
-	}
-	return false
-}
-
 // isResult tells an outcome from an error, which can have the same status.
 func isResult(raw []byte) bool {
 	var f operator.Failure
