--- /dev/null
+++ b/cmd/bilberryrock-platform/run.go
@@ -0,0 +1,238 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/bilberryrock/bilberryrock/internal/controller"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
+	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
+	"github.com/bilberryrock/bilberryrock/internal/gateway/forward"
+	"github.com/bilberryrock/bilberryrock/internal/gateway/state"
+	"github.com/bilberryrock/bilberryrock/internal/registry/feed"
+	"github.com/bilberryrock/bilberryrock/platform"
+)
+
+const (
+	// aliveBeats is the number of heartbeats that an upstream may miss.
+	aliveBeats = 3
+	// leaseMargin is kept between the end of a lease and the time at which a
+	// removed key must not be accepted any more.
+	leaseMargin = 500 * time.Millisecond
+	// freshLimit is the age of the last confirmation up to which a gateway is ready.
+	// It covers an election of the controllers.
+	freshLimit = 2500 * time.Millisecond
+	// stopMargin is kept between the end of a graceful stop and SIGKILL.
+	stopMargin = 700 * time.Millisecond
+	// drainLeast is how long a gateway takes new connections after SIGTERM. The
+	// platform needs two checks, a second apart, to notice that it is not ready.
+	drainLeast = 2500 * time.Millisecond
+	drainPoll  = 50 * time.Millisecond
+	// headerTimeout bounds the time to read the head of a request, and idleTimeout
+	// the time between two requests. Clients reuse connections for a shorter time.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 64 << 10
+	// peerTimeout ends a connection between daemons whose bytes are not
+	// acknowledged.
+	peerTimeout = 1500 * time.Millisecond
+	// reloadEvery is the time between two looks at the settings file, which may
+	// change without a signal.
+	reloadEvery = 5 * time.Second
+)
+
+func dialOptions() []grpc.DialOption {
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time: 10 * time.Second, Timeout: peerTimeout, PermitWithoutStream: true,
+		}),
+	}
+}
+
+// runGateway serves clients until SIGTERM.
+func runGateway(s platform.Settings, log *zap.Logger) error {
+	clock := systemclock.Clock{}
+	client := exchange.New(clock)
+	st := state.New(clock, s.DataCentre, platform.Configuration{}, state.Limits{
+		Alive: aliveBeats * s.Heartbeat, Lease: s.Revoke - leaseMargin, Fresh: freshLimit,
+	}, client, log)
+	registry := newRegistry()
+	handler := forward.New(clock, st, client, platform.Headers{}, platform.Engines{Client: client},
+		forward.NewMetrics(registry), log)
+	follower := feed.NewClient(s.Instance, clock, st, log, feed.Seeds(s.PeerSeeds...), feed.Near(near(s)),
+		feed.Dial(dialOptions()...))
+	defer follower.Stop()
+	servers := &servers{failed: make(chan error, 4)}
+	front := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	if err := servers.start(front, s.Clients); err != nil {
+		return err
+	}
+	if err := servers.start(&http.Server{Handler: readiness(handler.Ready)}, s.Ready); err != nil {
+		return err
+	}
+	if err := servers.start(&http.Server{Handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}, s.MetricsAddress); err != nil {
+		return err
+	}
+	if err := wait(s, log, servers.failed, func(n platform.Settings) { follower.Learn(n.PeerSeeds) }); err != nil {
+		return err
+	}
+	handler.Close()
+	drain(handler, s.Grace)
+	return front.Close()
+}
+
+// near returns the seed whose address is closest to the own one, which is in the
+// same data centre where the platform numbers its networks by data centre.
+func near(s platform.Settings) string {
+	best, most := "", -1
+	for _, a := range s.PeerSeeds {
+		n := 0
+		for n < len(a) && n < len(s.PeerAddress) && a[n] == s.PeerAddress[n] {
+			n++
+		}
+		if n > most {
+			best, most = a, n
+		}
+	}
+	return best
+}
+
+// drain waits until no request is in progress and no new ones come, but not until
+// SIGKILL.
+func drain(h *forward.Handler, grace time.Duration) {
+	start := time.Now()
+	for {
+		time.Sleep(drainPoll)
+		passed := time.Since(start)
+		if passed >= grace-stopMargin || passed >= drainLeast && h.Active() == 0 {
+			return
+		}
+	}
+}
+
+// runController serves the operator, the workers and the other daemons until
+// SIGTERM.
+func runController(s platform.Settings, log *zap.Logger) error {
+	clock := systemclock.Clock{}
+	c, err := controller.New(controller.Settings{
+		Instance: s.Instance, Address: s.PeerAddress, Folder: s.Folder, Found: s.Found, Seeds: s.PeerSeeds,
+		Alive: aliveBeats * s.Heartbeat, Dial: dialOptions(),
+	}, platform.Configuration{}, platform.Engines{Client: exchange.New(clock)}, clock, log)
+	if err != nil {
+		return err
+	}
+	registry := newRegistry()
+	registry.MustRegister(c.Collector())
+	servers := &servers{failed: make(chan error, 4)}
+	control := &http.Server{
+		Handler: platform.Control(c, log), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}
+	if err := servers.start(control, s.Control); err != nil {
+		return err
+	}
+	if err := servers.start(&http.Server{Handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}, s.MetricsAddress); err != nil {
+		return err
+	}
+	go func() {
+		if err := <-c.Failed(); err != nil {
+			servers.failed <- err
+		}
+	}()
+	failed := wait(s, log, servers.failed, func(platform.Settings) {})
+	ctx, cancel := context.WithTimeout(context.Background(), s.Grace/2)
+	defer cancel()
+	if err := control.Shutdown(ctx); err != nil {
+		log.Warn("Calls were in progress at the stop.", zap.Error(err))
+	}
+	if err := c.Stop(ctx); err != nil && failed == nil {
+		failed = err
+	}
+	return failed
+}
+
+func newRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
+func readiness(ready func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// servers runs HTTP servers and reports the first that fails.
+type servers struct{ failed chan error }
+
+func (s *servers) start(v *http.Server, address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	go func() {
+		if err := v.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			s.failed <- errors.Wrapf(err, "listener %s", address)
+		}
+	}()
+	return nil
+}
+
+// wait returns at SIGTERM or SIGINT, or with the error of a part that failed. It
+// hands over the settings when the file has changed.
+func wait(s platform.Settings, log *zap.Logger, failed <-chan error, changed func(platform.Settings)) error {
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	tick := time.NewTicker(reloadEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-stop.Done():
+			log.Info("The daemon was asked to stop.")
+			return nil
+		case err := <-failed:
+			return err
+		case <-hup:
+			s = reload(s, log, changed)
+		case <-tick.C:
+			s = reload(s, log, changed)
+		}
+	}
+}
+
+// reload takes the settings file as a whole, or keeps the old settings.
+func reload(old platform.Settings, log *zap.Logger, changed func(platform.Settings)) platform.Settings {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		log.Warn("The changed settings are not in force.", zap.Error(err))
+		return old
+	}
+	if !s.Equal(old) {
+		log.Info("The settings changed.", zap.Strings("seeds", s.PeerSeeds))
+		changed(s)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/gateway/exchange/exchange.go
@@ -0,0 +1,316 @@
+// Package exchange sends single HTTP/1.1 requests to upstreams over kept
+// connections. Unlike net/http it never repeats a request by itself, and an
+// error tells whether any byte was sent.
+//
+//	x, err := client.Send(ctx, target, request)
+//	if err != nil {
+//		return err // errors.As(err, *exchange.Error) tells what was sent
+//	}
+//	defer x.Close()
+//	read(x.Response.Body)
+//	x.Keep() // after the whole body was read
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// connectTimeout bounds the time to open a connection, which takes a few
+	// milliseconds. A lost packet is sent again after a second, so another
+	// upstream is faster.
+	connectTimeout = 400 * time.Millisecond
+	// idleLimit is how long a connection is kept when the upstream says nothing,
+	// and idleMargin the time before the stated end at which it is not used any
+	// more.
+	idleLimit  = 4 * time.Second
+	idleMargin = time.Second
+	// userTimeout ends a connection whose sent bytes are not acknowledged.
+	userTimeout = 2 * time.Second
+	// maxStray bounds the answers to earlier requests that are passed over.
+	maxStray = 3
+	// strayBytes bounds the body of such an answer.
+	strayBytes = 256 << 10
+	// bufferBytes is the size of the read buffer of a connection.
+	bufferBytes = 4 << 10
+)
+
+// Target is the upstream that a request goes to.
+type Target struct {
+	ID      fleet.UpstreamID
+	Address string
+}
+
+// Request is one request as it goes over the wire.
+type Request struct {
+	Method string
+	// URI is the path with the query as the client sent it.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Belongs reports whether an answer is the one to this request.
+	Belongs func(h http.Header) bool
+}
+
+// Error is a failed attempt.
+type Error struct {
+	// Sent tells that at least one byte was written, so that the upstream may run
+	// the request.
+	Sent bool
+	// Refused tells that no connection could be opened.
+	Refused bool
+	cause   error
+}
+
+// Error describes the failure.
+func (e *Error) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Client keeps the connections to all upstreams. It is safe for concurrent use.
+type Client struct {
+	clock fleet.Clock
+	dial  func(ctx context.Context, address string) (net.Conn, error)
+
+	mu   sync.Mutex
+	idle map[Target][]*conn
+}
+
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	until  time.Time // the connection is not used after it
+}
+
+// New returns a Client without connections.
+func New(clock fleet.Clock) *Client {
+	d := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: control}
+	return &Client{
+		clock: clock,
+		dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp", address)
+		},
+		idle: make(map[Target][]*conn),
+	}
+}
+
+func control(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// Exchange is a request whose answer has begun.
+type Exchange struct {
+	Response *http.Response
+	// Fresh tells that the connection was opened for this request.
+	Fresh  bool
+	client *Client
+	target Target
+	conn   *conn
+	stop   func() bool
+	kept   bool
+}
+
+// Send writes the request and reads the head of the answer. Cancelling ctx closes
+// the connection at any time until Keep or Close.
+func (c *Client) Send(ctx context.Context, t Target, r Request) (*Exchange, error) {
+	k, fresh, err := c.take(ctx, t)
+	if err != nil {
+		return nil, &Error{Refused: true, cause: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = k.Close() })
+	n, err := k.Write(r.encode())
+	if err == nil {
+		var p *http.Response
+		if p, err = k.answer(r); err == nil {
+			return &Exchange{Response: p, Fresh: fresh, client: c, target: t, conn: k, stop: stop}, nil
+		}
+	}
+	stop()
+	_ = k.Close()
+	if ctx.Err() != nil {
+		err = ctx.Err()
+	}
+	return nil, &Error{Sent: n > 0, cause: errors.Wrapf(err, "upstream %s at %s", t.ID, t.Address)}
+}
+
+// take returns a kept connection or opens one.
+func (c *Client) take(ctx context.Context, t Target) (*conn, bool, error) {
+	for {
+		k := c.pop(t)
+		if k == nil {
+			break
+		}
+		if k.usable() {
+			return k, false, nil
+		}
+		_ = k.Close()
+	}
+	n, err := c.dial(ctx, t.Address)
+	if err != nil {
+		return nil, false, errors.Wrapf(err, "connect to upstream %s", t.ID)
+	}
+	return &conn{Conn: n, reader: bufio.NewReaderSize(n, bufferBytes)}, true, nil
+}
+
+func (c *Client) pop(t Target) *conn {
+	now := c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ks := c.idle[t]
+	for len(ks) > 0 {
+		k := ks[len(ks)-1]
+		ks = ks[:len(ks)-1]
+		c.idle[t] = ks
+		if now.Before(k.until) {
+			return k
+		}
+		_ = k.Close()
+	}
+	return nil
+}
+
+// usable reports whether a kept connection is open and silent. Bytes that came
+// without a request belong to none, and the connection with them is closed.
+func (k *conn) usable() bool {
+	if k.reader.Buffered() > 0 {
+		return false
+	}
+	s, ok := k.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		silent = e == unix.EAGAIN
+		return true
+	})
+	return err == nil && silent
+}
+
+// answer reads the head of the answer to r, and passes over complete answers to
+// earlier requests.
+func (k *conn) answer(r Request) (*http.Response, error) {
+	for range maxStray {
+		p, err := http.ReadResponse(k.reader, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, errors.Wrap(err, "read the answer")
+		}
+		if p.StatusCode < http.StatusOK {
+			continue
+		}
+		if r.Belongs == nil || r.Belongs(p.Header) {
+			return p, nil
+		}
+		if p.Close || p.ContentLength < 0 && len(p.TransferEncoding) == 0 {
+			return nil, errors.New("the answer belongs to another request")
+		}
+		if n, err := io.Copy(io.Discard, io.LimitReader(p.Body, strayBytes)); err != nil || n == strayBytes {
+			return nil, errors.New("the answer belongs to another request")
+		}
+	}
+	return nil, errors.New("the answers belong to other requests")
+}
+
+func (r Request) encode() []byte {
+	var b bytes.Buffer
+	b.Grow(1<<10 + len(r.Body))
+	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	_ = r.Header.Write(&b) // a Buffer does not fail
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
+
+// Keep returns the connection for further requests. It must be called only after
+// the whole body was read.
+func (x *Exchange) Keep() {
+	p := x.Response
+	until, ok := x.client.keepUntil(p)
+	if !x.stop() || p.Close || !ok || x.conn.reader.Buffered() > 0 {
+		_ = x.conn.Close()
+		x.kept = true
+		return
+	}
+	x.kept = true
+	x.conn.until = until
+	c := x.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle[x.target] = append(c.idle[x.target], x.conn)
+}
+
+func (c *Client) keepUntil(p *http.Response) (time.Time, bool) {
+	limit := idleLimit
+	if s := p.Header.Get("Keep-Alive"); s != "" {
+		_, after, _ := strings.Cut(s, "timeout=")
+		digits, _, _ := strings.Cut(after, ",")
+		if n, err := strconv.Atoi(strings.TrimSpace(digits)); err == nil {
+			limit = time.Duration(n) * time.Second
+		}
+	}
+	return c.clock.Now().Add(limit - idleMargin), limit > idleMargin
+}
+
+// Close closes the connection unless it was kept.
+func (x *Exchange) Close() {
+	x.stop()
+	if !x.kept {
+		x.kept = true
+		_ = x.conn.Close()
+	}
+}
+
+// Forget closes the kept connections to all targets but those in use.
+func (c *Client) Forget(use func(Target) bool) {
+	now := c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for t, ks := range c.idle {
+		gone := !use(t)
+		var rest []*conn
+		for _, k := range ks {
+			if gone || !now.Before(k.until) {
+				_ = k.Close()
+				continue
+			}
+			rest = append(rest, k)
+		}
+		if len(rest) == 0 {
+			delete(c.idle, t)
+			continue
+		}
+		c.idle[t] = rest
+	}
+}
--- /dev/null
+++ b/internal/gateway/forward/events.go
@@ -0,0 +1,62 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// event is one event of a text/event-stream, with the blank line that ends it.
+type event struct {
+	raw []byte
+	// id is the number of the event. It is 0 for events without one.
+	id uint64
+}
+
+// events reads a stream event by event. The bytes of an event are valid until the
+// next call.
+type events struct {
+	reader *bufio.Reader
+	buffer []byte
+}
+
+// next returns the next whole event. The error is io.EOF at the end of a stream,
+// and io.ErrUnexpectedEOF when the stream ends within an event.
+func (s *events) next() (event, error) {
+	s.buffer = s.buffer[:0]
+	var e event
+	for {
+		line, err := s.reader.ReadSlice('\n')
+		s.buffer = append(s.buffer, line...)
+		if len(s.buffer) > maxEventBytes {
+			return event{}, errors.Errorf("an event has more than %d bytes", maxEventBytes)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(s.buffer) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return event{}, err
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+			if err != nil {
+				return event{}, errors.Wrap(err, "number of an event")
+			}
+			e.id = n
+		}
+		if len(line) == 0 && len(s.buffer) > 2 {
+			e.raw = s.buffer
+			return e, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/forward/forward.go
@@ -0,0 +1,291 @@
+// Package forward decides what happens to a request of a client: which route and
+// account it belongs to, which upstream it goes to, what is tried again, and what
+// the client is told.
+//
+// A request that may run at most once is sent again only if it certainly did not
+// run. A stream that may be resumed goes on at other engines after the last event
+// that the client has. A refusal with status 503 is sent only for requests that
+// did not run and will not.
+package forward
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/gateway"
+	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
+	"github.com/bilberryrock/bilberryrock/internal/gateway/state"
+	"github.com/bilberryrock/bilberryrock/internal/placement"
+	"github.com/bilberryrock/bilberryrock/internal/release"
+	"github.com/bilberryrock/bilberryrock/internal/release/table"
+	"go.uber.org/zap"
+)
+
+const (
+	// defaultBodyBytes bounds a body while the release sets no limit.
+	defaultBodyBytes = 4 << 20
+	// retryLeast and retrySpread give the time after which a refused client may
+	// come back. The spread keeps refused clients from coming back together.
+	retryLeast  = 300 * time.Millisecond
+	retrySpread = 700 * time.Millisecond
+	// extraSends are the sends beyond the attempts of a route that upstreams
+	// answered without running the request.
+	extraSends = 2
+)
+
+// Prober asks engines for their state.
+type Prober interface {
+	Report(ctx context.Context, id fleet.UpstreamID, address string) (placement.Report, error)
+}
+
+// Handler forwards requests. It is safe for concurrent use.
+type Handler struct {
+	clock   state.Clock
+	state   *state.State
+	client  *exchange.Client
+	dialect gateway.Dialect
+	stalls  *stalls
+	metrics *Metrics
+	logger  *zap.Logger
+	closing atomic.Bool
+	active  atomic.Int64
+}
+
+// New returns a Handler.
+func New(clock state.Clock, s *state.State, c *exchange.Client, d gateway.Dialect, p Prober, m *Metrics, l *zap.Logger) *Handler {
+	return &Handler{
+		clock: clock, state: s, client: c, dialect: d, metrics: m, logger: l.Named("forward"),
+		stalls: &stalls{clock: clock, prober: p, reports: make(map[string]*probe)},
+	}
+}
+
+// Close makes clients open new connections for further requests, which the
+// platform then sends to other gateways.
+func (h *Handler) Close() { h.closing.Store(true) }
+
+// Active returns the number of requests in progress.
+func (h *Handler) Active() int64 { return h.active.Load() }
+
+// Ready reports whether the gateway should get new connections.
+func (h *Handler) Ready() bool { return !h.closing.Load() && h.state.Ready() }
+
+// request is one request in progress.
+type request struct {
+	*Handler
+	w        http.ResponseWriter
+	r        *http.Request
+	call     gateway.Call
+	route    *release.Route
+	account  *release.Account
+	table    *table.Table
+	poolID   fleet.PoolID
+	pool     *state.Pool
+	body     []byte
+	arrival  time.Time
+	deadline time.Time
+	// runs counts the sends after which the request may have run, and sends all.
+	runs, sends int
+	avoid       []fleet.UpstreamID
+	last        string // the upstream of the newest send
+	status      int
+	outcome     string
+	lastErr     error
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	q := &request{Handler: h, w: w, r: r, arrival: h.clock.Now()}
+	defer q.report()
+	if h.closing.Load() || !h.state.Ready() {
+		w.Header().Set("Connection", "close")
+	}
+	if err := q.admit(); err != nil {
+		q.refuse(err)
+		return
+	}
+	if err := q.readBody(); err != nil {
+		q.refuse(err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	defer cancel()
+	q.pool.Budget.Deposit()
+	if q.route.Repeat == release.Stream {
+		q.stream(ctx)
+		return
+	}
+	q.plain(ctx)
+}
+
+// admit finds the route and the account of the request.
+func (q *request) admit() error {
+	t := q.state.Table()
+	if t == nil {
+		return refusal.New(refusal.NotReady, "no configuration is known yet")
+	}
+	q.table = t
+	call, err := q.dialect.ReadCall(q.r.Header)
+	q.call = call
+	if err != nil {
+		return err
+	}
+	if len(t.Release.Accounts) > 0 && !q.state.Leased() {
+		return refusal.New(refusal.NotReady, "the configuration was last confirmed %s ago", q.state.Age().Round(time.Millisecond))
+	}
+	o, ok := t.Route(q.r.Host, q.r.URL.Path)
+	if !ok {
+		return refusal.New(refusal.NotFound, "no route for host %q and path %q", q.r.Host, q.r.URL.Path)
+	}
+	q.route = o
+	if t.NeedsKey(o) {
+		if q.account, ok = t.Account(call.Key); !ok {
+			return refusal.New(refusal.Unauthenticated, "the account key is not known")
+		}
+	}
+	q.deadline = q.arrival.Add(o.Timeout)
+	if d := q.arrival.Add(call.Budget); call.Budget > 0 && d.Before(q.deadline) {
+		q.deadline = d
+	}
+	q.poolID = table.Pick(o, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	if q.pool, ok = q.state.Pool(q.poolID); !ok {
+		return refusal.New(refusal.NoUpstream, "no upstream of service %q is known", q.poolID)
+	}
+	return nil
+}
+
+func (q *request) readBody() error {
+	limit := q.table.Release.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if q.r.ContentLength > limit {
+		return refusal.New(refusal.TooLarge, "the body has %d bytes, more than %d", q.r.ContentLength, limit)
+	}
+	if q.r.ContentLength == 0 {
+		return nil
+	}
+	b, err := io.ReadAll(io.LimitReader(q.r.Body, limit+1))
+	if err != nil {
+		return refusal.Because(refusal.BadRequest, err, "read the body")
+	}
+	if int64(len(b)) > limit {
+		return refusal.New(refusal.TooLarge, "the body has more than %d bytes", limit)
+	}
+	q.body = b
+	return nil
+}
+
+// message is the request as it goes to an upstream.
+func (q *request) message(s gateway.Send) exchange.Request {
+	header := q.r.Header.Clone()
+	dropHopHeaders(header)
+	header.Del("Content-Length")
+	if q.account != nil {
+		s.Account = q.account.ID
+	}
+	s.Left = q.deadline.Sub(q.clock.Now())
+	s.Urgency = q.urgency()
+	q.dialect.WriteSend(header, s)
+	id := q.call.ID
+	return exchange.Request{
+		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host, Header: header, Body: q.body,
+		Belongs: func(h http.Header) bool {
+			got := q.dialect.ReadReply(http.StatusOK, h).ID
+			return got == "" || got == id
+		},
+	}
+}
+
+func (q *request) urgency() int {
+	n := q.route.Priority
+	if q.account != nil {
+		n = q.account.Priority
+	}
+	return max(0, min(n, 9))
+}
+
+// mayRepeat reports whether the request may run more than once.
+func (q *request) mayRepeat() bool {
+	return q.route.Repeat == release.Idempotent || q.route.Repeat == release.Stream && q.route.Resumable
+}
+
+// maySend reports whether another send is within the limits of the route and the
+// shared retry budget.
+func (q *request) maySend(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if q.sends == 0 {
+		return true
+	}
+	if q.runs > 0 && !q.mayRepeat() {
+		return false
+	}
+	attempts := max(1, q.route.MaxAttempts)
+	return q.runs < attempts && q.sends < attempts+extraSends && q.pool.Budget.Withdraw()
+}
+
+// fail answers a request that no upstream answered.
+func (q *request) fail(ctx context.Context) {
+	switch {
+	case q.r.Context().Err() != nil:
+		q.outcome = "clientGone"
+	case q.runs == 0 && ctx.Err() != nil:
+		q.refuse(refusal.Because(refusal.NoUpstream, q.lastErr, "no upstream took the request in time"))
+	case q.runs == 0:
+		q.refuse(refusal.Because(refusal.NoUpstream, q.lastErr, "no upstream took the request"))
+	case ctx.Err() != nil:
+		q.refuse(refusal.Because(refusal.Deadline, q.lastErr, "no answer in time"))
+	default:
+		q.refuse(refusal.Because(refusal.UpstreamFailed, q.lastErr, "the upstream gave no answer"))
+	}
+}
+
+// refuse answers with an error of the system.
+func (q *request) refuse(err error) {
+	kind := refusal.KindOf(err)
+	a := kind.Answer()
+	q.lastErr = err
+	q.outcome = a.Code
+	q.status = a.Status
+	q.metrics.refused(a.Code)
+	h := q.w.Header()
+	h.Set("Content-Type", "application/json")
+	if a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests {
+		wait := retryLeast + time.Duration(rand.Int64N(int64(retrySpread)))
+		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
+	}
+	body := `{"error":"` + a.Code + `"}`
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	q.w.WriteHeader(a.Status)
+	_, _ = io.WriteString(q.w, body) // the client may have gone
+}
+
+// report writes the log line and the metrics of a finished request.
+func (q *request) report() {
+	took := q.clock.Now().Sub(q.arrival)
+	route := ""
+	if q.route != nil {
+		route = q.route.Name
+	}
+	q.metrics.finished(q.outcome, took)
+	fields := []zap.Field{
+		zap.String("request", string(q.call.ID)), zap.String("route", route), zap.String("outcome", q.outcome),
+		zap.Int("status", q.status), zap.Duration("took", took), zap.Int("sends", q.sends), zap.Int("runs", q.runs),
+		zap.String("upstream", q.last), zap.Uint64("version", uint64(q.state.Version())),
+		zap.Duration("confirmedAgo", q.state.Age()),
+	}
+	if q.lastErr != nil {
+		fields = append(fields, zap.Error(q.lastErr))
+	}
+	q.logger.Info("A request ended.", fields...)
+}
--- /dev/null
+++ b/internal/gateway/forward/metrics.go
@@ -0,0 +1,45 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics counts what became of requests.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	stalls   prometheus.Counter
+}
+
+// NewMetrics registers the metrics of a gateway.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bilberryrock_gateway_requests_total", Help: "Finished requests by outcome.",
+		}, []string{"outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bilberryrock_gateway_refusals_total", Help: "Requests refused by the gateway, by error kind.",
+		}, []string{"kind"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "bilberryrock_gateway_request_seconds", Help: "Time from the head of a request to the end of its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 13),
+		}, []string{"outcome"}),
+		stalls: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "bilberryrock_gateway_stalls_total", Help: "Checks of streams that made no progress.",
+		}),
+	}
+	r.MustRegister(m.requests, m.refusals, m.latency, m.stalls)
+	return m
+}
+
+func (m *Metrics) finished(outcome string, took time.Duration) {
+	m.requests.WithLabelValues(outcome).Inc()
+	m.latency.WithLabelValues(outcome).Observe(took.Seconds())
+}
+
+func (m *Metrics) refused(kind string) { m.refusals.WithLabelValues(kind).Inc() }
+
+func (m *Metrics) stalled() { m.stalls.Inc() }
--- /dev/null
+++ b/internal/gateway/forward/stream.go
@@ -0,0 +1,311 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/gateway"
+	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
+	"github.com/bilberryrock/bilberryrock/internal/gateway/path"
+	"github.com/bilberryrock/bilberryrock/internal/routing/pool"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// firstPatience and gapPatience are the times without an event, as multiples of
+	// the route's target and of its longest gap, after which the first engine is
+	// asked what the stream waits for.
+	firstPatience = 1
+	gapPatience   = 2
+	// leastPatience is used where a route sets no target or gap.
+	leastPatience = 200 * time.Millisecond
+	// maxChecks is the number of checks without a finding after which a stream goes
+	// on elsewhere. Clients leave a silent stream after about two seconds.
+	maxChecks = 3
+)
+
+// stream forwards a request whose answer is a series of events.
+func (q *request) stream(ctx context.Context) {
+	s := &relay{request: q, last: q.call.LastEvent, resumed: q.call.HasLastEvent}
+	for q.maySend(ctx) {
+		if s.run(ctx) {
+			return
+		}
+	}
+	s.giveUp(ctx)
+}
+
+// relay forwards one stream, possibly from several engines in turn.
+type relay struct {
+	*request
+	// last is the number of the newest event that the client has.
+	last uint64
+	// resumed tells that the next send asks for the events after last.
+	resumed bool
+	// begun tells that the head of the answer was sent to the client.
+	begun  bool
+	failed *answer
+}
+
+// route is where one send goes.
+type route struct {
+	hops   []path.Hop
+	target exchange.Target
+	done   func(ok bool, refused bool)
+}
+
+// choose picks a path of engines, or one upstream of a plain service.
+func (s *relay) choose() (route, error) {
+	if p := s.pool.Paths; p != nil {
+		hops, err := p.Choose(nil)
+		if err != nil {
+			return route{}, err
+		}
+		return route{
+			hops: hops, target: exchange.Target{ID: hops[0].ID, Address: hops[0].Address},
+			done: func(ok, _ bool) { p.Done(hops, ok) },
+		}, nil
+	}
+	lease, err := s.pool.Upstreams.Pick(pool.Ask{Avoid: s.avoid})
+	if err != nil {
+		return route{}, err
+	}
+	u := lease.Upstream()
+	s.avoid = append(s.avoid, u.ID)
+	return route{
+		target: exchange.Target{ID: u.ID, Address: u.Address},
+		done: func(ok, refused bool) {
+			switch {
+			case ok:
+				lease.Done(pool.Succeeded)
+			case s.r.Context().Err() != nil:
+				lease.Done(pool.Canceled)
+			case refused:
+				lease.Done(pool.Unreachable)
+			default:
+				lease.Done(pool.Failed)
+			}
+		},
+	}, nil
+}
+
+// run makes one send and reports whether the request is finished.
+func (s *relay) run(ctx context.Context) bool {
+	t, err := s.choose()
+	if err != nil {
+		s.lastErr = err
+		s.giveUp(ctx)
+		return true
+	}
+	s.sends++
+	s.request.last = string(t.target.ID)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	w := s.watch(ctx, cancel, t)
+	defer w.stop()
+	finished, res, err := s.forward(ctx, t, w)
+	var x *exchange.Error
+	refused := errors.As(err, &x) && x.Refused
+	t.done(err == nil && res == answered, refused)
+	if err == nil {
+		return finished
+	}
+	if cause := context.Cause(ctx); ctx.Err() != nil && cause != nil {
+		err = errors.Wrap(cause, err.Error())
+	}
+	if res != notRun {
+		s.runs++
+	}
+	if refused {
+		s.blame(t.target.Address)
+	}
+	s.lastErr = err
+	s.logger.Info("A stream broke.", zap.String("request", string(s.call.ID)), zap.String("upstream", string(t.target.ID)),
+		zap.Uint64("lastEvent", s.last), zap.Int("result", int(res)), zap.Any("path", t.hops), zap.Error(err))
+	return finished
+}
+
+// forward sends the request and relays the events of its answer.
+func (s *relay) forward(ctx context.Context, t route, w *watcher) (bool, result, error) {
+	x, err := s.client.Send(ctx, t.target, s.message(gateway.Send{
+		Upstream: t.target.ID, Path: t.hops, LastEvent: s.last, HasLastEvent: s.resumed,
+	}))
+	if err != nil {
+		return false, resultOf(err), err
+	}
+	defer x.Close()
+	reply := s.dialect.ReadReply(x.Response.StatusCode, x.Response.Header)
+	if reply.NotRun {
+		if reply.At != "" {
+			s.blame(reply.At)
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, bufferedBytes)); err == nil {
+			x.Keep()
+		}
+		return false, notRun, refusal.New(refusal.NoUpstream, "upstream %s answered %d without running the request, because of %q",
+			t.target.ID, x.Response.StatusCode, reply.At)
+	}
+	if !reply.Sealed || reply.ID != s.call.ID || x.Response.Header.Get("Content-Encoding") != "" {
+		return false, unknown, refusal.New(refusal.UpstreamFailed, "upstream %s sent an answer that is not its own", t.target.ID)
+	}
+	if x.Response.StatusCode != http.StatusOK {
+		return s.failure(x, t)
+	}
+	return s.events(x, w)
+}
+
+// failure keeps the answer of an upstream that failed. It is forwarded unless
+// another send has an answer.
+func (s *relay) failure(x *exchange.Exchange, t route) (bool, result, error) {
+	body, err := io.ReadAll(io.LimitReader(x.Response.Body, bufferedBytes))
+	if err != nil {
+		return false, unknown, errors.Wrapf(err, "read the answer of upstream %s", t.target.ID)
+	}
+	x.Keep()
+	a := &answer{status: x.Response.StatusCode, header: x.Response.Header, body: body}
+	if a.status < http.StatusInternalServerError && !s.begun {
+		s.deliver(a)
+		return true, answered, nil
+	}
+	s.failed = a
+	return false, failedRun, refusal.New(refusal.UpstreamFailed, "upstream %s answered %d", t.target.ID, a.status)
+}
+
+// events relays whole events, so that a stream that breaks within an event can go
+// on elsewhere.
+func (s *relay) events(x *exchange.Exchange, w *watcher) (bool, result, error) {
+	in := events{reader: bufio.NewReaderSize(x.Response.Body, 2<<10)}
+	flush := http.NewResponseController(s.w)
+	for {
+		e, err := in.next()
+		if errors.Is(err, io.EOF) {
+			s.begin(x.Response)
+			s.outcome = "answered"
+			x.Keep()
+			return true, answered, nil
+		}
+		if err != nil {
+			return false, unknown, errors.Wrap(err, "read the stream")
+		}
+		w.progress()
+		if e.id > 0 && e.id <= s.last {
+			continue // the client has it
+		}
+		s.begin(x.Response)
+		if e.id > 0 {
+			s.last, s.resumed = e.id, true
+		}
+		if _, err := s.w.Write(e.raw); err != nil {
+			return true, answered, errors.Wrap(err, "write to the client")
+		}
+		if err := flush.Flush(); err != nil {
+			return true, answered, errors.Wrap(err, "write to the client")
+		}
+	}
+}
+
+// begin sends the head of the answer once. Later engines go on under it.
+func (s *relay) begin(p *http.Response) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	s.status = p.StatusCode
+	copyHeaders(s.w.Header(), p.Header)
+	s.w.Header().Del("Content-Length")
+	s.w.WriteHeader(p.StatusCode)
+}
+
+// giveUp ends a stream that no engine completes. A stream that has begun is cut
+// off, so that it doesn't look complete.
+func (s *relay) giveUp(ctx context.Context) {
+	if s.begun {
+		s.outcome = "broken"
+		if s.r.Context().Err() != nil {
+			s.outcome = "clientGone"
+		}
+		panic(http.ErrAbortHandler)
+	}
+	if s.failed != nil && s.r.Context().Err() == nil {
+		s.deliver(s.failed)
+		return
+	}
+	s.fail(ctx)
+}
+
+// blame passes over the engine at an address for a while.
+func (s *relay) blame(address string) {
+	if s.pool.Paths != nil {
+		s.pool.Paths.Fail(address)
+	}
+}
+
+// watcher notices that a stream makes no progress and finds out why.
+type watcher struct {
+	relay  *relay
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	route  route
+	timer  *time.Timer
+	checks int
+}
+
+func (s *relay) watch(ctx context.Context, cancel context.CancelCauseFunc, t route) *watcher {
+	w := &watcher{relay: s, ctx: ctx, cancel: cancel, route: t}
+	w.timer = time.AfterFunc(patience(s.request.route.Target, firstPatience), w.check)
+	return w
+}
+
+func patience(d time.Duration, n int) time.Duration { return max(leastPatience, d*time.Duration(n)) }
+
+func (w *watcher) progress() {
+	w.timer.Reset(patience(w.relay.request.route.MaxGap, gapPatience))
+}
+
+func (w *watcher) stop() { w.timer.Stop() }
+
+// check asks the first engine which part of the path it waits for.
+func (w *watcher) check() {
+	if w.ctx.Err() != nil {
+		return
+	}
+	s := w.relay
+	s.metrics.stalled()
+	w.checks++
+	first := w.route.target.Address
+	r, err := s.stalls.ask(w.ctx, w.route.target)
+	if w.ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		s.blame(first)
+		w.cancel(errors.Wrapf(err, "engine at %s does not answer", first))
+		return
+	}
+	for _, k := range r.Stalled {
+		if k.Request == s.call.ID || w.passes(k.Address) {
+			s.blame(k.Address)
+			w.cancel(errors.Errorf("the stream waits for the engine at %s", k.Address))
+			return
+		}
+	}
+	if w.checks >= maxChecks {
+		w.cancel(errors.New("the stream made no progress"))
+		return
+	}
+	w.timer.Reset(patience(s.request.route.MaxGap, gapPatience))
+}
+
+func (w *watcher) passes(address string) bool {
+	for _, h := range w.route.hops {
+		if h.Address == address {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/gateway/path/path.go
@@ -0,0 +1,289 @@
+// Package path chooses the engines that a request passes through, so that each
+// layer runs once and in order.
+//
+// A Planner is given the engines in use from time to time. Choose then returns
+// the cheapest path by the time of the layers on each card, the transfers
+// between engines and data centres, and the requests that this instance has on
+// each engine. Engines that failed are passed over for a while.
+package path
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/registry"
+	"github.com/bilberryrock/bilberryrock/internal/release"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+)
+
+const (
+	// maxHops is the longest path that engines accept.
+	maxHops = 32
+	// hopDelay is the one-way delay between engines of a data centre, and
+	// crossDelay the one between data centres.
+	hopDelay   = 200 * time.Microsecond
+	crossDelay = 300 * time.Microsecond
+	// pipeShare is the part of the pipe between data centres that one request can
+	// count on while others use it.
+	pipeShare = 0.1
+	// entryCrossing is the cost of a first engine in another data centre than the
+	// gateway, whose traffic is paid for.
+	entryCrossing = 2 * time.Second
+	// loadFactor is the slowdown by each request of this instance on an engine.
+	// Other gateways have about as many there.
+	loadFactor = 0.04
+	// jitter spreads the choices of several gateways over engines of equal cost.
+	jitter = 0.2
+	// firstHold and longestHold bound the time for which a failed engine is passed
+	// over. It doubles with each further failure.
+	firstHold   = 1500 * time.Millisecond
+	longestHold = 12 * time.Second
+)
+
+// Hop is a part of a path.
+type Hop struct {
+	ID      fleet.UpstreamID
+	Address string
+	Layers  upstream.LayerRange
+}
+
+// Planner chooses paths for one pool. It is safe for concurrent use.
+type Planner struct {
+	clock  fleet.Clock
+	home   fleet.DataCentreID
+	random func() float64
+
+	mu      sync.Mutex
+	model   *release.Engine
+	engines []*engine
+	byID    map[fleet.UpstreamID]*engine
+	bounds  []int
+}
+
+type engine struct {
+	entry    registry.Entry
+	perLayer float64 // seconds for one usual request and one layer
+	active   int
+	failures int
+	heldTo   time.Time
+}
+
+// New returns a Planner without engines, for a gateway in a data centre.
+func New(clock fleet.Clock, home fleet.DataCentreID, random func() float64) *Planner {
+	if random == nil {
+		random = rand.Float64
+	}
+	return &Planner{clock: clock, home: home, random: random, byID: make(map[fleet.UpstreamID]*engine)}
+}
+
+// Refresh replaces the engines that may be used. What was learned about an engine
+// stays as long as its incarnation does.
+func (p *Planner) Refresh(m *release.Engine, es []registry.Entry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.byID
+	p.model, p.engines, p.byID = m, nil, make(map[fleet.UpstreamID]*engine, len(es))
+	cuts := []int{0, m.Layers}
+	for _, e := range es {
+		c, ok := m.Cards[e.Card]
+		if !ok || e.Layers.Len() == 0 || int(e.Layers.To) > m.Layers {
+			continue
+		}
+		k := old[e.ID]
+		if k == nil || k.entry.Born != e.Born {
+			k = &engine{}
+		}
+		k.entry = e
+		k.perLayer = perLayer(m, c)
+		p.engines = append(p.engines, k)
+		p.byID[e.ID] = k
+		cuts = append(cuts, int(e.Layers.From), int(e.Layers.To))
+	}
+	slices.Sort(cuts)
+	p.bounds = slices.Compact(cuts)
+}
+
+func perLayer(m *release.Engine, c release.Card) float64 {
+	steps := float64(m.UsualAnswer) * m.StepMS * c.Pace / 1e3
+	read := 0.0
+	if m.ReadPerSecond > 0 {
+		read = float64(m.UsualPrompt) / m.ReadPerSecond * c.ReadFactor
+	}
+	return (steps + read) / float64(m.Layers)
+}
+
+// state is the cheapest way to have run the layers before a bound, which ends at
+// an engine of one data centre.
+type state struct {
+	cost float64
+	hop  Hop
+	from *state
+	hops int
+	home fleet.DataCentreID
+}
+
+// Choose returns a path that avoids some engines. Done must be called with it.
+// The error is of kind refusal.NoUpstream.
+func (p *Planner) Choose(avoid []fleet.UpstreamID) ([]Hop, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.model == nil {
+		return nil, refusal.New(refusal.NoUpstream, "no engine is known")
+	}
+	usable, costs := p.usable(avoid)
+	hops := p.search(usable, costs)
+	if hops == nil {
+		return nil, refusal.New(refusal.NoUpstream, "%d usable engines of %d do not hold all %d layers",
+			len(usable), len(p.engines), p.model.Layers)
+	}
+	for _, h := range hops {
+		p.byID[h.ID].active++
+	}
+	return hops, nil
+}
+
+func (p *Planner) usable(avoid []fleet.UpstreamID) ([]*engine, []float64) {
+	now := p.clock.Now()
+	var es []*engine
+	var costs []float64
+	for _, e := range p.engines {
+		if now.Before(e.heldTo) || slices.Contains(avoid, e.entry.ID) {
+			continue
+		}
+		es = append(es, e)
+		costs = append(costs, e.perLayer*(1+loadFactor*float64(e.active))*(1+jitter*p.random()))
+	}
+	return es, costs
+}
+
+// search runs over the bounds in order and keeps the cheapest state for each data
+// centre.
+func (p *Planner) search(es []*engine, costs []float64) []Hop {
+	best := make([]map[fleet.DataCentreID]*state, len(p.bounds))
+	best[0] = map[fleet.DataCentreID]*state{p.home: {home: p.home}}
+	for i := range p.bounds[:len(p.bounds)-1] {
+		for _, s := range best[i] {
+			for k, e := range es {
+				p.extend(best, i, s, e, costs[k])
+			}
+		}
+	}
+	var end *state
+	for _, s := range best[len(best)-1] {
+		if end == nil || s.cost < end.cost {
+			end = s
+		}
+	}
+	if end == nil {
+		return nil
+	}
+	hops := make([]Hop, end.hops)
+	for s := end; s.from != nil; s = s.from {
+		hops[s.hops-1] = s.hop
+	}
+	return hops
+}
+
+// extend lets an engine run the layers from bound i to each later bound that it
+// holds.
+func (p *Planner) extend(best []map[fleet.DataCentreID]*state, i int, s *state, e *engine, cost float64) {
+	from := p.bounds[i]
+	if int(e.entry.Layers.From) > from || int(e.entry.Layers.To) <= from || s.hops >= maxHops || uses(s, e) {
+		return
+	}
+	base := s.cost + p.transfer(s, e)
+	d := e.entry.DataCentre
+	for j := i + 1; j < len(p.bounds) && p.bounds[j] <= int(e.entry.Layers.To); j++ {
+		c := base + cost*float64(p.bounds[j]-from)
+		if old := best[j][d]; old != nil && old.cost <= c {
+			continue
+		}
+		if best[j] == nil {
+			best[j] = make(map[fleet.DataCentreID]*state)
+		}
+		best[j][d] = &state{
+			cost: c, from: s, hops: s.hops + 1, home: d,
+			hop: Hop{
+				ID: e.entry.ID, Address: e.entry.Address,
+				Layers: upstream.LayerRange{From: fleet.Layer(from), To: fleet.Layer(p.bounds[j])},
+			},
+		}
+	}
+}
+
+// uses reports whether a path has an engine already. Engines accept no path in
+// which they appear twice.
+func uses(s *state, e *engine) bool {
+	for ; s.from != nil; s = s.from {
+		if s.hop.ID == e.entry.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// transfer returns the cost in seconds of going on at an engine.
+func (p *Planner) transfer(s *state, e *engine) float64 {
+	if s.hops == 0 {
+		if e.entry.DataCentre != p.home {
+			return entryCrossing.Seconds()
+		}
+		return 0
+	}
+	tokens := float64(p.model.UsualAnswer)
+	if s.home == e.entry.DataCentre {
+		return tokens * hopDelay.Seconds()
+	}
+	bits := (tokens + float64(p.model.UsualPrompt)) * p.model.ActivationBytes * 8
+	pipe := 0.0
+	if p.model.PipeMbps > 0 {
+		pipe = bits / (p.model.PipeMbps * 1e6 * pipeShare)
+	}
+	return tokens*crossDelay.Seconds() + pipe
+}
+
+// Done ends a request on a path. ok tells that all engines did their part.
+func (p *Planner) Done(hops []Hop, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range hops {
+		e := p.byID[h.ID]
+		if e == nil {
+			continue
+		}
+		e.active = max(0, e.active-1)
+		if ok && e.failures > 0 {
+			e.failures, e.heldTo = 0, time.Time{}
+		}
+	}
+}
+
+// Fail passes over the engine at an address for a while.
+func (p *Planner) Fail(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for _, e := range p.engines {
+		if e.entry.Address != address || now.Before(e.heldTo) {
+			continue
+		}
+		hold := time.Duration(float64(firstHold) * math.Pow(2, float64(e.failures)))
+		e.heldTo = now.Add(min(hold, longestHold))
+		e.failures++
+	}
+}
+
+// Ready reports whether a path exists.
+func (p *Planner) Ready() bool {
+	hops, err := p.Choose(nil)
+	if err != nil {
+		return false
+	}
+	p.Done(hops, false)
+	return true
+}
--- a/internal/quorum/journal/identity.go
+++ b/internal/quorum/journal/identity.go
@@ -5,7 +5,9 @@
 	"path/filepath"
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
+	"github.com/bilberryrock/bilberryrock/internal/quorum/replica"
 	"github.com/pkg/errors"
 )
 
@@ -27,6 +29,9 @@
 	// Replaced tells that the folder took a new id, because the one in the
 	// settings belongs to a lost folder.
 	Replaced bool
+	// Initial are the first members of all groups. It is empty in a folder that
+	// joined later.
+	Initial []replica.Voter
 	// Groups are the groups whose journals were created in the folder.
 	Groups []quorum.GroupID
 	// Damage says why the folder must not be used any more, or is empty.
@@ -55,6 +60,11 @@
 	for v, f := range p.GetFolders() {
 		id.Folders[quorum.VoterID(v)] = FolderID(f)
 	}
+	for _, v := range p.GetInitial() {
+		id.Initial = append(id.Initial, replica.Voter{
+			ID: quorum.VoterID(v.GetId()), Instance: fleet.InstanceID(v.GetInstance()), Address: v.GetAddress(),
+		})
+	}
 	for _, g := range p.GetGroups() {
 		id.Groups = append(id.Groups, quorum.GroupID(g))
 	}
@@ -70,6 +80,9 @@
 	for v, f := range id.Folders {
 		p.Folders[uint64(v)] = uint64(f)
 	}
+	for _, v := range id.Initial {
+		p.Initial = append(p.Initial, &peerv1.Voter{Id: uint64(v.ID), Instance: string(v.Instance), Address: v.Address})
+	}
 	for _, g := range id.Groups {
 		p.Groups = append(p.Groups, string(g))
 	}
--- a/internal/quorum/voter/client.go
+++ b/internal/quorum/voter/client.go
@@ -30,7 +30,10 @@
 	conns  *connections
 	// local answers for the own instance of a Voter. It is nil in a Client
 	// without a voter.
-	local   func(ctx context.Context, c call) ([]byte, error)
+	local func(ctx context.Context, c call) ([]byte, error)
+	// others returns the voters that a Voter has heard from. It is nil in a Client
+	// without a voter.
+	others  func() []Peer
 	mu      sync.Mutex
 	leaders map[quorum.GroupID]Peer
 	// silent are the addresses that did not answer a call in time. They are asked
@@ -144,6 +147,10 @@
 		ps = append(ps, Peer{Instance: c.config.instance, Address: c.config.address})
 	}
 	ps = append(ps, c.config.initial...)
+	ps = append(ps, c.config.contacts...)
+	if c.others != nil {
+		ps = append(ps, c.others()...)
+	}
 	slices.SortStableFunc(ps, func(a, b Peer) int {
 		return rank(a.Address == silent) - rank(b.Address == silent)
 	})
--- a/internal/quorum/voter/form.go
+++ b/internal/quorum/voter/form.go
@@ -99,6 +99,9 @@
 		return nil
 	}
 	v.identity.Voter = id
+	for _, p := range v.config.initial {
+		v.identity.Initial = append(v.identity.Initial, replica.Voter{ID: p.ID, Instance: p.Instance, Address: p.Address})
+	}
 	if id == 0 {
 		v.identity.Voter = quorum.VoterID(newID())
 		v.identity.Replaced = true
@@ -169,7 +172,7 @@
 func (v *Voter) askToJoin(id quorum.GroupID) error {
 	var err error
 	asked := make(map[string]bool)
-	for _, p := range v.config.initial {
+	for _, p := range slices.Concat(v.config.initial, v.config.contacts, v.heard()) {
 		for p.Address != "" && p.Instance != v.config.instance && !asked[p.Address] {
 			asked[p.Address] = true
 			if err = v.joinAt(p, id); err == nil {
--- a/internal/quorum/voter/member.go
+++ b/internal/quorum/voter/member.go
@@ -52,6 +52,8 @@
 	// keepEntries the number that the log keeps before a snapshot.
 	snapshotEntries int
 	keepEntries     int
+	// open lets instances without a voter join.
+	open bool
 }
 
 // member runs the replica of one group against its journal and state machine. It
@@ -349,7 +351,11 @@
 		return
 	}
 	s := m.replica.Status()
-	if c, ok := nextChange(s.Progress, s.Commit); ok {
+	c, ok := nextChange(s.Progress, s.Commit)
+	if !ok && m.open {
+		c, ok = nextAddition(s.Progress, s.Commit)
+	}
+	if ok {
 		// A refused change is tried again after the next pause.
 		_, _, _ = m.replica.ProposeChange(c)
 	}
@@ -381,6 +387,16 @@
 	return replica.Change{}, false
 }
 
+// nextAddition returns the promotion of an additional voter that has caught up.
+func nextAddition(ps []replica.Progress, commit quorum.Index) (replica.Change, bool) {
+	for _, p := range ps {
+		if p.Voter.Learner && p.Voter.Replaces == 0 && p.Active && p.Match >= commit {
+			return replica.Change{Kind: replica.Promote, Voter: p.Voter}, true
+		}
+	}
+	return replica.Change{}, false
+}
+
 func hasSuccessor(later []replica.Progress, v replica.Voter) bool {
 	return slices.ContainsFunc(later, func(p replica.Progress) bool { return p.Voter.Instance == v.Instance })
 }
@@ -401,6 +417,9 @@
 		return
 	}
 	lost, err := predecessor(s.Progress, v.Instance)
+	if refusal.KindOf(err) == refusal.Forbidden && m.open {
+		lost, err = vacancy(s.Progress), nil
+	}
 	if err != nil {
 		d(nil, err)
 		return
@@ -431,6 +450,17 @@
 	return lost, nil
 }
 
+// vacancy returns a voter that is gone and has no successor yet, or 0.
+func vacancy(ps []replica.Progress) quorum.VoterID {
+	for _, p := range ps {
+		taken := slices.ContainsFunc(ps, func(o replica.Progress) bool { return o.Voter.Replaces == p.Voter.ID })
+		if !p.Voter.Learner && (!p.Active || p.Lost) && !taken {
+			return p.Voter.ID
+		}
+	}
+	return 0
+}
+
 // stop ends all proposals and reads and closes the journal.
 func (m *member) stop() error {
 	m.fail(errors.New("voter is stopping"))
--- a/internal/quorum/voter/options.go
+++ b/internal/quorum/voter/options.go
@@ -57,6 +57,8 @@
 	disk            journal.Disk
 	clock           fleet.Clock
 	initial         []Peer
+	contacts        []Peer
+	open            bool
 	machines        map[quorum.GroupID]quorum.Reader
 	order           []quorum.GroupID
 	tick            time.Duration
@@ -87,6 +89,14 @@
 // them. Later changes come from the log.
 func Initial(ps ...Peer) Option { return func(c *config) { c.initial = ps } }
 
+// Contacts sets addresses at which voters may be found, besides the initial ones
+// and those that the log names. They need not be up.
+func Contacts(ps ...Peer) Option { return func(c *config) { c.contacts = ps } }
+
+// Open lets instances that are no voters join the groups. A new instance takes
+// the place of a voter that is gone, or becomes an additional voter.
+func Open() Option { return func(c *config) { c.open = true } }
+
 // Group adds a group and its state machine.
 func Group(id quorum.GroupID, m quorum.Reader) Option {
 	return func(c *config) {
--- a/internal/quorum/voter/service.go
+++ b/internal/quorum/voter/service.go
@@ -1,6 +1,7 @@
 package voter
 
 import (
+	"cmp"
 	"context"
 	"slices"
 
@@ -103,6 +104,18 @@
 	v.directory[o.ID] = o
 }
 
+// heard returns the voters that sent messages to this one.
+func (v *Voter) heard() []Peer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var ps []Peer
+	for _, o := range v.directory {
+		ps = append(ps, Peer{ID: o.ID, Instance: o.Instance, Address: o.Address})
+	}
+	slices.SortFunc(ps, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+	return ps
+}
+
 func (v *Voter) known(id quorum.VoterID) (replica.Voter, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -96,6 +96,7 @@
 	v.ctx, v.cancel = context.WithCancel(context.Background())
 	v.client = newClient(c, v.conns)
 	v.client.local = v.local
+	v.client.others = v.heard
 	if err := v.begin(); err != nil {
 		_ = v.Stop(context.Background())
 		return nil, err
@@ -166,7 +167,7 @@
 	m, err := openMember(memberConfig{
 		group: id, options: o, initial: v.initialVoters(), machine: v.config.machines[id],
 		disk: v.config.disk, dir: dir, send: g.send, background: g.background,
-		snapshotEntries: v.config.snapshotEntries, keepEntries: v.config.keepEntries,
+		snapshotEntries: v.config.snapshotEntries, keepEntries: v.config.keepEntries, open: v.config.open,
 	})
 	if err != nil {
 		return err
@@ -214,6 +215,10 @@
 	if v.identity.Replaced {
 		return nil
 	}
+	if len(v.identity.Initial) > 0 {
+		return v.identity.Initial
+	}
+	// Folders that were made before identities named the members.
 	var vs []replica.Voter
 	for _, p := range v.config.initial {
 		vs = append(vs, replica.Voter{ID: p.ID, Instance: p.Instance, Address: p.Address})
--- /dev/null
+++ b/internal/registry/feed/client.go
@@ -0,0 +1,207 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/registry"
+	"github.com/bilberryrock/bilberryrock/internal/release"
+	"github.com/bilberryrock/bilberryrock/internal/release/store"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+)
+
+const (
+	// silence is the time without a message after which a controller counts as
+	// unreachable. It covers a few intervals and a slow controller.
+	silence = 4 * Interval
+	// firstMessage bounds the time to connect and get the first message.
+	firstMessage = 1200 * time.Millisecond
+	// pause is the wait before the next controller is tried.
+	pause = 60 * time.Millisecond
+)
+
+// Update is one message of a controller in the types of the system.
+type Update struct {
+	From    string // peer address of the controller
+	Held    store.Held
+	Entries []registry.Entry
+	// Confirmed is the own clock at a time after which a majority confirmed that
+	// ConfirmedVersion was the newest release, or 0.
+	Confirmed        time.Duration
+	ConfirmedVersion release.Version
+	Gateways         int
+	// OwnGateways counts those of the controller that sent the message.
+	OwnGateways int
+	Controllers []string
+}
+
+// Receiver gets the updates of a Client from one goroutine.
+type Receiver interface {
+	// Stamp reads a clock that goes on while the machine is suspended.
+	Stamp() time.Duration
+	Receive(u Update)
+	// Version returns the newest release that the receiver has.
+	Version() release.Version
+}
+
+// Client follows one controller at a time and turns to another one when it goes
+// silent.
+type Client struct {
+	instance fleet.InstanceID
+	clock    fleet.Clock
+	receiver Receiver
+	logger   *zap.Logger
+	dial     []grpc.DialOption
+	// fixed is the only controller to follow, or empty.
+	fixed  string
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+
+	mu    sync.Mutex
+	known []string
+	near  string
+}
+
+// ClientOption sets one property of a Client.
+type ClientOption func(*Client)
+
+// Only makes a controller follow one other controller and nothing else.
+func Only(address string) ClientOption { return func(c *Client) { c.fixed = address } }
+
+// Seeds sets the controllers that are known from the start.
+func Seeds(addresses ...string) ClientOption {
+	return func(c *Client) { c.known = append(c.known, addresses...) }
+}
+
+// Near sets the address that is tried first.
+func Near(address string) ClientOption { return func(c *Client) { c.near = address } }
+
+// Dial adds options for connections.
+func Dial(os ...grpc.DialOption) ClientOption {
+	return func(c *Client) { c.dial = append(c.dial, os...) }
+}
+
+// NewClient starts to follow. Stop ends it.
+func NewClient(id fleet.InstanceID, clock fleet.Clock, r Receiver, l *zap.Logger, os ...ClientOption) *Client {
+	c := &Client{instance: id, clock: clock, receiver: r, logger: l.Named("feed")}
+	for _, o := range os {
+		o(c)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.wait.Go(func() {
+		last := ""
+		for ctx.Err() == nil {
+			address := c.next(last)
+			last = address
+			if address != "" {
+				err := c.follow(ctx, address)
+				if ctx.Err() == nil {
+					c.logger.Warn("The feed of a controller ended.", zap.String("controller", address), zap.Error(err))
+				}
+			}
+			select {
+			case <-ctx.Done():
+			case <-c.clock.After(pause):
+			}
+		}
+	})
+	return c
+}
+
+// Stop ends the stream and waits for it.
+func (c *Client) Stop() {
+	c.cancel()
+	c.wait.Wait()
+}
+
+// next returns the controller to try after last.
+func (c *Client) next(last string) string {
+	if c.fixed != "" {
+		return c.fixed
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if last == "" && c.near != "" {
+		return c.near
+	}
+	others := slices.DeleteFunc(slices.Clone(c.known), func(a string) bool { return a == last })
+	if len(others) == 0 {
+		return last
+	}
+	return others[rand.IntN(len(others))]
+}
+
+// Learn adds controllers to those that may be followed.
+func (c *Client) Learn(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range addresses {
+		if !slices.Contains(c.known, a) {
+			c.known = append(c.known, a)
+		}
+	}
+}
+
+// follow reads one stream until it fails or goes silent.
+func (c *Client) follow(ctx context.Context, address string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	conn, err := grpc.NewClient("passthrough:///"+address, c.dial...)
+	if err != nil {
+		return errors.Wrapf(err, "connect to %s", address)
+	}
+	defer func() { _ = conn.Close() }()
+	timer := time.AfterFunc(firstMessage, cancel)
+	defer timer.Stop()
+	s, err := peerv1.NewFeedClient(conn).Follow(ctx)
+	if err != nil {
+		return errors.Wrapf(err, "follow %s", address)
+	}
+	ask := &peerv1.FollowRequest{
+		Instance: string(c.instance), Controller: c.fixed != "", Version: uint64(c.receiver.Version()),
+		Stamp: uint64(c.receiver.Stamp().Microseconds()),
+	}
+	if err := s.Send(ask); err != nil {
+		return errors.Wrapf(err, "follow %s", address)
+	}
+	first := true
+	for {
+		p, err := s.Recv()
+		if err != nil {
+			return errors.Wrapf(err, "follow %s", address)
+		}
+		timer.Reset(silence)
+		if first {
+			c.logger.Info("Following a controller.", zap.String("controller", address))
+			first = false
+		}
+		c.Learn(p.GetControllers())
+		c.receiver.Receive(c.decode(address, p))
+		if err := s.Send(&peerv1.FollowRequest{Stamp: uint64(c.receiver.Stamp().Microseconds())}); err != nil {
+			return errors.Wrapf(err, "follow %s", address)
+		}
+	}
+}
+
+func (c *Client) decode(address string, p *peerv1.FeedUpdate) Update {
+	u := Update{
+		From:             address,
+		Held:             store.Held{Version: release.Version(p.GetVersion()), Packed: p.GetRelease()},
+		Confirmed:        time.Duration(p.GetConfirmedStamp()) * time.Microsecond,
+		ConfirmedVersion: release.Version(p.GetConfirmedVersion()),
+		Gateways:         int(p.GetGateways()), OwnGateways: int(p.GetOwnGateways()), Controllers: p.GetControllers(),
+	}
+	now := c.clock.Now()
+	for _, e := range p.GetEntries() {
+		u.Entries = append(u.Entries, fromProto(e, now))
+	}
+	return u
+}
--- /dev/null
+++ b/internal/registry/feed/server.go
@@ -0,0 +1,218 @@
+// Package feed carries releases and the roster from the controllers to the
+// gateways, and the roster between controllers.
+//
+// A Server streams updates. A message comes at least once in Interval, so that a
+// Client notices a connection that went silent and follows another controller.
+package feed
+
+import (
+	"sync"
+	"time"
+
+	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/registry"
+	"github.com/bilberryrock/bilberryrock/internal/registry/catalog"
+	"github.com/bilberryrock/bilberryrock/internal/release"
+	"github.com/bilberryrock/bilberryrock/internal/release/store"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"go.uber.org/zap"
+)
+
+const (
+	// Interval is the longest time between two messages of a Server.
+	Interval = 250 * time.Millisecond
+	// settle lets changes that come together share a message.
+	settle = 5 * time.Millisecond
+)
+
+// Confirmation tells that a majority confirmed a release as the newest one, at
+// some time after Start. The zero value stands for none.
+type Confirmation struct {
+	Version release.Version
+	Start   time.Time
+}
+
+// Source is what a Server streams.
+type Source interface {
+	// Confirmation returns the newest confirmation.
+	Confirmation() Confirmation
+	// Controllers returns the peer addresses of all controllers.
+	Controllers() []string
+}
+
+// Server implements peerv1.FeedServer. It is safe for concurrent use.
+type Server struct {
+	peerv1.UnimplementedFeedServer
+	clock   fleet.Clock
+	catalog *catalog.Catalog
+	store   *store.Store
+	source  Source
+	logger  *zap.Logger
+	stop    chan struct{}
+
+	mu        sync.Mutex
+	followers int
+	elsewhere map[string]int // gateways of other controllers, by peer address
+}
+
+// NewServer returns a Server that streams what the catalog, the store and the
+// source hold.
+func NewServer(clock fleet.Clock, c *catalog.Catalog, s *store.Store, o Source, l *zap.Logger) *Server {
+	return &Server{
+		clock: clock, catalog: c, store: s, source: o, logger: l.Named("feed"),
+		stop: make(chan struct{}), elsewhere: make(map[string]int),
+	}
+}
+
+// Stop ends all streams, so that the followers turn to other controllers.
+func (s *Server) Stop() { close(s.stop) }
+
+// NoteGateways records how many gateways another controller serves.
+func (s *Server) NoteGateways(controller string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.elsewhere[controller] = n
+}
+
+// Follow implements peerv1.FeedServer.
+func (s *Server) Follow(stream peerv1.Feed_FollowServer) error {
+	r, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	var seen stamps
+	seen.add(r.GetStamp(), s.clock.Now())
+	go func() {
+		for {
+			q, err := stream.Recv()
+			if err != nil {
+				return // the context of the stream ends as well
+			}
+			seen.add(q.GetStamp(), s.clock.Now())
+		}
+	}()
+	s.count(r, 1)
+	defer s.count(r, -1)
+	s.logger.Info("A follower came.", zap.String("instance", r.GetInstance()), zap.Bool("controller", r.GetController()))
+	defer s.logger.Info("A follower left.", zap.String("instance", r.GetInstance()))
+	sent := release.Version(r.GetVersion())
+	stamp := uint64(0)
+	for {
+		changed := s.catalog.Changed()
+		held, newer := s.store.Current()
+		u := s.update(r.GetController(), &stamp)
+		c := s.source.Confirmation()
+		u.ConfirmedVersion, u.ConfirmedStamp = uint64(c.Version), seen.before(c.Start)
+		if held.Version > sent && !r.GetController() {
+			u.Version, u.Release = uint64(held.Version), held.Packed
+			sent = held.Version
+		}
+		if err := stream.Send(u); err != nil {
+			return err
+		}
+		select {
+		case <-stream.Context().Done():
+			return nil
+		case <-s.stop:
+			return nil
+		case <-changed:
+		case <-newer:
+		case <-s.clock.After(Interval):
+			continue
+		}
+		select {
+		case <-stream.Context().Done():
+			return nil
+		case <-s.clock.After(settle):
+		}
+	}
+}
+
+// stamps holds the clock readings that a follower sent, with the times of their
+// arrival.
+type stamps struct {
+	mu   sync.Mutex
+	list []arrival
+	best uint64
+}
+
+type arrival struct {
+	stamp uint64
+	at    time.Time
+}
+
+func (t *stamps) add(stamp uint64, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.list = append(t.list, arrival{stamp, at})
+}
+
+// before returns the newest stamp that arrived before a time. Times that are
+// asked for must not decrease.
+func (t *stamps) before(start time.Time) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for n < len(t.list) && t.list[n].at.Before(start) {
+		t.best = max(t.best, t.list[n].stamp)
+		n++
+	}
+	t.list = t.list[n:]
+	return t.best
+}
+
+func (s *Server) count(r *peerv1.FollowRequest, n int) {
+	if r.GetController() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.followers += n
+}
+
+func (s *Server) gateways() (own, all int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all = s.followers
+	for _, n := range s.elsewhere {
+		all += n
+	}
+	return s.followers, all
+}
+
+func (s *Server) update(controller bool, stamp *uint64) *peerv1.FeedUpdate {
+	own, all := s.gateways()
+	u := &peerv1.FeedUpdate{
+		Gateways: uint32(all), OwnGateways: uint32(own), Controllers: s.source.Controllers(),
+	}
+	es, newest := s.catalog.Since(*stamp, controller)
+	*stamp = newest
+	now := s.clock.Now()
+	for _, e := range es {
+		u.Entries = append(u.Entries, toProto(e, now))
+	}
+	return u
+}
+
+func toProto(e registry.Entry, now time.Time) *peerv1.UpstreamEntry {
+	return &peerv1.UpstreamEntry{
+		Id: string(e.ID), Born: uint64(e.Born), Sequence: e.Sequence, Pool: string(e.Pool),
+		Address: e.Address, DataCentre: string(e.DataCentre), Slots: uint32(e.Slots),
+		State: peerv1.UpstreamState(e.State), Card: e.Card,
+		FromLayer: uint32(e.Layers.From), ToLayer: uint32(e.Layers.To),
+		AgeUs:  uint64(max(0, now.Sub(e.Heard)).Microseconds()),
+		ColdMs: uint64(e.Cold.Milliseconds()),
+	}
+}
+
+func fromProto(p *peerv1.UpstreamEntry, now time.Time) registry.Entry {
+	return registry.Entry{
+		ID: fleet.UpstreamID(p.GetId()), Born: fleet.Incarnation(p.GetBorn()), Sequence: p.GetSequence(),
+		Pool: fleet.PoolID(p.GetPool()), Address: p.GetAddress(), DataCentre: fleet.DataCentreID(p.GetDataCentre()),
+		Slots: int(p.GetSlots()), State: registry.State(p.GetState()), Card: p.GetCard(),
+		Layers: upstream.LayerRange{From: fleet.Layer(p.GetFromLayer()), To: fleet.Layer(p.GetToLayer())},
+		Cold:   time.Duration(p.GetColdMs()) * time.Millisecond,
+		Heard:  now.Add(-time.Duration(p.GetAgeUs()) * time.Microsecond),
+	}
+}
--- /dev/null
+++ b/internal/release/store/store.go
@@ -0,0 +1,152 @@
+// Package store is the state machine of accepted releases: it keeps the content
+// of the highest version that was proposed.
+//
+//	s := store.New()
+//	v, err := voter.New(voter.Group(quorum.ConfigGroup, s), ...)
+//	reply, err := v.Propose(ctx, quorum.ConfigGroup, store.Command(version, content))
+//	current := s.Current()
+package store
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/binary"
+	"io"
+	"sync"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/quorum"
+	"github.com/bilberryrock/bilberryrock/internal/release"
+	"github.com/pkg/errors"
+)
+
+// versionBytes is the length of the version before the packed content.
+const versionBytes = 8
+
+// Held is a release as the log carries it.
+type Held struct {
+	Version release.Version
+	// Packed is the content, compressed with gzip.
+	Packed []byte
+}
+
+// Store holds the newest release. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	held    Held
+	applied quorum.Index
+	changed chan struct{}
+}
+
+var _ quorum.Reader = (*Store)(nil)
+
+// New returns a Store without a release.
+func New() *Store { return &Store{changed: make(chan struct{})} }
+
+// Command returns the log entry that offers a release.
+func Command(v release.Version, content []byte) ([]byte, error) {
+	var b bytes.Buffer
+	_ = binary.Write(&b, binary.BigEndian, uint64(v)) // a Buffer does not fail
+	z := gzip.NewWriter(&b)
+	if _, err := z.Write(content); err != nil {
+		return nil, errors.Wrap(err, "compress the release")
+	}
+	if err := z.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress the release")
+	}
+	return b.Bytes(), nil
+}
+
+// Unpack returns the content of a release as the operator sent it.
+func (h Held) Unpack() ([]byte, error) {
+	z, err := gzip.NewReader(bytes.NewReader(h.Packed))
+	if err != nil {
+		return nil, errors.Wrapf(err, "release %d", h.Version)
+	}
+	content, err := io.ReadAll(z)
+	return content, errors.Wrapf(err, "release %d", h.Version)
+}
+
+// Apply takes a release if its version is higher than the one held. The reply is
+// the version that is held then.
+func (s *Store) Apply(i quorum.Index, command []byte) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applied = i
+	if h, ok := parse(command); ok && h.Version > s.held.Version {
+		s.set(h)
+	}
+	return s.version()
+}
+
+// Query returns the version that is held.
+func (s *Store) Query([]byte) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version()
+}
+
+// VersionOf decodes the reply of Apply and Query.
+func VersionOf(reply []byte) (release.Version, error) {
+	if len(reply) != versionBytes {
+		return 0, refusal.New(refusal.Internal, "reply of %d bytes is no version", len(reply))
+	}
+	return release.Version(binary.BigEndian.Uint64(reply)), nil
+}
+
+// Snapshot returns the release that is held.
+func (s *Store) Snapshot() ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append(s.version(), s.held.Packed...), nil
+}
+
+// Restore replaces the release that is held.
+func (s *Store) Restore(snapshot []byte) error {
+	h, ok := parse(snapshot)
+	if !ok {
+		return errors.Errorf("snapshot of %d bytes has no version", len(snapshot))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set(h)
+	return nil
+}
+
+// Current returns the newest release that this instance has applied, and a
+// channel that is closed once there is a newer one.
+func (s *Store) Current() (Held, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held, s.changed
+}
+
+// Offer takes a release that was learned outside of the log, from an instance
+// that had applied it.
+func (s *Store) Offer(h Held) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h.Version > s.held.Version {
+		s.set(h)
+	}
+}
+
+func (s *Store) set(h Held) {
+	s.held = h
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) version() []byte {
+	return binary.BigEndian.AppendUint64(nil, uint64(s.held.Version))
+}
+
+func parse(b []byte) (Held, bool) {
+	if len(b) < versionBytes {
+		return Held{}, false
+	}
+	return Held{
+		Version: release.Version(binary.BigEndian.Uint64(b)),
+		Packed:  bytes.Clone(b[versionBytes:]),
+	}, true
+}
