Keep memory for 100 streams, and choose paths by memory and data centre

Streams last 2.6 s, so a chain carries 50 to 110 at a time, not 48. Change: room for 100 streams, a fixed cost of crossing data centres, a cost for memory use, a short hold for engines that refuse at once, a wait of 600 ms for a path, and a first plan once the engines of a new fleet have come.

--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -27,6 +27,12 @@
 	// maxChecks is the number of checks without a finding after which a stream goes
 	// on elsewhere. Clients leave a silent stream after about two seconds.
 	maxChecks = 3
+	// atOnce bounds the time in which an engine that is alive refuses a request.
+	atOnce = 700 * time.Millisecond
+	// pathWait and pathPoll bound the wait for a path while engines are full or
+	// lost. A client that is told to come back does so once.
+	pathWait = 600 * time.Millisecond
+	pathPoll = 40 * time.Millisecond
 )
 
 // stream forwards a request whose answer is a series of events.
@@ -59,6 +65,22 @@
 	done   func(ok bool, refused bool)
 }
 
+// await waits for a path for a while.
+func (s *relay) await(ctx context.Context) (route, error) {
+	start := s.clock.Now()
+	for {
+		t, err := s.choose()
+		if err == nil || s.clock.Now().Sub(start) >= pathWait {
+			return t, err
+		}
+		select {
+		case <-ctx.Done():
+			return route{}, err
+		case <-s.clock.After(pathPoll):
+		}
+	}
+}
+
 // choose picks a path of engines, or one upstream of a plain service.
 func (s *relay) choose() (route, error) {
 	if p := s.pool.Paths; p != nil {
@@ -96,7 +118,7 @@
 
 // run makes one send and reports whether the request is finished.
 func (s *relay) run(ctx context.Context) bool {
-	t, err := s.choose()
+	t, err := s.await(ctx)
 	if err != nil {
 		s.lastErr = err
 		s.giveUp(ctx)
@@ -132,6 +154,7 @@
 
 // forward sends the request and relays the events of its answer.
 func (s *relay) forward(ctx context.Context, t route, w *watcher) (bool, result, error) {
+	sent := s.clock.Now()
 	x, err := s.client.Send(ctx, t.target, s.message(gateway.Send{
 		Upstream: t.target.ID, Path: t.hops, LastEvent: s.last, HasLastEvent: s.resumed,
 	}))
@@ -141,9 +164,7 @@
 	defer x.Close()
 	reply := s.dialect.ReadReply(x.Response.StatusCode, x.Response.Header)
 	if reply.NotRun {
-		if reply.At != "" {
-			s.blame(reply.At)
-		}
+		s.noteRefusal(reply, x.Response.StatusCode, s.clock.Now().Sub(sent))
 		if _, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, bufferedBytes)); err == nil {
 			x.Keep()
 		}
@@ -159,6 +180,20 @@
 	return s.events(x, w)
 }
 
+// noteRefusal passes over the engine that did not do its part. An engine that
+// refuses at once has no free memory, or is giving its layers up. One that is dead
+// shows only after a time.
+func (s *relay) noteRefusal(r gateway.Reply, status int, took time.Duration) {
+	if r.At == "" || s.pool.Paths == nil {
+		return
+	}
+	if status == http.StatusServiceUnavailable && took < atOnce {
+		s.pool.Paths.Full(r.At)
+		return
+	}
+	s.blame(r.At)
+}
+
 // failure keeps the answer of an upstream that failed. It is forwarded unless
 // another send has an answer.
 func (s *relay) failure(x *exchange.Exchange, t route) (bool, result, error) {
--- a/internal/gateway/path/path.go
+++ b/internal/gateway/path/path.go
@@ -24,25 +24,23 @@
 const (
 	// maxHops is the longest path that engines accept.
 	maxHops = 32
-	// hopDelay is the one-way delay between engines of a data centre, and
-	// crossDelay the one between data centres.
-	hopDelay   = 200 * time.Microsecond
-	crossDelay = 300 * time.Microsecond
-	// pipeShare is the part of the pipe between data centres that one request can
-	// count on while others use it.
-	pipeShare = 0.1
-	// entryCrossing is the cost of a first engine in another data centre than the
-	// gateway, whose traffic is paid for.
-	entryCrossing = 2 * time.Second
-	// loadFactor is the slowdown by each request of this instance on an engine.
-	// Other gateways have about as many there.
-	loadFactor = 0.04
+	// hopDelay is the one-way delay between engines of a data centre.
+	hopDelay = 200 * time.Microsecond
+	// crossing is the cost of going on in another data centre. The traffic of both
+	// directions is paid for, and the pipe is shared with all other requests.
+	crossing = 500 * time.Millisecond
+	// pressureFactor is the slowdown that an engine counts with when its memory is
+	// estimated to be full. It grows with the square of the use.
+	pressureFactor = 4
 	// jitter spreads the choices of several gateways over engines of equal cost.
 	jitter = 0.2
 	// firstHold and longestHold bound the time for which a failed engine is passed
 	// over. It doubles with each further failure.
 	firstHold   = 1500 * time.Millisecond
 	longestHold = 12 * time.Second
+	// fullHold is the time for which an engine without free memory is passed over.
+	// Streams end all the time.
+	fullHold = 200 * time.Millisecond
 )
 
 // Hop is a part of a path.
@@ -59,6 +57,7 @@
 	random func() float64
 
 	mu      sync.Mutex
+	sharers float64 // gateways that use the same engines
 	model   *release.Engine
 	engines []*engine
 	byID    map[fleet.UpstreamID]*engine
@@ -68,6 +67,7 @@
 type engine struct {
 	entry    registry.Entry
 	perLayer float64 // seconds for one usual request and one layer
+	streams  float64 // usual requests that fit into the memory
 	active   int
 	failures int
 	heldTo   time.Time
@@ -82,10 +82,12 @@
 }
 
 // Refresh replaces the engines that may be used. What was learned about an engine
-// stays as long as its incarnation does.
-func (p *Planner) Refresh(m *release.Engine, es []registry.Entry) {
+// stays as long as its incarnation does. gateways is the number of gateways of all
+// data centres.
+func (p *Planner) Refresh(m *release.Engine, es []registry.Entry, gateways int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sharers = max(1, float64(gateways)/float64(max(1, dataCentres(es))))
 	old := p.byID
 	p.model, p.engines, p.byID = m, nil, make(map[fleet.UpstreamID]*engine, len(es))
 	cuts := []int{0, m.Layers}
@@ -100,6 +102,7 @@
 		}
 		k.entry = e
 		k.perLayer = perLayer(m, c)
+		k.streams = streams(m, c, e.Layers.Len())
 		p.engines = append(p.engines, k)
 		p.byID[e.ID] = k
 		cuts = append(cuts, int(e.Layers.From), int(e.Layers.To))
@@ -117,6 +120,24 @@
 	return (steps + read) / float64(m.Layers)
 }
 
+func dataCentres(es []registry.Entry) int {
+	seen := make(map[fleet.DataCentreID]bool)
+	for _, e := range es {
+		seen[e.DataCentre] = true
+	}
+	return len(seen)
+}
+
+// streams returns how many usual requests fit beside a number of layers.
+func streams(m *release.Engine, c release.Card, held int) float64 {
+	free := (c.MemoryMB - float64(held)*m.LayerMB) * 1e6
+	each := float64(m.UsualPrompt+m.UsualAnswer) * m.TokenBytes / float64(m.Layers) * float64(held)
+	if each <= 0 {
+		return math.Inf(1)
+	}
+	return max(free/each, 1)
+}
+
 // state is the cheapest way to have run the layers before a bound, which ends at
 // an engine of one data centre.
 type state struct {
@@ -156,7 +177,8 @@
 			continue
 		}
 		es = append(es, e)
-		costs = append(costs, e.perLayer*(1+loadFactor*float64(e.active))*(1+jitter*p.random()))
+		use := float64(e.active) * p.sharers / e.streams
+		costs = append(costs, e.perLayer*(1+pressureFactor*use*use)*(1+jitter*p.random()))
 	}
 	return es, costs
 }
@@ -229,22 +251,13 @@
 
 // transfer returns the cost in seconds of going on at an engine.
 func (p *Planner) transfer(s *state, e *engine) float64 {
+	if s.home != e.entry.DataCentre {
+		return crossing.Seconds()
+	}
 	if s.hops == 0 {
-		if e.entry.DataCentre != p.home {
-			return entryCrossing.Seconds()
-		}
 		return 0
 	}
-	tokens := float64(p.model.UsualAnswer)
-	if s.home == e.entry.DataCentre {
-		return tokens * hopDelay.Seconds()
-	}
-	bits := (tokens + float64(p.model.UsualPrompt)) * p.model.ActivationBytes * 8
-	pipe := 0.0
-	if p.model.PipeMbps > 0 {
-		pipe = bits / (p.model.PipeMbps * 1e6 * pipeShare)
-	}
-	return tokens*crossDelay.Seconds() + pipe
+	return float64(p.model.UsualAnswer) * hopDelay.Seconds()
 }
 
 // Done ends a request on a path. ok tells that all engines did their part.
@@ -278,6 +291,19 @@
 	}
 }
 
+// Full passes over the engine at an address until some of its requests may have
+// ended.
+func (p *Planner) Full(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for _, e := range p.engines {
+		if e.entry.Address == address && !now.Before(e.heldTo) {
+			e.heldTo = now.Add(fullHold)
+		}
+	}
+}
+
 // Ready reports whether a path exists.
 func (p *Planner) Ready() bool {
 	hops, err := p.Choose(nil)
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -179,7 +179,7 @@
 		if p.Paths == nil {
 			p.Paths = path.New(s.clock, s.home, rand.Float64)
 		}
-		p.Paths.Refresh(v.Engine, es)
+		p.Paths.Refresh(v.Engine, es, int(s.gateways.Load()))
 		return
 	}
 	if p.Upstreams == nil {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -35,9 +35,10 @@
 }
 
 // usualStreams is the number of concurrent streams of usual size for which an
-// engine keeps memory free. A chain that makes a token in 15 ms serves 20 new
-// streams a second with about 45 at a time.
-const usualStreams = 48
+// engine keeps memory free. A chain that makes a token in 17 ms serves 25 new
+// streams of 154 tokens a second with about 65 at a time, and half as many again
+// while another data centre is out.
+const usualStreams = 100
 
 // Capacity returns how many layers a card can hold at most, and how many when
 // it keeps memory for the usual requests.
--- a/internal/placement/placer/placer.go
+++ b/internal/placement/placer/placer.go
@@ -27,8 +27,9 @@
 	// covers one heartbeat of each upstream.
 	settle = 1500 * time.Millisecond
 	// firstSettle lets the engines of a new fleet come together, so that the first
-	// plan sees all of them.
-	firstSettle = 400 * time.Millisecond
+	// plan sees all of them. They start over about a second and send a heartbeat
+	// each second.
+	firstSettle = 2500 * time.Millisecond
 	// callTimeout bounds one call of an engine.
 	callTimeout = time.Second
 	// retryPause is the time before an engine is asked again after a failure.
@@ -63,7 +64,7 @@
 	mu      sync.Mutex
 	engines map[incarnation]*engine
 	fence   fleet.Fence
-	since   time.Time // of the leadership
+	since   time.Time // of the leadership, or of the first engine seen under it
 }
 
 type incarnation struct {
@@ -129,6 +130,10 @@
 		p.logger.Info("This instance places layers.", zap.Uint64("fence", uint64(f)))
 	}
 	es := p.catalog.All(p.alive)
+	if len(es) == 0 {
+		p.since = now
+		return
+	}
 	if now.Sub(p.since) < p.settleTime(es) {
 		return
 	}
