Hold requests while the configuration is confirmed; end graceful stops by shutdown

A gateway that followed a controller without its disk had no release for 2 s. Ruled out: slow elections (0.5 s after the start). Change: requests wait up to 1.2 s for a confirmed configuration; a controller turns gateways away while it lacks the newest release; a voter asks to join each 300 ms; a gateway closes its listener and idle connections 2.6 s after SIGTERM.

--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -38,10 +38,10 @@
 	freshLimit = 2500 * time.Millisecond
 	// stopMargin is kept between the end of a graceful stop and SIGKILL.
 	stopMargin = 700 * time.Millisecond
-	// drainLeast is how long a gateway takes new connections after SIGTERM. The
-	// platform needs two checks, a second apart, to notice that it is not ready.
-	drainLeast = 2500 * time.Millisecond
-	drainPoll  = 50 * time.Millisecond
+	// drainLeast is how long a gateway takes requests after SIGTERM. The platform
+	// needs two checks, a second apart, to notice that it is not ready, and streams
+	// that begin within three seconds may be cut at the end.
+	drainLeast = 2600 * time.Millisecond
 	// headerTimeout bounds the time to read the head of a request, and idleTimeout
 	// the time between two requests. Clients reuse connections for a shorter time.
 	headerTimeout = 10 * time.Second
@@ -95,8 +95,14 @@
 		return err
 	}
 	handler.Close()
-	drain(handler, s.Grace)
-	return front.Close()
+	time.Sleep(drainLeast)
+	ctx, cancel := context.WithTimeout(context.Background(), s.Grace-stopMargin-drainLeast)
+	defer cancel()
+	if err := front.Shutdown(ctx); err != nil {
+		log.Warn("Requests were in progress at the stop.", zap.Int64("requests", handler.Active()), zap.Error(err))
+		return front.Close()
+	}
+	return nil
 }
 
 // near returns the seed whose address is closest to the own one, which is in the
@@ -115,19 +121,6 @@
 	return best
 }
 
-// drain waits until no request is in progress and no new ones come, but not until
-// SIGKILL.
-func drain(h *forward.Handler, grace time.Duration) {
-	start := time.Now()
-	for {
-		time.Sleep(drainPoll)
-		passed := time.Since(start)
-		if passed >= grace-stopMargin || passed >= drainLeast && h.Active() == 0 {
-			return
-		}
-	}
-}
-
 // runController serves the operator, the workers and the other daemons until
 // SIGTERM.
 func runController(s platform.Settings, log *zap.Logger) error {
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -35,6 +35,11 @@
 	// come back. The spread keeps refused clients from coming back together.
 	retryLeast  = 300 * time.Millisecond
 	retrySpread = 700 * time.Millisecond
+	// admissionWait and admissionPoll bound the wait for a configuration that a
+	// majority confirms. Clients leave a request without an answer after about two
+	// seconds.
+	admissionWait = 1200 * time.Millisecond
+	admissionPoll = 25 * time.Millisecond
 	// extraSends are the sends beyond the attempts of a route that upstreams
 	// answered without running the request.
 	extraSends = 2
@@ -108,7 +113,7 @@
 	if h.closing.Load() || !h.state.Ready() {
 		w.Header().Set("Connection", "close")
 	}
-	if err := q.admit(); err != nil {
+	if err := q.awaitAdmission(); err != nil {
 		q.refuse(err)
 		return
 	}
@@ -126,18 +131,41 @@
 	q.plain(ctx)
 }
 
+// awaitAdmission waits a while for what the gateway lacks after a start or while
+// its controllers elect a leader. A refused client comes back once at most.
+func (q *request) awaitAdmission() error {
+	for {
+		err := q.admit()
+		if refusal.KindOf(err) != refusal.NotReady {
+			return err
+		}
+		limit := admissionWait
+		if q.call.Budget > 0 {
+			limit = min(limit, q.call.Budget/2)
+		}
+		if q.clock.Now().Sub(q.arrival) >= limit || q.closing.Load() {
+			return err
+		}
+		select {
+		case <-q.r.Context().Done():
+			return err
+		case <-q.clock.After(admissionPoll):
+		}
+	}
+}
+
 // admit finds the route and the account of the request.
 func (q *request) admit() error {
-	t := q.state.Table()
-	if t == nil {
-		return refusal.New(refusal.NotReady, "no configuration is known yet")
-	}
-	q.table = t
 	call, err := q.dialect.ReadCall(q.r.Header)
 	q.call = call
 	if err != nil {
 		return err
 	}
+	t := q.state.Table()
+	if t == nil {
+		return refusal.New(refusal.NotReady, "no configuration is known yet")
+	}
+	q.table = t
 	if len(t.Release.Accounts) > 0 && !q.state.Leased() {
 		return refusal.New(refusal.NotReady, "the configuration was last confirmed %s ago", q.state.Age().Round(time.Millisecond))
 	}
--- a/internal/quorum/voter/form.go
+++ b/internal/quorum/voter/form.go
@@ -18,7 +18,7 @@
 	formPause = 200 * time.Millisecond
 	// settlePauses bounds the wait for the others to settle, in formPause.
 	settlePauses = 25
-	joinPause    = time.Second
+	joinPause    = 300 * time.Millisecond
 )
 
 // form finds out under which id this folder takes part, and starts the groups.
--- a/internal/registry/feed/server.go
+++ b/internal/registry/feed/server.go
@@ -17,6 +17,8 @@
 	"github.com/bilberryrock/bilberryrock/internal/release/store"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 	"go.uber.org/zap"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 )
 
 const (
@@ -92,6 +94,9 @@
 			seen.add(q.GetStamp(), s.clock.Now())
 		}
 	}()
+	if err := s.mayServe(r); err != nil {
+		return err
+	}
 	s.count(r, 1)
 	defer s.count(r, -1)
 	s.logger.Info("A follower came.", zap.String("instance", r.GetInstance()), zap.Bool("controller", r.GetController()))
@@ -129,6 +134,17 @@
 	}
 }
 
+// mayServe turns gateways away while this controller lacks a release that it knows
+// of, as after the loss of its disk.
+func (s *Server) mayServe(r *peerv1.FollowRequest) error {
+	held, _ := s.store.Current()
+	c := s.source.Confirmation()
+	if r.GetController() || held.Version >= c.Version && !c.Start.IsZero() {
+		return nil
+	}
+	return status.Errorf(codes.Unavailable, "release %d has not arrived here", c.Version)
+}
+
 // stamps holds the clock readings that a follower sent, with the times of their
 // arrival.
 type stamps struct {
