Share the use of engines over all gateways

Ruled out: polling the engines, which is priced as status checks and lags. Change: gateways send their requests in progress with each message to their controller, controllers exchange sums, and the planner weighs engines by the sum; failures seen by two gateways set an engine aside everywhere.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -27,6 +27,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/registry"
 	"github.com/bilberryrock/bilberryrock/internal/registry/catalog"
 	"github.com/bilberryrock/bilberryrock/internal/registry/feed"
+	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
 	"github.com/bilberryrock/bilberryrock/internal/release"
 	"github.com/bilberryrock/bilberryrock/internal/release/store"
 	"github.com/pkg/errors"
@@ -376,6 +377,7 @@
 	for a, p := range c.peers {
 		if !slices.Contains(members, a) {
 			delete(c.peers, a)
+			c.feed.DropPeer(a)
 			c.wait.Go(p.Stop)
 		}
 	}
@@ -390,12 +392,15 @@
 // Version implements feed.Receiver.
 func (p *peer) Version() release.Version { return 0 }
 
+// Uses implements feed.Receiver.
+func (p *peer) Uses() []usage.Use { return nil }
+
 // Receive implements feed.Receiver.
 func (p *peer) Receive(u feed.Update) {
 	for _, e := range u.Entries {
 		p.controller.catalog.Put(e, false)
 	}
-	p.controller.feed.NoteGateways(u.From, u.OwnGateways)
+	p.controller.feed.NotePeer(u)
 }
 
 // Collector returns the metrics of the replicated log.
--- a/internal/gateway/path/path.go
+++ b/internal/gateway/path/path.go
@@ -17,6 +17,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/registry"
+	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
 	"github.com/bilberryrock/bilberryrock/internal/release"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 )
@@ -29,15 +30,24 @@
 	// crossing is the cost of going on in another data centre. The traffic of both
 	// directions is paid for, and the pipe is shared with all other requests.
 	crossing = 500 * time.Millisecond
-	// pressureFactor is the slowdown that an engine counts with when its memory is
-	// estimated to be full. It grows with the square of the use.
-	pressureFactor = 4
+	// fullest is the greatest use of an engine's memory that its cost tells apart.
+	// The cost grows as the time in a queue does, so that fast engines fill first
+	// and none fills up.
+	fullest = 0.97
+	// usesAge is the age up to which the uses that the controller adds up are used.
+	// Without them, the other gateways count as busy as this one.
+	usesAge = 2 * time.Second
+	// burst is the number of other gateways that are taken to choose an engine
+	// together with this one before the next sums arrive.
+	burst = 3
 	// jitter spreads the choices of several gateways over engines of equal cost.
 	jitter = 0.2
 	// firstHold and longestHold bound the time for which a failed engine is passed
 	// over. It doubles with each further failure.
 	firstHold   = 1500 * time.Millisecond
 	longestHold = 12 * time.Second
+	// failureNews is how long a failure is told to the controller.
+	failureNews = time.Second
 	// fullHold is the time for which an engine without free memory is passed over.
 	// Streams end all the time.
 	fullHold = 200 * time.Millisecond
@@ -62,6 +72,7 @@
 	engines []*engine
 	byID    map[fleet.UpstreamID]*engine
 	bounds  []int
+	told    time.Time // of the newest sums
 }
 
 type engine struct {
@@ -69,7 +80,10 @@
 	perLayer float64 // seconds for one usual request and one layer
 	streams  float64 // usual requests that fit into the memory
 	active   int
+	shared   int // requests of all gateways, as last told
+	since    int // own requests since then
 	failures int
+	failed   time.Time // last own finding
 	heldTo   time.Time
 }
 
@@ -164,6 +178,7 @@
 	}
 	for _, h := range hops {
 		p.byID[h.ID].active++
+		p.byID[h.ID].since++
 	}
 	return hops, nil
 }
@@ -177,12 +192,57 @@
 			continue
 		}
 		es = append(es, e)
-		use := float64(e.active) * p.sharers / e.streams
-		costs = append(costs, e.perLayer*(1+pressureFactor*use*use)*(1+jitter*p.random()))
+		use := min(p.load(e, now)/e.streams, fullest)
+		costs = append(costs, e.perLayer/(1-use)*(1+jitter*p.random()))
 	}
 	return es, costs
 }
 
+// load estimates the requests of all gateways on an engine.
+func (p *Planner) load(e *engine, now time.Time) float64 {
+	if p.told.IsZero() || now.Sub(p.told) > usesAge {
+		return float64(e.active) * p.sharers
+	}
+	return float64(e.shared) + float64(e.since)*min(p.sharers, burst)
+}
+
+// Uses returns the requests in progress and the failures of the last second.
+func (p *Planner) Uses() []usage.Use {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	var us []usage.Use
+	for _, e := range p.engines {
+		failed := !e.failed.IsZero() && now.Sub(e.failed) < failureNews
+		if e.active > 0 || failed {
+			us = append(us, usage.Use{ID: e.entry.ID, Active: e.active, Failed: failed})
+		}
+	}
+	return us
+}
+
+// SetUses takes the sums over all gateways. Engines that failed for several
+// gateways are passed over here too.
+func (p *Planner) SetUses(us []usage.Use) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	p.told = now
+	for _, e := range p.engines {
+		e.shared, e.since = 0, 0
+	}
+	for _, u := range us {
+		e := p.byID[u.ID]
+		if e == nil {
+			continue
+		}
+		e.shared = u.Active
+		if u.Failed && !now.Before(e.heldTo) {
+			p.hold(e, now)
+		}
+	}
+}
+
 // search runs over the bounds in order and keeps the cheapest state for each data
 // centre.
 func (p *Planner) search(es []*engine, costs []float64) []Hop {
@@ -285,12 +345,17 @@
 		if e.entry.Address != address || now.Before(e.heldTo) {
 			continue
 		}
-		hold := time.Duration(float64(firstHold) * math.Pow(2, float64(e.failures)))
-		e.heldTo = now.Add(min(hold, longestHold))
-		e.failures++
+		e.failed = now
+		p.hold(e, now)
 	}
 }
 
+func (p *Planner) hold(e *engine, now time.Time) {
+	d := time.Duration(float64(firstHold) * math.Pow(2, float64(e.failures)))
+	e.heldTo = now.Add(min(d, longestHold))
+	e.failures++
+}
+
 // Full passes over the engine at an address until some of its requests may have
 // ended.
 func (p *Planner) Full(address string) {
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -18,6 +18,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/registry"
 	"github.com/bilberryrock/bilberryrock/internal/registry/catalog"
 	"github.com/bilberryrock/bilberryrock/internal/registry/feed"
+	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
 	"github.com/bilberryrock/bilberryrock/internal/release"
 	"github.com/bilberryrock/bilberryrock/internal/release/table"
 	"github.com/bilberryrock/bilberryrock/internal/routing/pool"
@@ -93,6 +94,19 @@
 // Stamp implements feed.Receiver.
 func (s *State) Stamp() time.Duration { return s.clock.Boot() }
 
+// Uses implements feed.Receiver.
+func (s *State) Uses() []usage.Use {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var us []usage.Use
+	for _, p := range s.pools {
+		if p.Paths != nil {
+			us = append(us, p.Paths.Uses()...)
+		}
+	}
+	return us
+}
+
 // Version implements feed.Receiver.
 func (s *State) Version() release.Version {
 	if t := s.table.Load(); t != nil {
@@ -115,6 +129,7 @@
 	if u.ConfirmedVersion <= s.Version() && int64(u.Confirmed) > s.confirmed.Load() {
 		s.confirmed.Store(int64(u.Confirmed))
 	}
+	s.shareUses(u.Uses)
 	now := s.clock.Now()
 	if taken || changed || now.Sub(s.refreshed) >= refreshEvery {
 		s.refreshed = now
@@ -122,6 +137,16 @@
 	}
 }
 
+func (s *State) shareUses(us []usage.Use) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, p := range s.pools {
+		if p.Paths != nil {
+			p.Paths.SetUses(us)
+		}
+	}
+}
+
 // take puts a newer release in force. One that cannot be read is left out, with
 // all that it changes.
 func (s *State) take(u feed.Update) bool {
--- a/internal/registry/feed/client.go
+++ b/internal/registry/feed/client.go
@@ -10,6 +10,7 @@
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/registry"
+	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
 	"github.com/bilberryrock/bilberryrock/internal/release"
 	"github.com/bilberryrock/bilberryrock/internal/release/store"
 	"github.com/pkg/errors"
@@ -40,6 +41,8 @@
 	// OwnGateways counts those of the controller that sent the message.
 	OwnGateways int
 	Controllers []string
+	// Uses add up the requests of all gateways, or of those of one controller.
+	Uses []usage.Use
 }
 
 // Receiver gets the updates of a Client from one goroutine.
@@ -47,6 +50,8 @@
 	// Stamp reads a clock that goes on while the machine is suspended.
 	Stamp() time.Duration
 	Receive(u Update)
+	// Uses returns the own requests in progress.
+	Uses() []usage.Use
 	// Version returns the newest release that the receiver has.
 	Version() release.Version
 }
@@ -185,7 +190,10 @@
 		}
 		c.Learn(p.GetControllers())
 		c.receiver.Receive(c.decode(address, p))
-		if err := s.Send(&peerv1.FollowRequest{Stamp: uint64(c.receiver.Stamp().Microseconds())}); err != nil {
+		ask := &peerv1.FollowRequest{
+			Stamp: uint64(c.receiver.Stamp().Microseconds()), Uses: usesToProto(c.receiver.Uses()),
+		}
+		if err := s.Send(ask); err != nil {
 			return errors.Wrapf(err, "follow %s", address)
 		}
 	}
@@ -198,6 +206,7 @@
 		Confirmed:        time.Duration(p.GetConfirmedStamp()) * time.Microsecond,
 		ConfirmedVersion: release.Version(p.GetConfirmedVersion()),
 		Gateways:         int(p.GetGateways()), OwnGateways: int(p.GetOwnGateways()), Controllers: p.GetControllers(),
+		Uses: usesFromProto(p.GetUses()),
 	}
 	now := c.clock.Now()
 	for _, e := range p.GetEntries() {
--- a/internal/registry/feed/server.go
+++ b/internal/registry/feed/server.go
@@ -13,6 +13,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/registry"
 	"github.com/bilberryrock/bilberryrock/internal/registry/catalog"
+	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
 	"github.com/bilberryrock/bilberryrock/internal/release"
 	"github.com/bilberryrock/bilberryrock/internal/release/store"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
@@ -50,6 +51,7 @@
 	catalog *catalog.Catalog
 	store   *store.Store
 	source  Source
+	usage   *usage.Table
 	logger  *zap.Logger
 	stop    chan struct{}
 
@@ -62,7 +64,7 @@
 // source hold.
 func NewServer(clock fleet.Clock, c *catalog.Catalog, s *store.Store, o Source, l *zap.Logger) *Server {
 	return &Server{
-		clock: clock, catalog: c, store: s, source: o, logger: l.Named("feed"),
+		clock: clock, catalog: c, store: s, source: o, usage: usage.New(clock), logger: l.Named("feed"),
 		stop: make(chan struct{}), elsewhere: make(map[string]int),
 	}
 }
@@ -70,11 +72,20 @@
 // Stop ends all streams, so that the followers turn to other controllers.
 func (s *Server) Stop() { close(s.stop) }
 
-// NoteGateways records how many gateways another controller serves.
-func (s *Server) NoteGateways(controller string, n int) {
+// NotePeer records the gateways of another controller and what they use.
+func (s *Server) NotePeer(u Update) {
+	s.usage.SetPeer(u.From, u.Uses)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.elsewhere[controller] = n
+	s.elsewhere[u.From] = u.OwnGateways
+}
+
+// DropPeer forgets a controller that is no member any more.
+func (s *Server) DropPeer(address string) {
+	s.usage.DropPeer(address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.elsewhere, address)
 }
 
 // Follow implements peerv1.FeedServer.
@@ -83,6 +94,7 @@
 	if err != nil {
 		return err
 	}
+	instance := fleet.InstanceID(r.GetInstance())
 	var seen stamps
 	seen.add(r.GetStamp(), s.clock.Now())
 	go func() {
@@ -92,6 +104,9 @@
 				return // the context of the stream ends as well
 			}
 			seen.add(q.GetStamp(), s.clock.Now())
+			if !r.GetController() {
+				s.usage.Set(instance, usesFromProto(q.GetUses()))
+			}
 		}
 	}()
 	if err := s.mayServe(r); err != nil {
@@ -99,6 +114,7 @@
 	}
 	s.count(r, 1)
 	defer s.count(r, -1)
+	defer s.usage.Drop(instance)
 	s.logger.Info("A follower came.", zap.String("instance", r.GetInstance()), zap.Bool("controller", r.GetController()))
 	defer s.logger.Info("A follower left.", zap.String("instance", r.GetInstance()))
 	sent := release.Version(r.GetVersion())
@@ -202,6 +218,7 @@
 	u := &peerv1.FeedUpdate{
 		Gateways: uint32(all), OwnGateways: uint32(own), Controllers: s.source.Controllers(),
 	}
+	u.Uses = usesToProto(s.usage.Sums(!controller))
 	es, newest := s.catalog.Since(*stamp, controller)
 	*stamp = newest
 	now := s.clock.Now()
@@ -211,6 +228,22 @@
 	return u
 }
 
+func usesToProto(us []usage.Use) []*peerv1.UpstreamUse {
+	ps := make([]*peerv1.UpstreamUse, len(us))
+	for i, u := range us {
+		ps[i] = &peerv1.UpstreamUse{Id: string(u.ID), Active: uint32(u.Active), Failed: u.Failed}
+	}
+	return ps
+}
+
+func usesFromProto(ps []*peerv1.UpstreamUse) []usage.Use {
+	us := make([]usage.Use, len(ps))
+	for i, p := range ps {
+		us[i] = usage.Use{ID: fleet.UpstreamID(p.GetId()), Active: int(p.GetActive()), Failed: p.GetFailed()}
+	}
+	return us
+}
+
 func toProto(e registry.Entry, now time.Time) *peerv1.UpstreamEntry {
 	return &peerv1.UpstreamEntry{
 		Id: string(e.ID), Born: uint64(e.Born), Sequence: e.Sequence, Pool: string(e.Pool),
