Make crossings of data centres scarce, notice slow engines, and move silent streams once

Change: a mid-path crossing costs 2.5 s, a whole path elsewhere 0.8 s; a stream moves without a finding only once; engines of a slow path are asked for their pace; a gateway leaves a controller without a majority for 1.5 s.

--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
@@ -24,9 +25,10 @@
 	gapPatience   = 2
 	// leastPatience is used where a route sets no target or gap.
 	leastPatience = 200 * time.Millisecond
-	// maxChecks is the number of checks without a finding after which a stream goes
-	// on elsewhere. Clients leave a silent stream after about two seconds.
-	maxChecks = 3
+	// silentChecks is the number of checks without a finding after which a stream
+	// goes on elsewhere, once, since its connection may have gone silent. Clients
+	// leave a stream without events after about two seconds.
+	silentChecks = 3
 	// atOnce bounds the time in which an engine that is alive refuses a request.
 	atOnce = 700 * time.Millisecond
 	// pathWait and pathPoll bound the wait for a path while engines are full or
@@ -56,6 +58,9 @@
 	// begun tells that the head of the answer was sent to the client.
 	begun  bool
 	failed *answer
+	// moved tells that the stream went on elsewhere without a finding. It does so
+	// only once, because moving adds to the load that makes streams slow.
+	moved bool
 }
 
 // route is where one send goes.
@@ -329,13 +334,36 @@
 			return
 		}
 	}
-	if w.checks >= maxChecks {
+	if w.checks == 1 {
+		w.findSlow()
+	}
+	if w.checks >= silentChecks && !s.moved {
+		s.moved = true
 		w.cancel(errors.New("the stream made no progress"))
 		return
 	}
 	w.timer.Reset(patience(s.request.route.MaxGap, gapPatience))
 }
 
+// findSlow asks the other engines of the path for their pace, so that further
+// streams pass over slow ones.
+func (w *watcher) findSlow() {
+	p := w.relay.pool.Paths
+	if p == nil {
+		return
+	}
+	var wait sync.WaitGroup
+	for _, h := range w.route.hops {
+		wait.Go(func() {
+			r, err := w.relay.stalls.ask(w.ctx, exchange.Target{ID: h.ID, Address: h.Address})
+			if err == nil {
+				p.SetPace(h.ID, r.Pace)
+			}
+		})
+	}
+	wait.Wait()
+}
+
 func (w *watcher) passes(address string) bool {
 	for _, h := range w.route.hops {
 		if h.Address == address {
--- a/internal/gateway/path/path.go
+++ b/internal/gateway/path/path.go
@@ -27,9 +27,13 @@
 	maxHops = 32
 	// hopDelay is the one-way delay between engines of a data centre.
 	hopDelay = 200 * time.Microsecond
-	// crossing is the cost of going on in another data centre. The traffic of both
-	// directions is paid for, and the pipe is shared with all other requests.
-	crossing = 500 * time.Millisecond
+	// entryCrossing is the cost of a first engine in another data centre. Request
+	// and answer are small.
+	entryCrossing = 800 * time.Millisecond
+	// midCrossing is the cost of going on in another data centre. Each token then
+	// sends its activations over the pipe, which all requests share: at 23 kB a token
+	// a pipe of 7.9 Gbit/s carries 46 usual requests a second.
+	midCrossing = 2500 * time.Millisecond
 	// fullest is the greatest use of an engine's memory that its cost tells apart.
 	// The cost grows as the time in a queue does, so that fast engines fill first
 	// and none fills up.
@@ -48,6 +52,8 @@
 	longestHold = 12 * time.Second
 	// failureNews is how long a failure is told to the controller.
 	failureNews = time.Second
+	// paceAge is how long a report of a slow engine counts.
+	paceAge = 4 * time.Second
 	// fullHold is the time for which an engine without free memory is passed over.
 	// Streams end all the time.
 	fullHold = 200 * time.Millisecond
@@ -84,6 +90,8 @@
 	since    int // own requests since then
 	failures int
 	failed   time.Time // last own finding
+	pace     float64   // factor by which it is slower than its card
+	paced    time.Time // of the last report of pace
 	heldTo   time.Time
 }
 
@@ -193,11 +201,28 @@
 		}
 		es = append(es, e)
 		use := min(p.load(e, now)/e.streams, fullest)
-		costs = append(costs, e.perLayer/(1-use)*(1+jitter*p.random()))
+		costs = append(costs, e.perLayer*e.slowness(now)/(1-use)*(1+jitter*p.random()))
 	}
 	return es, costs
 }
 
+// slowness is the factor by which an engine was last slower than its card.
+func (e *engine) slowness(now time.Time) float64 {
+	if e.pace <= 1 || now.Sub(e.paced) > paceAge {
+		return 1
+	}
+	return e.pace
+}
+
+// SetPace notes by which factor an engine says that it is slower than its card.
+func (p *Planner) SetPace(id fleet.UpstreamID, pace float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.byID[id]; e != nil {
+		e.pace, e.paced = pace, p.clock.Now()
+	}
+}
+
 // load estimates the requests of all gateways on an engine.
 func (p *Planner) load(e *engine, now time.Time) float64 {
 	if p.told.IsZero() || now.Sub(p.told) > usesAge {
@@ -311,10 +336,12 @@
 
 // transfer returns the cost in seconds of going on at an engine.
 func (p *Planner) transfer(s *state, e *engine) float64 {
-	if s.home != e.entry.DataCentre {
-		return crossing.Seconds()
-	}
-	if s.hops == 0 {
+	switch {
+	case s.home != e.entry.DataCentre && s.hops == 0:
+		return entryCrossing.Seconds()
+	case s.home != e.entry.DataCentre:
+		return midCrossing.Seconds()
+	case s.hops == 0:
 		return 0
 	}
 	return float64(p.model.UsualAnswer) * hopDelay.Seconds()
--- a/internal/registry/feed/client.go
+++ b/internal/registry/feed/client.go
@@ -22,6 +22,9 @@
 	// silence is the time without a message after which a controller counts as
 	// unreachable. It covers a few intervals and a slow controller.
 	silence = 4 * Interval
+	// unconfirmed is the time without a confirmation by a majority after which a
+	// gateway turns to another controller. It is longer than an election.
+	unconfirmed = 1500 * time.Millisecond
 	// firstMessage bounds the time to connect and get the first message.
 	firstMessage = 1200 * time.Millisecond
 	// pause is the wait before the next controller is tried.
@@ -164,6 +167,7 @@
 		return errors.Wrapf(err, "connect to %s", address)
 	}
 	defer func() { _ = conn.Close() }()
+	progress, confirmed := c.clock.Now(), time.Duration(0)
 	timer := time.AfterFunc(firstMessage, cancel)
 	defer timer.Stop()
 	s, err := peerv1.NewFeedClient(conn).Follow(ctx)
@@ -189,7 +193,14 @@
 			first = false
 		}
 		c.Learn(p.GetControllers())
-		c.receiver.Receive(c.decode(address, p))
+		u := c.decode(address, p)
+		c.receiver.Receive(u)
+		if u.Confirmed > confirmed {
+			progress, confirmed = c.clock.Now(), u.Confirmed
+		}
+		if c.fixed == "" && c.clock.Now().Sub(progress) > unconfirmed {
+			return errors.Errorf("controller %s is cut off from the majority", address)
+		}
 		ask := &peerv1.FollowRequest{
 			Stamp: uint64(c.receiver.Stamp().Microseconds()), Uses: usesToProto(c.receiver.Uses()),
 		}
