--- a/internal/registry/feed/client.go
+++ b/internal/registry/feed/client.go
@@ -24,7 +24,7 @@
 	silence = 4 * Interval
 	// unconfirmed is the time without a confirmation by a majority after which a
 	// gateway turns to another controller. It is longer than an election.
-	unconfirmed = 1500 * time.Millisecond
+	unconfirmed = 1100 * time.Millisecond
 	// firstMessage bounds the time to connect and get the first message.
 	firstMessage = 1200 * time.Millisecond
 	// pause is the wait before the next controller is tried.
