--- /dev/null
+++ b/internal/gateway/path/path_test.go
@@ -0,0 +1,132 @@
+package path_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/fakeclock"
+	"github.com/bilberryrock/bilberryrock/internal/gateway/path"
+	"github.com/bilberryrock/bilberryrock/internal/registry"
+	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
+	"github.com/bilberryrock/bilberryrock/internal/release"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+)
+
+// model is a small one: 8 layers of 1000 MB, 1 MB of memory for a token.
+var model = &release.Engine{
+	Layers: 8, LayerMB: 1000, TokenBytes: 1e6, StepMS: 1, ReadPerSecond: 100000, ActivationBytes: 20000,
+	PipeMbps: 8000, UsualPrompt: 600, UsualAnswer: 200,
+	Cards: map[string]release.Card{
+		"fast": {MemoryMB: 12000, Pace: 1, ReadFactor: 1},
+		"slow": {MemoryMB: 8000, Pace: 10, ReadFactor: 10},
+	},
+}
+
+// TestScripts guards against paths with missing, repeated or reordered layers,
+// against needless crossings of data centres, against engines that all gateways
+// choose at once, and against work for engines that failed. A script lists
+// engines as "id dataCentre card from to".
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, file string) {
+		clock := fakeclock.New(fakeclock.Start)
+		p := path.New(clock, "dc1", func() float64 { return 0 })
+		datadriven.RunTest(t, file, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "engines":
+				p.Refresh(model, entries(t, d), 4)
+				return ""
+			case "choose":
+				return choose(p, d.HasArg("done"))
+			case "uses":
+				p.SetUses(uses(t, d))
+				return ""
+			case "fail":
+				p.Fail(address(t, d))
+				return ""
+			case "full":
+				p.Full(address(t, d))
+				return ""
+			case "pace":
+				var x float64
+				if _, err := fmt.Sscan(d.CmdArgs[1].Vals[0], &x); err != nil {
+					d.Fatalf(t, "%v", err)
+				}
+				p.SetPace(fleet.UpstreamID(address(t, d)), x)
+				return ""
+			case "pass":
+				n, err := time.ParseDuration(d.CmdArgs[0].Key)
+				if err != nil {
+					d.Fatalf(t, "%v", err)
+				}
+				clock.Advance(n)
+				return ""
+			}
+			d.Fatalf(t, "unknown command %q", d.Cmd)
+			return ""
+		})
+	})
+}
+
+func address(t *testing.T, d *datadriven.TestData) string {
+	var s string
+	d.ScanArgs(t, "at", &s)
+	return s
+}
+
+func choose(p *path.Planner, done bool) string {
+	hops, err := p.Choose(nil)
+	if err != nil {
+		return err.Error() + "\n"
+	}
+	var b strings.Builder
+	next := fleet.Layer(0)
+	for _, h := range hops {
+		if h.Layers.From != next {
+			fmt.Fprintf(&b, "layers %d to %d are missing or repeated\n", next, h.Layers.From)
+		}
+		next = h.Layers.To
+		fmt.Fprintf(&b, "%s=%d-%d ", h.Address, h.Layers.From, h.Layers.To)
+	}
+	if int(next) != model.Layers {
+		fmt.Fprintf(&b, "the path ends at layer %d", next)
+	}
+	if done {
+		p.Done(hops, true)
+	}
+	return strings.TrimSpace(b.String()) + "\n"
+}
+
+func entries(t *testing.T, d *datadriven.TestData) []registry.Entry {
+	var es []registry.Entry
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		var e registry.Entry
+		var id, dc string
+		var from, to int
+		if _, err := fmt.Sscan(line, &id, &dc, &e.Card, &from, &to); err != nil {
+			d.Fatalf(t, "%q: %v", line, err)
+		}
+		e.ID, e.Address, e.DataCentre, e.Born = fleet.UpstreamID(id), id, fleet.DataCentreID(dc), 1
+		e.Layers = upstream.LayerRange{From: fleet.Layer(from), To: fleet.Layer(to)}
+		es = append(es, e)
+	}
+	return es
+}
+
+func uses(t *testing.T, d *datadriven.TestData) []usage.Use {
+	var us []usage.Use
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		var u usage.Use
+		var id, state string
+		if _, err := fmt.Sscan(line, &id, &u.Active, &state); err != nil {
+			d.Fatalf(t, "%q: %v", line, err)
+		}
+		u.ID, u.Failed = fleet.UpstreamID(id), state == "failed"
+		us = append(us, u)
+	}
+	return us
+}
--- /dev/null
+++ b/internal/placement/cover/cover_test.go
@@ -0,0 +1,80 @@
+package cover_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/placement"
+	"github.com/bilberryrock/bilberryrock/internal/placement/cover"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
+)
+
+// TestScripts guards against layers that no engine of a data centre holds, against
+// engines that get more than they hold, and against plans that move engines
+// without need. A script lists engines as "id dataCentre room usable pace from to".
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var engines []placement.Engine
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "engines":
+				engines = parse(t, d)
+				return ""
+			case "plan":
+				var layers int
+				d.ScanArgs(t, "layers", &layers)
+				return plan(engines, layers)
+			}
+			d.Fatalf(t, "unknown command %q", d.Cmd)
+			return ""
+		})
+	})
+}
+
+func parse(t *testing.T, d *datadriven.TestData) []placement.Engine {
+	var es []placement.Engine
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		var e placement.Engine
+		var id, dc string
+		var from, to int
+		if _, err := fmt.Sscan(line, &id, &dc, &e.Room, &e.Usable, &e.Pace, &from, &to); err != nil {
+			d.Fatalf(t, "%q: %v", line, err)
+		}
+		e.ID, e.DataCentre = fleet.UpstreamID(id), fleet.DataCentreID(dc)
+		e.Holds = upstream.LayerRange{From: fleet.Layer(from), To: fleet.Layer(to)}
+		es = append(es, e)
+	}
+	return es
+}
+
+func plan(engines []placement.Engine, layers int) string {
+	var b strings.Builder
+	after := make(map[fleet.UpstreamID]upstream.LayerRange)
+	room := make(map[fleet.UpstreamID]int)
+	for _, e := range engines {
+		after[e.ID], room[e.ID] = e.Holds, e.Room
+	}
+	for _, o := range cover.Plan(layers, engines) {
+		fmt.Fprintf(&b, "%s %d-%d\n", o.ID, o.Layers.From, o.Layers.To)
+		if o.Layers.Len() > room[o.ID] {
+			fmt.Fprintf(&b, "%s has room for %d layers only\n", o.ID, room[o.ID])
+		}
+		after[o.ID] = o.Layers
+	}
+	count := make([]int, layers)
+	for _, r := range after {
+		for l := r.From; l < r.To; l++ {
+			count[l]++
+		}
+	}
+	least, most := count[0], count[0]
+	for _, n := range count {
+		least, most = min(least, n), max(most, n)
+	}
+	fmt.Fprintf(&b, "each layer is held %d to %d times\n", least, most)
+	return b.String()
+}
--- /dev/null
+++ b/internal/release/store/store_test.go
@@ -0,0 +1,52 @@
+package store_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberryrock/bilberryrock/internal/release"
+	"github.com/bilberryrock/bilberryrock/internal/release/store"
+)
+
+func apply(t *testing.T, s *store.Store, v release.Version, content string) release.Version {
+	t.Helper()
+	c, err := store.Command(v, []byte(content))
+	is.New(t).NoErr(err)
+	held, err := store.VersionOf(s.Apply(1, c))
+	is.New(t).NoErr(err)
+	return held
+}
+
+// Guards against a release that reverts: an older version, and other content under
+// the version that is held, change nothing.
+func TestHighestVersionStays(t *testing.T) {
+	is := is.New(t)
+	s := store.New()
+	is.Equal(apply(t, s, 7, "seven"), release.Version(7))
+	is.Equal(apply(t, s, 5, "five"), release.Version(7))
+	is.Equal(apply(t, s, 7, "other"), release.Version(7))
+	held, newer := s.Current()
+	content, err := held.Unpack()
+	is.NoErr(err)
+	is.Equal(string(content), "seven")
+	is.Equal(apply(t, s, 9, "nine"), release.Version(9))
+	<-newer
+}
+
+// Guards against a snapshot that loses the release or its version.
+func TestSnapshot(t *testing.T) {
+	is := is.New(t)
+	s := store.New()
+	apply(t, s, 7, "seven")
+	b, err := s.Snapshot()
+	is.NoErr(err)
+	other := store.New()
+	is.NoErr(other.Restore(b))
+	held, _ := other.Current()
+	content, err := held.Unpack()
+	is.NoErr(err)
+	is.Equal(held.Version, release.Version(7))
+	is.Equal(string(content), "seven")
+	is.True(other.Restore([]byte("short")) != nil)
+}
