--- /dev/null
+++ b/internal/gateway/exchange/exchange_test.go
@@ -0,0 +1,213 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
+	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
+)
+
+// peer is an upstream that answers each request on a connection with the next
+// text, and closes the connection at an empty one.
+type peer struct {
+	listener net.Listener
+	mu       sync.Mutex
+	texts    []string
+	requests int
+	conns    int
+}
+
+func newPeer(t *testing.T, texts ...string) *peer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	p := &peer{listener: l, texts: texts}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.conns++
+			p.mu.Unlock()
+			go p.serve(c)
+		}
+	}()
+	return p
+}
+
+func (p *peer) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		text := p.next()
+		if text == "" {
+			return
+		}
+		_, _ = io.WriteString(c, text)
+	}
+}
+
+func (p *peer) next() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.requests++
+	if len(p.texts) == 0 {
+		return ""
+	}
+	text := p.texts[0]
+	p.texts = p.texts[1:]
+	return text
+}
+
+func (p *peer) counts() (requests, conns int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.requests, p.conns
+}
+
+func (p *peer) target() exchange.Target {
+	return exchange.Target{ID: "u1", Address: p.listener.Addr().String()}
+}
+
+func text(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func request(id string) exchange.Request {
+	return exchange.Request{
+		Method: http.MethodPost, URI: "/a?b=c", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
+		Belongs: func(h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+func send(t *testing.T, c *exchange.Client, p *peer, id string) (string, error) {
+	t.Helper()
+	x, err := c.Send(context.Background(), p.target(), request(id))
+	if err != nil {
+		return "", err
+	}
+	defer x.Close()
+	b, err := io.ReadAll(x.Response.Body)
+	if err != nil {
+		return "", err
+	}
+	x.Keep()
+	return string(b), nil
+}
+
+// Guards against a new connection for each request.
+func TestConnectionsAreKept(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, text("1", "one"), text("2", "two"))
+	c := exchange.New(systemclock.Clock{})
+	b, err := send(t, c, p, "1")
+	is.NoErr(err)
+	is.Equal(b, "one")
+	b, err = send(t, c, p, "2")
+	is.NoErr(err)
+	is.Equal(b, "two")
+	_, conns := p.counts()
+	is.Equal(conns, 1)
+}
+
+// Guards against an answer that goes to another request: a late second answer to
+// the request before is passed over.
+func TestStrayAnswerIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, text("1", "one"), text("1", "late")+text("2", "two"))
+	c := exchange.New(systemclock.Clock{})
+	_, err := send(t, c, p, "1")
+	is.NoErr(err)
+	b, err := send(t, c, p, "2")
+	is.NoErr(err)
+	is.Equal(b, "two")
+}
+
+// Guards against bytes after an answer that are read as the next one.
+func TestConnectionWithBytesLeftIsNotKept(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, text("1", "one")+"garbage", text("2", "two"))
+	c := exchange.New(systemclock.Clock{})
+	_, err := send(t, c, p, "1")
+	is.NoErr(err)
+	b, err := send(t, c, p, "2")
+	is.NoErr(err)
+	is.Equal(b, "two")
+	_, conns := p.counts()
+	is.Equal(conns, 2)
+}
+
+// Guards against a request that is sent again although the upstream may have run
+// it: a closed connection is an error that says that bytes were sent.
+func TestNothingIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, text("1", "one"), "")
+	c := exchange.New(systemclock.Clock{})
+	_, err := send(t, c, p, "1")
+	is.NoErr(err)
+	_, err = send(t, c, p, "2")
+	var x *exchange.Error
+	is.True(errors.As(err, &x))
+	is.True(x.Sent)
+	is.True(!x.Refused)
+	requests, _ := p.counts()
+	is.Equal(requests, 2)
+}
+
+// Guards against a failed connection that counts as a request that may have run.
+func TestRefusedConnection(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t)
+	is.NoErr(p.listener.Close())
+	_, err := send(t, exchange.New(systemclock.Clock{}), p, "1")
+	var x *exchange.Error
+	is.True(errors.As(err, &x))
+	is.True(x.Refused)
+	is.True(!x.Sent)
+}
+
+// Guards against a truncated answer that looks complete.
+func TestTruncatedAnswer(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, strings.Replace(text("1", "one"), "Length: 3", "Length: 9", 1), "")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	x, err := exchange.New(systemclock.Clock{}).Send(ctx, p.target(), request("1"))
+	is.NoErr(err)
+	cancel() // closes the connection in the middle of the body
+	_, err = io.ReadAll(x.Response.Body)
+	is.True(err != nil)
+	x.Close()
+}
+
+// Guards against connections to upstreams that are gone, which another one may
+// take the address of.
+func TestForget(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, text("1", "one"), text("2", "two"))
+	c := exchange.New(systemclock.Clock{})
+	_, err := send(t, c, p, "1")
+	is.NoErr(err)
+	c.Forget(func(exchange.Target) bool { return false })
+	_, err = send(t, c, p, "2")
+	is.NoErr(err)
+	_, conns := p.counts()
+	is.Equal(conns, 2)
+}
