Follow controllers of the own data centre first

Change: controllers tell each other their data centre, and gateways return to one of their own after 5 s. A request waits for a path up to 1.5 s after its arrival, as it does for a configuration.

--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -75,7 +75,7 @@
 	registry := newRegistry()
 	handler := forward.New(clock, st, client, platform.Headers{}, platform.Engines{Client: client},
 		forward.NewMetrics(registry), log)
-	follower := feed.NewClient(s.Instance, clock, st, log, feed.Seeds(s.PeerSeeds...), feed.Near(near(s)),
+	follower := feed.NewClient(s.Instance, clock, st, log, feed.Seeds(s.PeerSeeds...), feed.Home(s.DataCentre),
 		feed.Dial(dialOptions()...))
 	defer follower.Stop()
 	servers := &servers{failed: make(chan error, 4)}
@@ -91,7 +91,7 @@
 	if err := servers.start(&http.Server{Handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}, s.MetricsAddress); err != nil {
 		return err
 	}
-	if err := wait(s, log, servers.failed, func(n platform.Settings) { follower.Learn(n.PeerSeeds) }); err != nil {
+	if err := wait(s, log, servers.failed, func(n platform.Settings) { follower.LearnSeeds(n.PeerSeeds) }); err != nil {
 		return err
 	}
 	handler.Close()
@@ -105,28 +105,12 @@
 	return nil
 }
 
-// near returns the seed whose address is closest to the own one, which is in the
-// same data centre where the platform numbers its networks by data centre.
-func near(s platform.Settings) string {
-	best, most := "", -1
-	for _, a := range s.PeerSeeds {
-		n := 0
-		for n < len(a) && n < len(s.PeerAddress) && a[n] == s.PeerAddress[n] {
-			n++
-		}
-		if n > most {
-			best, most = a, n
-		}
-	}
-	return best
-}
-
 // runController serves the operator, the workers and the other daemons until
 // SIGTERM.
 func runController(s platform.Settings, log *zap.Logger) error {
 	clock := systemclock.Clock{}
 	c, err := controller.New(controller.Settings{
-		Instance: s.Instance, Address: s.PeerAddress, Folder: s.Folder, Found: s.Found, Seeds: s.PeerSeeds,
+		Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerAddress, Folder: s.Folder, Found: s.Found, Seeds: s.PeerSeeds,
 		Alive: aliveBeats * s.Heartbeat, Dial: dialOptions(),
 	}, platform.Configuration{}, platform.Engines{Client: exchange.New(clock)}, clock, log)
 	if err != nil {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -50,7 +50,8 @@
 
 // Settings are what a controller is told at its start.
 type Settings struct {
-	Instance fleet.InstanceID
+	Instance   fleet.InstanceID
+	DataCentre fleet.DataCentreID
 	// Address is the host and port for other daemons.
 	Address string
 	Folder  string
@@ -82,6 +83,7 @@
 	mu        sync.Mutex
 	confirmed feed.Confirmation
 	members   []string
+	places    map[string]fleet.DataCentreID // data centres of the other controllers
 	leading   bool
 	fence     fleet.Fence
 	peers     map[string]*feed.Client
@@ -94,6 +96,7 @@
 	c := &Controller{
 		settings: s, decoder: d, clock: clock, logger: l.Named("controller"),
 		store: store.New(), catalog: catalog.New(clock), peers: make(map[string]*feed.Client),
+		places: make(map[string]fleet.DataCentreID),
 	}
 	v, err := voter.New(c.voterOptions(l)...)
 	if err != nil {
@@ -298,10 +301,27 @@
 }
 
 // Controllers implements feed.Source.
-func (c *Controller) Controllers() []string {
+func (c *Controller) Controllers() []feed.Controller {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.members
+	ks := []feed.Controller{{Address: c.settings.Address, DataCentre: c.settings.DataCentre}}
+	for _, a := range c.members {
+		if a != c.settings.Address {
+			ks = append(ks, feed.Controller{Address: a, DataCentre: c.places[a]})
+		}
+	}
+	return ks
+}
+
+// notePlace records where another controller is, as it says itself.
+func (c *Controller) notePlace(u feed.Update) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range u.Controllers {
+		if k.Address == u.From {
+			c.places[k.Address] = k.DataCentre
+		}
+	}
 }
 
 // Leading implements placer.Leadership.
@@ -401,6 +421,7 @@
 		p.controller.catalog.Put(e, false)
 	}
 	p.controller.feed.NotePeer(u)
+	p.controller.notePlace(u)
 }
 
 // Collector returns the metrics of the replicated log.
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -38,7 +38,7 @@
 	// admissionWait and admissionPoll bound the wait for a configuration that a
 	// majority confirms. Clients leave a request without an answer after about two
 	// seconds.
-	admissionWait = 1200 * time.Millisecond
+	admissionWait = 1500 * time.Millisecond
 	admissionPoll = 25 * time.Millisecond
 	// extraSends are the sends beyond the attempts of a route that upstreams
 	// answered without running the request.
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -31,9 +31,11 @@
 	silentChecks = 3
 	// atOnce bounds the time in which an engine that is alive refuses a request.
 	atOnce = 700 * time.Millisecond
-	// pathWait and pathPoll bound the wait for a path while engines are full or
-	// lost. A client that is told to come back does so once.
-	pathWait = 600 * time.Millisecond
+	// pathWait and pathPoll bound the wait for a path, from the arrival of the
+	// request or from the end of the path before, while engines are full or lost or
+	// have not been heard since the start. A client that is told to come back does so
+	// once.
+	pathWait = 1500 * time.Millisecond
 	pathPoll = 40 * time.Millisecond
 )
 
@@ -72,7 +74,10 @@
 
 // await waits for a path for a while.
 func (s *relay) await(ctx context.Context) (route, error) {
-	start := s.clock.Now()
+	start := s.arrival
+	if s.begun {
+		start = s.clock.Now()
+	}
 	for {
 		t, err := s.choose()
 		if err == nil || s.clock.Now().Sub(start) >= pathWait {
--- a/internal/registry/feed/client.go
+++ b/internal/registry/feed/client.go
@@ -25,6 +25,9 @@
 	// unconfirmed is the time without a confirmation by a majority after which a
 	// gateway turns to another controller. It is longer than an election.
 	unconfirmed = 1100 * time.Millisecond
+	// stay is the least time to follow a controller of another data centre while one
+	// of the own data centre is known.
+	stay = 5 * time.Second
 	// firstMessage bounds the time to connect and get the first message.
 	firstMessage = 1200 * time.Millisecond
 	// pause is the wait before the next controller is tried.
@@ -43,7 +46,7 @@
 	Gateways         int
 	// OwnGateways counts those of the controller that sent the message.
 	OwnGateways int
-	Controllers []string
+	Controllers []Controller
 	// Uses add up the requests of all gateways, or of those of one controller.
 	Uses []usage.Use
 }
@@ -72,9 +75,9 @@
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
 
+	home  fleet.DataCentreID
 	mu    sync.Mutex
-	known []string
-	near  string
+	known []Controller
 }
 
 // ClientOption sets one property of a Client.
@@ -85,11 +88,19 @@
 
 // Seeds sets the controllers that are known from the start.
 func Seeds(addresses ...string) ClientOption {
-	return func(c *Client) { c.known = append(c.known, addresses...) }
+	return func(c *Client) { c.Learn(seeds(addresses)) }
 }
 
-// Near sets the address that is tried first.
-func Near(address string) ClientOption { return func(c *Client) { c.near = address } }
+func seeds(addresses []string) []Controller {
+	ks := make([]Controller, len(addresses))
+	for i, a := range addresses {
+		ks[i].Address = a
+	}
+	return ks
+}
+
+// Home sets the data centre whose controllers go first.
+func Home(d fleet.DataCentreID) ClientOption { return func(c *Client) { c.home = d } }
 
 // Dial adds options for connections.
 func Dial(os ...grpc.DialOption) ClientOption {
@@ -137,27 +148,50 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if last == "" && c.near != "" {
-		return c.near
-	}
-	others := slices.DeleteFunc(slices.Clone(c.known), func(a string) bool { return a == last })
+	others := slices.DeleteFunc(slices.Clone(c.known), func(k Controller) bool { return k.Address == last })
 	if len(others) == 0 {
 		return last
 	}
-	return others[rand.IntN(len(others))]
+	near := slices.DeleteFunc(slices.Clone(others), func(k Controller) bool { return k.DataCentre != c.home })
+	if len(near) > 0 && !c.isNear(last) {
+		return near[rand.IntN(len(near))].Address
+	}
+	return others[rand.IntN(len(others))].Address
+}
+
+func (c *Client) isNear(address string) bool {
+	return slices.Contains(c.known, Controller{Address: address, DataCentre: c.home})
+}
+
+// mayReturn reports whether a controller of the own data centre is known while
+// another one is followed.
+func (c *Client) mayReturn(address string) bool {
+	if c.fixed != "" || c.home == "" {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.isNear(address) && slices.ContainsFunc(c.known, func(k Controller) bool { return k.DataCentre == c.home })
 }
 
 // Learn adds controllers to those that may be followed.
-func (c *Client) Learn(addresses []string) {
+func (c *Client) Learn(ks []Controller) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, a := range addresses {
-		if !slices.Contains(c.known, a) {
-			c.known = append(c.known, a)
+	for _, k := range ks {
+		i := slices.IndexFunc(c.known, func(o Controller) bool { return o.Address == k.Address })
+		switch {
+		case i < 0:
+			c.known = append(c.known, k)
+		case k.DataCentre != "":
+			c.known[i] = k
 		}
 	}
 }
 
+// LearnSeeds adds the controllers at some addresses.
+func (c *Client) LearnSeeds(addresses []string) { c.Learn(seeds(addresses)) }
+
 // follow reads one stream until it fails or goes silent.
 func (c *Client) follow(ctx context.Context, address string) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -167,7 +201,8 @@
 		return errors.Wrapf(err, "connect to %s", address)
 	}
 	defer func() { _ = conn.Close() }()
-	progress, confirmed := c.clock.Now(), time.Duration(0)
+	began := c.clock.Now()
+	progress, confirmed := began, time.Duration(0)
 	timer := time.AfterFunc(firstMessage, cancel)
 	defer timer.Stop()
 	s, err := peerv1.NewFeedClient(conn).Follow(ctx)
@@ -192,12 +227,15 @@
 			c.logger.Info("Following a controller.", zap.String("controller", address))
 			first = false
 		}
-		c.Learn(p.GetControllers())
 		u := c.decode(address, p)
+		c.Learn(u.Controllers)
 		c.receiver.Receive(u)
 		if u.Confirmed > confirmed {
 			progress, confirmed = c.clock.Now(), u.Confirmed
 		}
+		if c.clock.Now().Sub(began) > stay && c.mayReturn(address) {
+			return errors.Errorf("controller %s is in another data centre", address)
+		}
 		if c.fixed == "" && c.clock.Now().Sub(progress) > unconfirmed {
 			return errors.Errorf("controller %s is cut off from the majority", address)
 		}
@@ -216,9 +254,12 @@
 		Held:             store.Held{Version: release.Version(p.GetVersion()), Packed: p.GetRelease()},
 		Confirmed:        time.Duration(p.GetConfirmedStamp()) * time.Microsecond,
 		ConfirmedVersion: release.Version(p.GetConfirmedVersion()),
-		Gateways:         int(p.GetGateways()), OwnGateways: int(p.GetOwnGateways()), Controllers: p.GetControllers(),
+		Gateways:         int(p.GetGateways()), OwnGateways: int(p.GetOwnGateways()),
 		Uses: usesFromProto(p.GetUses()),
 	}
+	for _, k := range p.GetControllers() {
+		u.Controllers = append(u.Controllers, Controller{Address: k.GetAddress(), DataCentre: fleet.DataCentreID(k.GetDataCentre())})
+	}
 	now := c.clock.Now()
 	for _, e := range p.GetEntries() {
 		u.Entries = append(u.Entries, fromProto(e, now))
--- a/internal/registry/feed/server.go
+++ b/internal/registry/feed/server.go
@@ -40,8 +40,15 @@
 type Source interface {
 	// Confirmation returns the newest confirmation.
 	Confirmation() Confirmation
-	// Controllers returns the peer addresses of all controllers.
-	Controllers() []string
+	// Controllers returns all controllers that are known.
+	Controllers() []Controller
+}
+
+// Controller is where a controller is reached.
+type Controller struct {
+	Address string // for other daemons
+	// DataCentre is empty while it is not known.
+	DataCentre fleet.DataCentreID
 }
 
 // Server implements peerv1.FeedServer. It is safe for concurrent use.
@@ -216,7 +223,10 @@
 func (s *Server) update(controller bool, stamp *uint64) *peerv1.FeedUpdate {
 	own, all := s.gateways()
 	u := &peerv1.FeedUpdate{
-		Gateways: uint32(all), OwnGateways: uint32(own), Controllers: s.source.Controllers(),
+		Gateways: uint32(all), OwnGateways: uint32(own),
+	}
+	for _, k := range s.source.Controllers() {
+		u.Controllers = append(u.Controllers, &peerv1.Controller{Address: k.Address, DataCentre: string(k.DataCentre)})
 	}
 	u.Uses = usesToProto(s.usage.Sums(!controller))
 	es, newest := s.catalog.Since(*stamp, controller)
