Remove absent voters from an even group; place layers around suspects

Change: in an open group the leader removes a voter that was absent for eight rounds when that lowers the majority; a voter without a leader asks to join again. Engines that fail for several gateways and miss a heartbeat are placed around before they expire.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -136,7 +136,7 @@
 			c.follow(ctx)
 		}
 	})
-	c.placer = placer.New(clock, c.catalog, c, c, m, s.Alive, l)
+	c.placer = placer.New(clock, c.catalog, c, c, m, c.feed, s.Alive, l)
 	return c, nil
 }
 
--- a/internal/placement/placer/placer.go
+++ b/internal/placement/placer/placer.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,10 @@
 	// plan sees all of them. They start over about a second and send a heartbeat
 	// each second.
 	firstSettle = 2500 * time.Millisecond
+	// overdueNum and overdueDen give the part of the time that an engine may be
+	// silent after which one that also fails requests counts as lost. It is a little
+	// more than the time between two heartbeats.
+	overdueNum, overdueDen = 5, 12
 	// callTimeout bounds one call of an engine.
 	callTimeout = time.Second
 	// retryPause is the time before an engine is asked again after a failure.
@@ -49,6 +54,11 @@
 	InForce() *release.Release
 }
 
+// Suspects returns the engines that requests of several gateways lately failed at.
+type Suspects interface {
+	Suspects() []fleet.UpstreamID
+}
+
 // Placer gives the orders. Stop ends it.
 type Placer struct {
 	clock      fleet.Clock
@@ -56,6 +66,7 @@
 	leadership Leadership
 	releases   Releases
 	commander  placement.Commander
+	suspects   Suspects
 	alive      time.Duration
 	logger     *zap.Logger
 	cancel     context.CancelFunc
@@ -63,6 +74,7 @@
 
 	mu      sync.Mutex
 	engines map[incarnation]*engine
+	failed  map[fleet.UpstreamID]time.Time // when gateways last saw a failure
 	fence   fleet.Fence
 	since   time.Time // of the leadership, or of the first engine seen under it
 }
@@ -84,10 +96,10 @@
 }
 
 // New starts a Placer. Engines that were not heard for alive get no orders.
-func New(clock fleet.Clock, c *catalog.Catalog, l Leadership, r Releases, m placement.Commander, alive time.Duration, log *zap.Logger) *Placer {
+func New(clock fleet.Clock, c *catalog.Catalog, l Leadership, r Releases, m placement.Commander, s Suspects, alive time.Duration, log *zap.Logger) *Placer {
 	p := &Placer{
-		clock: clock, catalog: c, leadership: l, releases: r, commander: m, alive: alive,
-		logger: log.Named("placement"), engines: make(map[incarnation]*engine),
+		clock: clock, catalog: c, leadership: l, releases: r, commander: m, suspects: s, alive: alive,
+		logger: log.Named("placement"), engines: make(map[incarnation]*engine), failed: make(map[fleet.UpstreamID]time.Time),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
@@ -129,7 +141,7 @@
 		p.engines = make(map[incarnation]*engine)
 		p.logger.Info("This instance places layers.", zap.Uint64("fence", uint64(f)))
 	}
-	es := p.catalog.All(p.alive)
+	es := p.alert(p.catalog.All(p.alive), now)
 	if len(es) == 0 {
 		p.since = now
 		return
@@ -144,6 +156,18 @@
 	}
 }
 
+// alert leaves out engines that failed for several gateways after their last
+// heartbeat, if the next one is overdue.
+func (p *Placer) alert(es []registry.Entry, now time.Time) []registry.Entry {
+	for _, id := range p.suspects.Suspects() {
+		p.failed[id] = now
+	}
+	return slices.DeleteFunc(es, func(e registry.Entry) bool {
+		at, ok := p.failed[e.ID]
+		return ok && at.After(e.Heard) && now.Sub(e.Heard) > p.alive*overdueNum/overdueDen
+	})
+}
+
 // settleTime is short while no engine holds anything, as in a new fleet.
 func (p *Placer) settleTime(es []registry.Entry) time.Duration {
 	for _, e := range es {
--- a/internal/quorum/voter/form.go
+++ b/internal/quorum/voter/form.go
@@ -18,6 +18,9 @@
 	formPause = 200 * time.Millisecond
 	// settlePauses bounds the wait for the others to settle, in formPause.
 	settlePauses = 25
+	// lonelyPauses is the number of pauses without a leader after which a voter asks
+	// whether it is still a member. Elections take less.
+	lonelyPauses = 8
 	joinPause    = 300 * time.Millisecond
 )
 
@@ -148,18 +151,32 @@
 }
 
 // join asks the leader to add the own voter, until the group has it as a full
-// member. It does nothing for a member of the initial set.
+// member. In a closed group it does nothing for a member of the initial set. In an
+// open one it goes on, because a voter that was away for long may have been removed
+// and then hears from no leader.
 func (v *Voter) join(g *group) {
-	if !v.identity.Replaced {
+	if !v.identity.Replaced && !v.config.open {
 		return
 	}
+	lonely := 0
 	for {
 		s, err := g.status(v.ctx)
-		if err == nil && slices.ContainsFunc(s.Voters, func(m replica.Voter) bool {
+		member := err == nil && slices.ContainsFunc(s.Voters, func(m replica.Voter) bool {
 			return m.ID == s.ID && !m.Learner
-		}) {
+		})
+		if member && !v.config.open {
 			return
 		}
+		lonely++
+		if member && s.Leader != 0 {
+			lonely = 0
+		}
+		if member && lonely < lonelyPauses {
+			if !v.pause(joinPause) {
+				return
+			}
+			continue
+		}
 		if err := v.askToJoin(g.id); err != nil {
 			v.config.logger.Info("This voter has not joined its group yet.", zap.String("group", string(g.id)), zap.Error(err))
 		}
--- a/internal/quorum/voter/member.go
+++ b/internal/quorum/voter/member.go
@@ -72,6 +72,8 @@
 	nextRead     uint64
 	failure      error
 	leaderFor    int // ticks as the leader since the last housekeeping
+	// absent counts the rounds of housekeeping in which a member did not answer.
+	absent map[quorum.VoterID]int
 }
 
 func openMember(c memberConfig) (*member, error) {
@@ -91,6 +93,7 @@
 		memberConfig: c, replica: r, journal: j,
 		applied: s.Index, snapshot: s.Index,
 		waiters: make(map[quorum.Index]waiter), reads: make(map[uint64]query),
+		absent: make(map[quorum.VoterID]int),
 	}
 	if s.Index > 0 {
 		if err := c.machine.Restore(s.State); err != nil {
@@ -353,8 +356,12 @@
 	s := m.replica.Status()
 	c, ok := nextChange(s.Progress, s.Commit)
 	if !ok && m.open {
+		m.countAbsent(s.Progress)
 		c, ok = nextAddition(s.Progress, s.Commit)
 	}
+	if !ok && m.open {
+		c, ok = m.nextRemoval(s.Progress)
+	}
 	if ok {
 		// A refused change is tried again after the next pause.
 		_, _, _ = m.replica.ProposeChange(c)
@@ -397,6 +404,42 @@
 	return replica.Change{}, false
 }
 
+// absentRounds is the number of rounds of housekeeping, each an election timeout,
+// after which an absent voter is removed if that lowers the majority.
+const absentRounds = 8
+
+func (m *member) countAbsent(ps []replica.Progress) {
+	absent := make(map[quorum.VoterID]int)
+	for _, p := range ps {
+		if !p.Active || p.Lost {
+			absent[p.Voter.ID] = m.absent[p.Voter.ID] + 1
+		}
+	}
+	m.absent = absent
+}
+
+// nextRemoval returns the removal of a voter that has been absent for a while, if
+// the number of voters is even: one voter less needs a smaller majority. Without
+// it, the place of an instance that left for good after its successor had come
+// would count against the group for ever. A voter that comes back joins again.
+func (m *member) nextRemoval(ps []replica.Progress) (replica.Change, bool) {
+	voters := 0
+	var gone replica.Voter
+	for _, p := range ps {
+		if p.Voter.Learner {
+			continue
+		}
+		voters++
+		if m.absent[p.Voter.ID] >= absentRounds {
+			gone = p.Voter
+		}
+	}
+	if gone.ID == 0 || voters <= 2 || voters%2 != 0 {
+		return replica.Change{}, false
+	}
+	return replica.Change{Kind: replica.Remove, Voter: gone}, true
+}
+
 func hasSuccessor(later []replica.Progress, v replica.Voter) bool {
 	return slices.ContainsFunc(later, func(p replica.Progress) bool { return p.Voter.Instance == v.Instance })
 }
--- a/internal/registry/feed/server.go
+++ b/internal/registry/feed/server.go
@@ -76,6 +76,18 @@
 	}
 }
 
+// Suspects returns the upstreams at which requests of several gateways lately
+// failed.
+func (s *Server) Suspects() []fleet.UpstreamID {
+	var ids []fleet.UpstreamID
+	for _, u := range s.usage.Sums(true) {
+		if u.Failed {
+			ids = append(ids, u.ID)
+		}
+	}
+	return ids
+}
+
 // Stop ends all streams, so that the followers turn to other controllers.
 func (s *Server) Stop() { close(s.stop) }
 
