Keep engines that serve requests though they cannot reach the controllers

Cause: engines that lose only the controllers (srv_cut) expired after 3.6 s, were placed around and left out of paths while they served; a data centre that lost too much filled its engines to the last megabyte, and paths through them were refused. Change: gateways tell at which engines requests make progress, and such engines count as alive; engines give up memory for requests only when all together cannot hold the model.

--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -29,6 +29,8 @@
 	// goes on elsewhere, once, since its connection may have gone silent. Clients
 	// leave a stream without events after about two seconds.
 	silentChecks = 3
+	// noteEvery is the time between two notes of progress of one stream.
+	noteEvery = 500 * time.Millisecond
 	// atOnce bounds the time in which an engine that is alive refuses a request.
 	atOnce = 700 * time.Millisecond
 	// pathWait and pathPoll bound the wait for a path, from the arrival of the
@@ -63,6 +65,7 @@
 	// moved tells that the stream went on elsewhere without a finding. It does so
 	// only once, because moving adds to the load that makes streams slow.
 	moved bool
+	noted time.Time // when progress was last told to the planner
 }
 
 // route is where one send goes.
@@ -238,6 +241,7 @@
 			return false, unknown, errors.Wrap(err, "read the stream")
 		}
 		w.progress()
+		s.noteProgress(w.route)
 		if e.id > 0 && e.id <= s.last {
 			continue // the client has it
 		}
@@ -254,6 +258,16 @@
 	}
 }
 
+// noteProgress tells the planner now and then that the engines of a path work.
+func (s *relay) noteProgress(t route) {
+	now := s.clock.Now()
+	if s.pool.Paths == nil || now.Sub(s.noted) < noteEvery {
+		return
+	}
+	s.noted = now
+	s.pool.Paths.Served(t.hops)
+}
+
 // begin sends the head of the answer once. Later engines go on under it.
 func (s *relay) begin(p *http.Response) {
 	if s.begun {
--- a/internal/gateway/path/path.go
+++ b/internal/gateway/path/path.go
@@ -50,6 +50,9 @@
 	// over. It doubles with each further failure.
 	firstHold   = 1500 * time.Millisecond
 	longestHold = 12 * time.Second
+	// servedNews is how long progress of a request counts as a sign of life of an
+	// engine without heartbeats, which may be cut off from the controllers only.
+	servedNews = 2 * time.Second
 	// failureNews is how long a failure is told to the controller.
 	failureNews = time.Second
 	// paceAge is how long a report of a slow engine counts.
@@ -70,6 +73,7 @@
 type Planner struct {
 	clock  fleet.Clock
 	home   fleet.DataCentreID
+	alive  time.Duration
 	random func() float64
 
 	mu      sync.Mutex
@@ -92,15 +96,18 @@
 	failed   time.Time // last own finding
 	pace     float64   // factor by which it is slower than its card
 	paced    time.Time // of the last report of pace
+	served   time.Time // of the last progress of an own request
+	serving  time.Time // of the last news that some gateway's requests make progress
 	heldTo   time.Time
 }
 
-// New returns a Planner without engines, for a gateway in a data centre.
-func New(clock fleet.Clock, home fleet.DataCentreID, random func() float64) *Planner {
+// New returns a Planner without engines, for a gateway in a data centre. Engines
+// that were not heard for alive are used only while they serve requests.
+func New(clock fleet.Clock, home fleet.DataCentreID, alive time.Duration, random func() float64) *Planner {
 	if random == nil {
 		random = rand.Float64
 	}
-	return &Planner{clock: clock, home: home, random: random, byID: make(map[fleet.UpstreamID]*engine)}
+	return &Planner{clock: clock, home: home, alive: alive, random: random, byID: make(map[fleet.UpstreamID]*engine)}
 }
 
 // Refresh replaces the engines that may be used. What was learned about an engine
@@ -196,7 +203,8 @@
 	var es []*engine
 	var costs []float64
 	for _, e := range p.engines {
-		if now.Before(e.heldTo) || slices.Contains(avoid, e.entry.ID) {
+		silent := now.Sub(e.entry.Heard) > p.alive && now.Sub(e.serving) > servedNews && now.Sub(e.served) > servedNews
+		if silent || now.Before(e.heldTo) || slices.Contains(avoid, e.entry.ID) {
 			continue
 		}
 		es = append(es, e)
@@ -239,8 +247,9 @@
 	var us []usage.Use
 	for _, e := range p.engines {
 		failed := !e.failed.IsZero() && now.Sub(e.failed) < failureNews
-		if e.active > 0 || failed {
-			us = append(us, usage.Use{ID: e.entry.ID, Active: e.active, Failed: failed})
+		served := !e.served.IsZero() && now.Sub(e.served) < servedNews
+		if e.active > 0 || failed || served {
+			us = append(us, usage.Use{ID: e.entry.ID, Active: e.active, Failed: failed, Served: served})
 		}
 	}
 	return us
@@ -262,6 +271,9 @@
 			continue
 		}
 		e.shared = u.Active
+		if u.Served {
+			e.serving = now
+		}
 		if u.Failed && !now.Before(e.heldTo) {
 			p.hold(e, now)
 		}
@@ -363,6 +375,18 @@
 	}
 }
 
+// Served notes that a request made progress on a path.
+func (p *Planner) Served(hops []Hop) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for _, h := range hops {
+		if e := p.byID[h.ID]; e != nil {
+			e.served = now
+		}
+	}
+}
+
 // Fail passes over the engine at an address for a while.
 func (p *Planner) Fail(address string) {
 	p.mu.Lock()
--- a/internal/gateway/path/path_test.go
+++ b/internal/gateway/path/path_test.go
@@ -34,11 +34,11 @@
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, file string) {
 		clock := fakeclock.New(fakeclock.Start)
-		p := path.New(clock, "dc1", func() float64 { return 0 })
+		p := path.New(clock, "dc1", 3600*time.Millisecond, func() float64 { return 0 })
 		datadriven.RunTest(t, file, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
 			case "engines":
-				p.Refresh(model, entries(t, d), 4)
+				p.Refresh(model, entries(t, d, clock.Now()), 4)
 				return ""
 			case "choose":
 				return choose(p, d.HasArg("done"))
@@ -48,6 +48,9 @@
 			case "fail":
 				p.Fail(address(t, d))
 				return ""
+			case "served":
+				p.Served([]path.Hop{{ID: fleet.UpstreamID(address(t, d))}})
+				return ""
 			case "full":
 				p.Full(address(t, d))
 				return ""
@@ -101,7 +104,7 @@
 	return strings.TrimSpace(b.String()) + "\n"
 }
 
-func entries(t *testing.T, d *datadriven.TestData) []registry.Entry {
+func entries(t *testing.T, d *datadriven.TestData, now time.Time) []registry.Entry {
 	var es []registry.Entry
 	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
 		var e registry.Entry
@@ -110,7 +113,7 @@
 		if _, err := fmt.Sscan(line, &id, &dc, &e.Card, &from, &to); err != nil {
 			d.Fatalf(t, "%q: %v", line, err)
 		}
-		e.ID, e.Address, e.DataCentre, e.Born = fleet.UpstreamID(id), id, fleet.DataCentreID(dc), 1
+		e.ID, e.Address, e.DataCentre, e.Born, e.Heard = fleet.UpstreamID(id), id, fleet.DataCentreID(dc), 1, now
 		e.Layers = upstream.LayerRange{From: fleet.Layer(from), To: fleet.Layer(to)}
 		es = append(es, e)
 	}
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -31,6 +31,9 @@
 	// refreshEvery is the longest time between two refreshes of the choosers, by
 	// which upstreams that fell silent drop out.
 	refreshEvery = 500 * time.Millisecond
+	// servingFactor times Limits.Alive is how long an engine without heartbeats may
+	// be used while it serves requests.
+	servingFactor = 4
 	// remoteLink is the one-way delay that an upstream of another data centre
 	// counts with. It is more than the real one, because a link between data
 	// centres may be cut and its traffic is paid for.
@@ -176,8 +179,10 @@
 	}
 	live := make(map[fleet.PoolID][]registry.Entry)
 	targets := make(map[exchange.Target]bool)
-	for _, e := range s.catalog.All(s.limits.Alive) {
-		if e.State != registry.Ready {
+	now := s.clock.Now()
+	for _, e := range s.catalog.All(servingFactor * s.limits.Alive) {
+		// The planner of paths leaves out silent engines that don't serve.
+		if e.State != registry.Ready || e.Card == "" && now.Sub(e.Heard) > s.limits.Alive {
 			continue
 		}
 		live[e.Pool] = append(live[e.Pool], e)
@@ -202,7 +207,7 @@
 	s.pools[v.Pool] = p
 	if v.Engine != nil && v.Engine.Layers > 0 {
 		if p.Paths == nil {
-			p.Paths = path.New(s.clock, s.home, rand.Float64)
+			p.Paths = path.New(s.clock, s.home, s.limits.Alive, rand.Float64)
 		}
 		p.Paths.Refresh(v.Engine, es, int(s.gateways.Load()))
 		return
--- a/internal/placement/cover/cover.go
+++ b/internal/placement/cover/cover.go
@@ -46,8 +46,8 @@
 }
 
 // groups returns a group for each data centre that can hold the whole model, and
-// one for all others. When those others cannot hold it, their engines help the
-// data centres that can.
+// one for all others. When all engines together cannot hold it, they take as much
+// as fits.
 func groups(layers int, es []placement.Engine) []*group {
 	var gs []*group
 	rest := &group{layers: layers}
@@ -67,7 +67,8 @@
 	if len(rest.engines) == 0 {
 		return gs
 	}
-	rest.tight = rest.usable() < layers
+	all := group{engines: es}
+	rest.tight = all.usable() < layers
 	return append(gs, rest)
 }
 
--- a/internal/placement/placer/placer.go
+++ b/internal/placement/placer/placer.go
@@ -32,9 +32,12 @@
 	// each second.
 	firstSettle = 2500 * time.Millisecond
 	// overdueNum and overdueDen give the part of the time that an engine may be
-	// silent after which one that also fails requests counts as lost. It is a little
-	// more than the time between two heartbeats.
-	overdueNum, overdueDen = 5, 12
+	// silent after which one that also fails requests counts as lost. It is most of
+	// the time between two heartbeats.
+	overdueNum, overdueDen = 1, 4
+	// servingFactor times the time that an engine may be silent is how long one that
+	// still serves requests counts as alive. It may be cut off from the controllers.
+	servingFactor = 4
 	// callTimeout bounds one call of an engine.
 	callTimeout = time.Second
 	// retryPause is the time before an engine is asked again after a failure.
@@ -57,6 +60,8 @@
 // Suspects returns the engines that requests of several gateways lately failed at.
 type Suspects interface {
 	Suspects() []fleet.UpstreamID
+	// Serving returns the engines that requests lately made progress at.
+	Serving() []fleet.UpstreamID
 }
 
 // Placer gives the orders. Stop ends it.
@@ -141,7 +146,7 @@
 		p.engines = make(map[incarnation]*engine)
 		p.logger.Info("This instance places layers.", zap.Uint64("fence", uint64(f)))
 	}
-	es := p.alert(p.catalog.All(p.alive), now)
+	es := p.alert(p.heard(now), now)
 	if len(es) == 0 {
 		p.since = now
 		return
@@ -156,6 +161,15 @@
 	}
 }
 
+// heard returns the engines that are alive by their heartbeats, or by what gateways
+// say of the silent ones.
+func (p *Placer) heard(now time.Time) []registry.Entry {
+	serving := p.suspects.Serving()
+	return slices.DeleteFunc(p.catalog.All(servingFactor*p.alive), func(e registry.Entry) bool {
+		return now.Sub(e.Heard) > p.alive && !slices.Contains(serving, e.ID)
+	})
+}
+
 // alert leaves out engines that failed for several gateways after their last
 // heartbeat, if the next one is overdue.
 func (p *Placer) alert(es []registry.Entry, now time.Time) []registry.Entry {
--- a/internal/registry/feed/server.go
+++ b/internal/registry/feed/server.go
@@ -79,9 +79,19 @@
 // Suspects returns the upstreams at which requests of several gateways lately
 // failed.
 func (s *Server) Suspects() []fleet.UpstreamID {
+	return s.pick(func(u usage.Use) bool { return u.Failed })
+}
+
+// Serving returns the upstreams that requests of any gateway lately made progress
+// at.
+func (s *Server) Serving() []fleet.UpstreamID {
+	return s.pick(func(u usage.Use) bool { return u.Served })
+}
+
+func (s *Server) pick(keep func(usage.Use) bool) []fleet.UpstreamID {
 	var ids []fleet.UpstreamID
 	for _, u := range s.usage.Sums(true) {
-		if u.Failed {
+		if keep(u) {
 			ids = append(ids, u.ID)
 		}
 	}
@@ -253,7 +263,7 @@
 func usesToProto(us []usage.Use) []*peerv1.UpstreamUse {
 	ps := make([]*peerv1.UpstreamUse, len(us))
 	for i, u := range us {
-		ps[i] = &peerv1.UpstreamUse{Id: string(u.ID), Active: uint32(u.Active), Failed: u.Failed}
+		ps[i] = &peerv1.UpstreamUse{Id: string(u.ID), Active: uint32(u.Active), Failed: u.Failed, Served: u.Served}
 	}
 	return ps
 }
@@ -261,7 +271,7 @@
 func usesFromProto(ps []*peerv1.UpstreamUse) []usage.Use {
 	us := make([]usage.Use, len(ps))
 	for i, p := range ps {
-		us[i] = usage.Use{ID: fleet.UpstreamID(p.GetId()), Active: int(p.GetActive()), Failed: p.GetFailed()}
+		us[i] = usage.Use{ID: fleet.UpstreamID(p.GetId()), Active: int(p.GetActive()), Failed: p.GetFailed(), Served: p.GetServed()}
 	}
 	return us
 }
--- a/internal/registry/usage/usage.go
+++ b/internal/registry/usage/usage.go
@@ -22,15 +22,16 @@
 type Use struct {
 	ID     fleet.UpstreamID
 	Active int
-	// Failed tells that requests failed there lately.
-	Failed bool
+	// Failed tells that requests failed there lately, and Served that requests made
+	// progress.
+	Failed, Served bool
 }
 
 // Table adds up the uses of gateways. It is safe for concurrent use.
 type Table struct {
 	clock     fleet.Clock
 	mu        sync.Mutex
-	gateways  map[fleet.InstanceID]map[fleet.UpstreamID]int
+	gateways  map[fleet.InstanceID]map[fleet.UpstreamID]Use
 	peers     map[string]map[fleet.UpstreamID]Use
 	failures  map[fleet.UpstreamID]map[fleet.InstanceID]time.Time
 	confirmed map[fleet.UpstreamID]time.Time // told by another controller
@@ -40,7 +41,7 @@
 func New(clock fleet.Clock) *Table {
 	return &Table{
 		clock:     clock,
-		gateways:  make(map[fleet.InstanceID]map[fleet.UpstreamID]int),
+		gateways:  make(map[fleet.InstanceID]map[fleet.UpstreamID]Use),
 		peers:     make(map[string]map[fleet.UpstreamID]Use),
 		failures:  make(map[fleet.UpstreamID]map[fleet.InstanceID]time.Time),
 		confirmed: make(map[fleet.UpstreamID]time.Time),
@@ -52,9 +53,9 @@
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	m := make(map[fleet.UpstreamID]int, len(us))
+	m := make(map[fleet.UpstreamID]Use, len(us))
 	for _, u := range us {
-		m[u.ID] = u.Active
+		m[u.ID] = u
 		if !u.Failed {
 			continue
 		}
@@ -104,9 +105,7 @@
 	sums := make(map[fleet.UpstreamID]Use)
 	for _, m := range t.gateways {
 		for id, n := range m {
-			u := sums[id]
-			u.Active += n
-			sums[id] = u
+			sums[id] = add(sums[id], n)
 		}
 	}
 	for id := range t.failures {
@@ -130,9 +129,7 @@
 func (t *Table) addPeers(sums map[fleet.UpstreamID]Use, now time.Time) {
 	for _, m := range t.peers {
 		for id, n := range m {
-			u := sums[id]
-			u.Active += n.Active
-			sums[id] = u
+			sums[id] = add(sums[id], n)
 		}
 	}
 	for id, at := range t.confirmed {
@@ -146,6 +143,13 @@
 	}
 }
 
+// add leaves Failed alone, which needs several witnesses.
+func add(u, n Use) Use {
+	u.Active += n.Active
+	u.Served = u.Served || n.Served
+	return u
+}
+
 // failed reports whether enough gateways saw an upstream fail.
 func (t *Table) failed(id fleet.UpstreamID, now time.Time) bool {
 	seen := t.failures[id]
