--- a/internal/quorum/voter/script_test.go
+++ b/internal/quorum/voter/script_test.go
@@ -34,6 +34,12 @@
 	d.MaybeScanArgs(t, "n", &n)
 	if d.Cmd == "start" {
 		s.world = newWorld(1, n)
+		if d.HasArg("open") {
+			s.newcomers = true
+			for _, p := range s.sites {
+				p.member.open = true
+			}
+		}
 		s.copies = make(map[fleet.InstanceID]*quorumtest.Disk)
 	}
 	p, to := s.place(t, d, "at"), s.place(t, d, "to")
@@ -100,6 +106,8 @@
 		p.restart()
 	case "replace":
 		p.replace()
+	case "add":
+		s.add()
 	case "join":
 		s.joinAll()
 		s.drain()
--- a/internal/quorum/voter/world_test.go
+++ b/internal/quorum/voter/world_test.go
@@ -30,6 +30,8 @@
 	transfers []replica.Message
 	cuts      map[[2]fleet.InstanceID]bool
 	nextID    quorum.VoterID
+	// newcomers lets instances without a voter join.
+	newcomers bool
 	faults    int   // in 1000 steps
 	sent      int   // messages, some of which are checked
 	broken    error // first violated invariant
@@ -153,7 +155,7 @@
 		group: "test", machine: &p.state, disk: p.disk, dir: "data",
 		options: replica.Options{ID: p.id, Seed: p.w.random.Uint64(), MaxInFlight: 4, MaxAppendBytes: 64},
 		send:    p.send, snapshotEntries: 20, keepEntries: 5,
-		background: p.background,
+		background: p.background, open: p.w.newcomers,
 	}
 	c.options.ElectionTicks, c.options.HeartbeatTicks = electionTicks, 1
 	if p.joined {
@@ -424,6 +426,14 @@
 	p.restart()
 }
 
+// add starts a new instance with an empty disk.
+func (w *world) add() {
+	w.nextID++
+	p := &place{w: w, id: w.nextID, instance: fleet.InstanceID(fmt.Sprint(len(w.sites) + 1)), disk: quorumtest.NewDisk()}
+	w.sites = append(w.sites, p)
+	p.restart()
+}
+
 // join asks a place to add the own voter.
 func (p *place) join(at *place) {
 	at.member.join(replica.Voter{ID: p.id, Instance: p.instance}, func([]byte, error) {})
@@ -487,13 +497,19 @@
 func (w *world) joinAll() {
 	for _, p := range w.sites {
 		for _, at := range w.sites {
-			if !p.isVoter() && at.runs() {
+			if p.mustJoin() && at.runs() {
 				p.join(at)
 			}
 		}
 	}
 }
 
+// mustJoin reports whether a place asks to join, as Voter.join decides.
+func (p *place) mustJoin() bool {
+	lonely := p.w.newcomers && p.runs() && p.member.replica.Leader() == 0
+	return !p.isVoter() || lonely
+}
+
 func (p *place) isVoter() bool {
 	return slices.ContainsFunc(p.voters, func(v replica.Voter) bool { return v.ID == p.id && !v.Learner })
 }
