Divide the platform's retry budget among the gateways

Change: the share and the extra retries of the settings, less a fifth, divided by the number of gateways.

--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -36,6 +36,9 @@
 	// freshLimit is the age of the last confirmation up to which a gateway is ready.
 	// It covers an election of the controllers.
 	freshLimit = 2500 * time.Millisecond
+	// retryPart is the part of the platform's retry budget that is used. The rest
+	// covers gateways that just joined and windows that the platform cuts otherwise.
+	retryPart = 0.8
 	// stopMargin is kept between the end of a graceful stop and SIGKILL.
 	stopMargin = 700 * time.Millisecond
 	// drainLeast is how long a gateway takes requests after SIGTERM. The platform
@@ -71,6 +74,7 @@
 	client := exchange.New(clock)
 	st := state.New(clock, s.DataCentre, platform.Configuration{}, state.Limits{
 		Alive: aliveBeats * s.Heartbeat, Lease: s.Revoke - leaseMargin, Fresh: freshLimit,
+		RetryShare: s.RetryRatio * retryPart, RetryExtra: s.RetryExtra * retryPart,
 	}, client, log)
 	registry := newRegistry()
 	handler := forward.New(clock, st, client, platform.Headers{}, platform.Engines{Client: client},
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -114,7 +114,7 @@
 	}
 	clock := systemclock.Clock{}
 	client := exchange.New(clock)
-	st := state.New(clock, "dc1", decoder{sample()}, state.Limits{Alive: time.Hour, Lease: time.Hour, Fresh: time.Hour}, client, zap.NewNop())
+	st := state.New(clock, "dc1", decoder{sample()}, state.Limits{Alive: time.Hour, Lease: time.Hour, Fresh: time.Hour, RetryShare: 0.1, RetryExtra: 10}, client, zap.NewNop())
 	command, err := store.Command(1, nil)
 	is.NoErr(err)
 	log := store.New()
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -55,6 +55,9 @@
 	Lease time.Duration
 	// Fresh is the age of the confirmation up to which a gateway is ready.
 	Fresh time.Duration
+	// RetryShare is the part of the requests that may be sent once more, and
+	// RetryExtra the number of further ones of all gateways together in a window.
+	RetryShare, RetryExtra float64
 }
 
 // Pool is what a gateway needs to use the upstreams of one service.
@@ -205,6 +208,7 @@
 	}
 	p = &Pool{Service: v, Paths: p.Paths, Upstreams: p.Upstreams, Budget: p.Budget}
 	s.pools[v.Pool] = p
+	p.Budget.Adjust(s.limits.RetryShare, max(1, s.limits.RetryExtra/float64(max(1, s.gateways.Load()))))
 	if v.Engine != nil && v.Engine.Layers > 0 {
 		if p.Paths == nil {
 			p.Paths = path.New(s.clock, s.home, s.limits.Alive, rand.Float64)
