Let a resumable stream go on after several breaks

Change: up to five runs at the upstreams that the route allows, the next one elsewhere after an engine broke off; gateways share the pace of engines.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -13,6 +13,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,8 @@
 	// extraSends are the sends beyond the attempts of a route that upstreams
 	// answered without running the request.
 	extraSends = 2
+	// maxStreamRuns bounds the runs of a stream that may be resumed.
+	maxStreamRuns = 5
 )
 
 // Prober asks engines for their state.
@@ -98,7 +101,8 @@
 	// runs counts the sends after which the request may have run, and sends all.
 	runs, sends int
 	avoid       []fleet.UpstreamID
-	last        string // the upstream of the newest send
+	ran         []fleet.UpstreamID // that may have run the request
+	last        string             // the upstream of the newest send
 	status      int
 	outcome     string
 	lastErr     error
@@ -259,7 +263,19 @@
 		return false
 	}
 	attempts := max(1, q.route.MaxAttempts)
-	return q.runs < attempts && q.sends < attempts+extraSends && q.pool.Budget.Withdraw()
+	runs := attempts
+	if q.route.Repeat == release.Stream {
+		// The route bounds the upstreams, and each run goes on where the last one ended.
+		runs = max(attempts, maxStreamRuns)
+	}
+	return q.runs < runs && q.sends < runs+extraSends && q.pool.Budget.Withdraw()
+}
+
+// noteRun records that an upstream may have run the request.
+func (q *request) noteRun(id fleet.UpstreamID) {
+	if !slices.Contains(q.ran, id) {
+		q.ran = append(q.ran, id)
+	}
 }
 
 // fail answers a request that no upstream answered.
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -281,6 +282,24 @@
 	is.Equal(body, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\n")
 }
 
+// Guards against streams that end after two broken runs, and against runs at more
+// engines than the route allows.
+func TestStreamGoesOnAfterSeveralBreaks(t *testing.T) {
+	is := is.New(t)
+	ports := make(map[string]bool)
+	w := newWorld(t, 4, func(n int, rw http.ResponseWriter, r *http.Request) {
+		ports[r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()] = true
+		events(rw, n, n)
+		if n < 4 {
+			abort()
+		}
+	})
+	_, _, body, whole := w.call(t, "/stream/", "k1")
+	is.True(whole)
+	is.Equal(strings.Count(body, "data:"), 4)
+	is.Equal(len(ports), 2)
+}
+
 // Guards against a broken stream that looks complete.
 func TestBrokenStreamIsCutOff(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/gateway"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
@@ -97,7 +98,7 @@
 // choose picks a path of engines, or one upstream of a plain service.
 func (s *relay) choose() (route, error) {
 	if p := s.pool.Paths; p != nil {
-		hops, err := p.Choose(nil)
+		hops, err := s.choosePath(p)
 		if err != nil {
 			return route{}, err
 		}
@@ -106,7 +107,7 @@
 			done: func(ok, _ bool) { p.Done(hops, ok) },
 		}, nil
 	}
-	lease, err := s.pool.Upstreams.Pick(pool.Ask{Avoid: s.avoid})
+	lease, err := s.pick()
 	if err != nil {
 		return route{}, err
 	}
@@ -129,6 +130,29 @@
 	}, nil
 }
 
+// choosePath begins elsewhere after a first engine broke off, and at an engine that
+// the stream ran at once the route allows no further one. Those that are lost don't
+// count.
+func (s *relay) choosePath(p *path.Planner) ([]path.Hop, error) {
+	l := path.Limits{Avoid: s.avoid}
+	if len(s.ran) >= max(1, s.route.MaxAttempts) {
+		l = path.Limits{First: s.ran}
+	}
+	hops, err := p.Choose(l)
+	if err != nil {
+		return p.Choose(path.Limits{})
+	}
+	return hops, nil
+}
+
+// pick chooses an upstream of a plain service in the same way.
+func (s *relay) pick() (pool.Lease, error) {
+	if len(s.ran) >= max(1, s.route.MaxAttempts) {
+		return s.pool.Upstreams.Pick(pool.Ask{Only: s.ran})
+	}
+	return s.pool.Upstreams.Pick(pool.Ask{Avoid: s.avoid})
+}
+
 // run makes one send and reports whether the request is finished.
 func (s *relay) run(ctx context.Context) bool {
 	t, err := s.await(ctx)
@@ -155,6 +179,10 @@
 	}
 	if res != notRun {
 		s.runs++
+		s.noteRun(t.target.ID)
+	}
+	if res == unknown && t.hops != nil && context.Cause(ctx) == nil {
+		s.avoid = []fleet.UpstreamID{t.target.ID}
 	}
 	if refused {
 		s.blame(t.target.Address)
@@ -372,7 +400,7 @@
 		return
 	}
 	var wait sync.WaitGroup
-	for _, h := range w.route.hops {
+	for _, h := range p.Unpaced(w.route.hops) {
 		wait.Go(func() {
 			r, err := w.relay.stalls.ask(w.ctx, exchange.Target{ID: h.ID, Address: h.Address})
 			if err == nil {
--- a/internal/gateway/path/path.go
+++ b/internal/gateway/path/path.go
@@ -55,6 +55,9 @@
 	servedNews = 2 * time.Second
 	// failureNews is how long a failure is told to the controller.
 	failureNews = time.Second
+	// paceNews is how long a report of an engine's pace is told to other gateways and
+	// keeps them from asking.
+	paceNews = time.Second
 	// paceAge is how long a report of a slow engine counts.
 	paceAge = 4 * time.Second
 	// fullHold is the time for which an engine without free memory is passed over.
@@ -95,7 +98,8 @@
 	failures int
 	failed   time.Time // last own finding
 	pace     float64   // factor by which it is slower than its card
-	paced    time.Time // of the last report of pace
+	paced    time.Time // of the last report of pace, to any gateway
+	asked    time.Time // of the last report to this one
 	served   time.Time // of the last progress of an own request
 	serving  time.Time // of the last news that some gateway's requests make progress
 	heldTo   time.Time
@@ -177,16 +181,24 @@
 	home fleet.DataCentreID
 }
 
-// Choose returns a path that avoids some engines. Done must be called with it.
-// The error is of kind refusal.NoUpstream.
-func (p *Planner) Choose(avoid []fleet.UpstreamID) ([]Hop, error) {
+// Limits narrow the choice of a path.
+type Limits struct {
+	// Avoid lists engines that are not used.
+	Avoid []fleet.UpstreamID
+	// First lists the engines that a path may begin at. Empty stands for all.
+	First []fleet.UpstreamID
+}
+
+// Choose returns a path within limits. Done must be called with it. The error is of
+// kind refusal.NoUpstream.
+func (p *Planner) Choose(l Limits) ([]Hop, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.model == nil {
 		return nil, refusal.New(refusal.NoUpstream, "no engine is known")
 	}
-	usable, costs := p.usable(avoid)
-	hops := p.search(usable, costs)
+	usable, costs := p.usable(l.Avoid)
+	hops := p.search(usable, costs, l.First)
 	if hops == nil {
 		return nil, refusal.New(refusal.NoUpstream, "%d usable engines of %d do not hold all %d layers",
 			len(usable), len(p.engines), p.model.Layers)
@@ -227,8 +239,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e := p.byID[id]; e != nil {
-		e.pace, e.paced = pace, p.clock.Now()
+		now := p.clock.Now()
+		e.pace, e.paced, e.asked = pace, now, now
+	}
+}
+
+// Unpaced returns the hops whose engines nobody asked for their pace lately.
+func (p *Planner) Unpaced(hops []Hop) []Hop {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	var rest []Hop
+	for _, h := range hops {
+		if e := p.byID[h.ID]; e != nil && (e.paced.IsZero() || now.Sub(e.paced) > paceNews) {
+			e.paced = now // other streams need not ask as well
+			rest = append(rest, h)
+		}
 	}
+	return rest
 }
 
 // load estimates the requests of all gateways on an engine.
@@ -248,8 +276,12 @@
 	for _, e := range p.engines {
 		failed := !e.failed.IsZero() && now.Sub(e.failed) < failureNews
 		served := !e.served.IsZero() && now.Sub(e.served) < servedNews
-		if e.active > 0 || failed || served {
-			us = append(us, usage.Use{ID: e.entry.ID, Active: e.active, Failed: failed, Served: served})
+		pace := 0.0
+		if !e.asked.IsZero() && now.Sub(e.asked) < paceNews {
+			pace = e.pace
+		}
+		if e.active > 0 || failed || served || pace > 0 {
+			us = append(us, usage.Use{ID: e.entry.ID, Active: e.active, Failed: failed, Served: served, Pace: pace})
 		}
 	}
 	return us
@@ -274,6 +306,9 @@
 		if u.Served {
 			e.serving = now
 		}
+		if u.Pace > 0 {
+			e.pace, e.paced = u.Pace, now
+		}
 		if u.Failed && !now.Before(e.heldTo) {
 			p.hold(e, now)
 		}
@@ -282,12 +317,15 @@
 
 // search runs over the bounds in order and keeps the cheapest state for each data
 // centre.
-func (p *Planner) search(es []*engine, costs []float64) []Hop {
+func (p *Planner) search(es []*engine, costs []float64, first []fleet.UpstreamID) []Hop {
 	best := make([]map[fleet.DataCentreID]*state, len(p.bounds))
 	best[0] = map[fleet.DataCentreID]*state{p.home: {home: p.home}}
 	for i := range p.bounds[:len(p.bounds)-1] {
 		for _, s := range best[i] {
 			for k, e := range es {
+				if s.hops == 0 && len(first) > 0 && !slices.Contains(first, e.entry.ID) {
+					continue
+				}
 				p.extend(best, i, s, e, costs[k])
 			}
 		}
@@ -422,7 +460,7 @@
 
 // Ready reports whether a path exists.
 func (p *Planner) Ready() bool {
-	hops, err := p.Choose(nil)
+	hops, err := p.Choose(Limits{})
 	if err != nil {
 		return false
 	}
--- a/internal/gateway/path/path_test.go
+++ b/internal/gateway/path/path_test.go
@@ -41,7 +41,7 @@
 				p.Refresh(model, entries(t, d, clock.Now()), 4)
 				return ""
 			case "choose":
-				return choose(p, d.HasArg("done"))
+				return choose(p, d)
 			case "uses":
 				p.SetUses(uses(t, d))
 				return ""
@@ -81,8 +81,21 @@
 	return s
 }
 
-func choose(p *path.Planner, done bool) string {
-	hops, err := p.Choose(nil)
+func limits(d *datadriven.TestData) path.Limits {
+	var l path.Limits
+	for _, a := range d.CmdArgs {
+		switch a.Key {
+		case "avoid":
+			l.Avoid = append(l.Avoid, fleet.UpstreamID(a.Vals[0]))
+		case "first":
+			l.First = append(l.First, fleet.UpstreamID(a.Vals[0]))
+		}
+	}
+	return l
+}
+
+func choose(p *path.Planner, d *datadriven.TestData) string {
+	hops, err := p.Choose(limits(d))
 	if err != nil {
 		return err.Error() + "\n"
 	}
@@ -98,7 +111,7 @@
 	if int(next) != model.Layers {
 		fmt.Fprintf(&b, "the path ends at layer %d", next)
 	}
-	if done {
+	if d.HasArg("done") {
 		p.Done(hops, true)
 	}
 	return strings.TrimSpace(b.String()) + "\n"
--- a/internal/registry/feed/server.go
+++ b/internal/registry/feed/server.go
@@ -263,7 +263,7 @@
 func usesToProto(us []usage.Use) []*peerv1.UpstreamUse {
 	ps := make([]*peerv1.UpstreamUse, len(us))
 	for i, u := range us {
-		ps[i] = &peerv1.UpstreamUse{Id: string(u.ID), Active: uint32(u.Active), Failed: u.Failed, Served: u.Served}
+		ps[i] = &peerv1.UpstreamUse{Id: string(u.ID), Active: uint32(u.Active), Failed: u.Failed, Served: u.Served, Pace: float32(u.Pace)}
 	}
 	return ps
 }
@@ -271,7 +271,7 @@
 func usesFromProto(ps []*peerv1.UpstreamUse) []usage.Use {
 	us := make([]usage.Use, len(ps))
 	for i, p := range ps {
-		us[i] = usage.Use{ID: fleet.UpstreamID(p.GetId()), Active: int(p.GetActive()), Failed: p.GetFailed(), Served: p.GetServed()}
+		us[i] = usage.Use{ID: fleet.UpstreamID(p.GetId()), Active: int(p.GetActive()), Failed: p.GetFailed(), Served: p.GetServed(), Pace: float64(p.GetPace())}
 	}
 	return us
 }
--- a/internal/registry/usage/usage.go
+++ b/internal/registry/usage/usage.go
@@ -25,6 +25,9 @@
 	// Failed tells that requests failed there lately, and Served that requests made
 	// progress.
 	Failed, Served bool
+	// Pace is the factor by which it lately said that it is slower than its card, or
+	// 0 if nobody asked.
+	Pace float64
 }
 
 // Table adds up the uses of gateways. It is safe for concurrent use.
@@ -147,6 +150,7 @@
 func add(u, n Use) Use {
 	u.Active += n.Active
 	u.Served = u.Served || n.Served
+	u.Pace = max(u.Pace, n.Pace)
 	return u
 }
 
