--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 TOOLS := bin/buf bin/protoc-gen-go bin/protoc-gen-go-grpc bin/stringer bin/staticcheck bin/gofumpt bin/benchstat
 
-.PHONY: build demo test check generate bench table trial tools
+.PHONY: build demo test check generate bench table trial soak tools
 
 build:
 	go build -o bin/ ./cmd/...
@@ -11,11 +11,15 @@
 demo: build
 	go run ./internal/trial/demo
 
-# The cache of go test does not see that the trials build the programs, so they
-# always run.
+# The cache of go test does not see that the trials and the soak build the
+# programs, so they always run.
 test: check
-	go test -race $$(go list ./... | grep -v /internal/trial/)
-	go test -race -count=1 ./internal/trial/...
+	go test -race $$(go list ./... | grep -v -e /internal/trial/ -e /platform$$)
+	go test -race -count=1 ./internal/trial/... ./platform
+
+# The fault soak of the programs on the platform, 50 seeds.
+soak:
+	SOAK_SEEDS=50 go test -count=1 -timeout 40m -run Soak -v ./platform
 
 check: tools
 	bash scripts/check.sh
