--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,8 +24,6 @@
 	// HasLastEvent is false for a new stream.
 	LastEvent    uint64
 	HasLastEvent bool
-	// Prompt and Answer are the numbers of tokens read and at most written.
-	Prompt, Answer int
 }
 
 // Send is what the gateway adds to a request for an upstream.
--- a/internal/gateway/path/path.go
+++ b/internal/gateway/path/path.go
@@ -457,13 +457,3 @@
 		}
 	}
 }
-
-// Ready reports whether a path exists.
-func (p *Planner) Ready() bool {
-	hops, err := p.Choose(Limits{})
-	if err != nil {
-		return false
-	}
-	p.Done(hops, false)
-	return true
-}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -67,9 +67,3 @@
 	return e.Born == o.Born && e.State == o.State && e.Address == o.Address && e.Pool == o.Pool &&
 		e.Layers == o.Layers && e.Slots == o.Slots && e.Card == o.Card && e.DataCentre == o.DataCentre
 }
-
-// Decoder reads heartbeats in the format of the platform.
-type Decoder interface {
-	// DecodeHeartbeat reads the body of a heartbeat of the upstream with the id.
-	DecodeHeartbeat(id fleet.UpstreamID, body []byte) (Entry, error)
-}
--- a/internal/release/store/store.go
+++ b/internal/release/store/store.go
@@ -121,16 +121,6 @@
 	return s.held, s.changed
 }
 
-// Offer takes a release that was learned outside of the log, from an instance
-// that had applied it.
-func (s *Store) Offer(h Held) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if h.Version > s.held.Version {
-		s.set(h)
-	}
-}
-
 func (s *Store) set(h Held) {
 	s.held = h
 	close(s.changed)
