Decode releases in one place; draw services without a new generator

Gateways and controllers unpacked and decoded a release in two copies of the same steps, and each request made a random generator of its own to pick a service. Held.Read serves both, and table.Pick takes the draw function. The two log lines for content that cannot be unpacked or decoded are one, with the same fields.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -352,12 +352,7 @@
 }
 
 func (c *Controller) takeRelease(h store.Held) {
-	content, err := h.Unpack()
-	if err != nil {
-		c.logger.Error("A release could not be unpacked.", zap.Uint64("version", uint64(h.Version)), zap.Error(err))
-		return
-	}
-	r, err := c.decoder.Decode(content)
+	r, err := h.Read(c.decoder)
 	if err != nil {
 		c.logger.Error("A release could not be read.", zap.Uint64("version", uint64(h.Version)), zap.Error(err))
 		return
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -187,7 +187,7 @@
 	if d := q.arrival.Add(call.Budget); call.Budget > 0 && d.Before(q.deadline) {
 		q.deadline = d
 	}
-	q.poolID = table.Pick(o, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	q.poolID = table.Pick(o, rand.IntN)
 	if q.pool, ok = q.state.Pool(q.poolID); !ok {
 		return refusal.New(refusal.NoUpstream, "no upstream of service %q is known", q.poolID)
 	}
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -159,12 +159,7 @@
 	if u.Held.Version <= s.Version() {
 		return false
 	}
-	content, err := u.Held.Unpack()
-	if err != nil {
-		s.logger.Error("A release could not be unpacked.", zap.Uint64("version", uint64(u.Held.Version)), zap.Error(err))
-		return false
-	}
-	r, err := s.decoder.Decode(content)
+	r, err := u.Held.Read(s.decoder)
 	if err != nil {
 		s.logger.Error("A release could not be read.", zap.Uint64("version", uint64(u.Held.Version)), zap.Error(err))
 		return false
--- a/internal/release/store/store.go
+++ b/internal/release/store/store.go
@@ -67,6 +67,15 @@
 	return content, errors.Wrapf(err, "release %d", h.Version)
 }
 
+// Read unpacks a release and decodes it.
+func (h Held) Read(d release.Decoder) (*release.Release, error) {
+	content, err := h.Unpack()
+	if err != nil {
+		return nil, err
+	}
+	return d.Decode(content)
+}
+
 // Apply takes a release if its version is higher than the one held. The reply is
 // the version that is held then.
 func (s *Store) Apply(i quorum.Index, command []byte) []byte {
--- a/internal/release/table/table.go
+++ b/internal/release/table/table.go
@@ -3,7 +3,6 @@
 package table
 
 import (
-	"math/rand/v2"
 	"sort"
 	"strings"
 
@@ -76,13 +75,14 @@
 	return s, ok
 }
 
-// Pick draws a service of a route by the weights of its split.
-func Pick(o *release.Route, r *rand.Rand) fleet.PoolID {
+// Pick draws a service of a route by the weights of its split. draw returns a random
+// number below its argument.
+func Pick(o *release.Route, draw func(int) int) fleet.PoolID {
 	total := 0
 	for _, s := range o.Split {
 		total += s.Weight
 	}
-	n := r.IntN(total)
+	n := draw(total)
 	for _, s := range o.Split {
 		if n < s.Weight {
 			return s.Pool
--- a/internal/release/table/table_test.go
+++ b/internal/release/table/table_test.go
@@ -65,6 +65,6 @@
 	long, _ := sample().Route("h", "/a/b/")
 	r := rand.New(rand.NewPCG(1, 1))
 	for range 100 {
-		is.Equal(table.Pick(long, r), fleet.PoolID("q"))
+		is.Equal(table.Pick(long, r.IntN), fleet.PoolID("q"))
 	}
 }
