--- a/cmd/bilberryrock-platform/log.go
+++ b/cmd/bilberryrock-platform/log.go
@@ -35,3 +35,11 @@
 	core = zapcore.NewSamplerWithOptions(core, time.Second, logBurst, logThin)
 	return zap.New(core), func() { _ = out.Stop() }, nil
 }
+
+// milestone writes a line on the life of the process at once, with all that is
+// buffered, since a process that ends abruptly loses its buffer.
+func milestone(log *zap.Logger, message string, fields ...zap.Field) {
+	log.Info(message, fields...)
+	// Sync fails on a pipe or a terminal, after the buffer was written.
+	_ = log.Sync()
+}
--- a/cmd/bilberryrock-platform/main.go
+++ b/cmd/bilberryrock-platform/main.go
@@ -66,12 +66,12 @@
 		return exitSettings
 	}
 	defer closeLog()
-	log.Info("The daemon starts.", zap.String("role", o.Role.Name), zap.String("instance", string(s.Instance)),
+	milestone(log, "The daemon starts.", zap.String("role", o.Role.Name), zap.String("instance", string(s.Instance)),
 		zap.String("dataCentre", string(s.DataCentre)), zap.Bool("found", s.Found), zap.Strings("seeds", s.PeerSeeds))
 	if err := start(s, log); err != nil {
 		log.Error("The daemon ended with an error.", zap.Error(err))
 		return exitFailed
 	}
-	log.Info("The daemon stopped.")
+	milestone(log, "The daemon stopped.")
 	return 0
 }
--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -100,7 +100,9 @@
 		return err
 	}
 	handler.Close()
+	milestone(log, "The gateway drains.", zap.Int64("requests", handler.Active()), zap.Duration("grace", s.Grace))
 	time.Sleep(drainLeast)
+	milestone(log, "The gateway takes no further connections.", zap.Int64("requests", handler.Active()))
 	ctx, cancel := context.WithTimeout(context.Background(), s.Grace-stopMargin-drainLeast)
 	defer cancel()
 	if err := front.Shutdown(ctx); err != nil {
@@ -193,7 +195,7 @@
 	for {
 		select {
 		case <-stop.Done():
-			log.Info("The daemon was asked to stop.")
+			milestone(log, "The daemon was asked to stop.")
 			return nil
 		case err := <-failed:
 			return err
@@ -213,7 +215,7 @@
 		return old
 	}
 	if !s.Equal(old) {
-		log.Info("The settings changed.", zap.Strings("seeds", s.PeerSeeds))
+		milestone(log, "The settings changed.", zap.Strings("seeds", s.PeerSeeds))
 		changed(s)
 	}
 	return s
