--- a/internal/trial/failure/failure.go
+++ b/internal/trial/failure/failure.go
@@ -214,6 +214,10 @@
 		return p.Signal(syscall.SIGSTOP)
 	case "thaw":
 		return p.Signal(syscall.SIGCONT)
+	case "hangup":
+		return p.Signal(syscall.SIGHUP)
+	case "terminate": // without waiting, unlike stop
+		return p.Signal(syscall.SIGTERM)
 	case "leave", "stop":
 		return p.Stop(patience)
 	}
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-unformatted=$(bin/gofumpt -l cmd internal api 2>/dev/null | grep -v '\.pb\.go$' || true)
+unformatted=$(bin/gofumpt -l cmd internal api platform 2>/dev/null | grep -v '\.pb\.go$' || true)
 if [ -n "$unformatted" ]; then
 	echo "not formatted by gofumpt:"
 	echo "$unformatted"
