Keep signals caught until the process ends

A gateway gave up its subscription to signals as soon as SIGTERM came, so a SIGHUP during the drain, or a second SIGTERM, had its default effect and ended the process. bilberryrockd and the stand-in never caught SIGHUP, which ended them at any time.

Package lifecycle catches SIGTERM, SIGINT and SIGHUP as the first step of main and keeps them until the end. Reloads go on while a daemon drains; a further request to stop is logged and changes nothing. bilberryrockd answers SIGHUP by comparing the settings file with the settings in force.

Ruled out: a grace time that is cut short (no line says so, and the times differ) and a lack of memory (8 MB in use).

--- a/cmd/bilberryrock-platform/main.go
+++ b/cmd/bilberryrock-platform/main.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/bilberryrock/bilberryrock/internal/entry/lifecycle"
 	"github.com/bilberryrock/bilberryrock/platform"
 )
 
@@ -33,10 +34,10 @@
 }
 
 func main() {
-	os.Exit(run())
+	os.Exit(run(lifecycle.Catch()))
 }
 
-func run() int {
+func run(signals lifecycle.Signals) int {
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
 		var usage *flags.Error
@@ -45,7 +46,7 @@
 		}
 		return exitSettings
 	}
-	roles := map[string]func(platform.Settings, *zap.Logger) error{"gateway": runGateway, "controller": runController}
+	roles := map[string]func(platform.Settings, lifecycle.Signals, *zap.Logger) error{"gateway": runGateway, "controller": runController}
 	start, ok := roles[o.Role.Name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "bilberryrock-platform: unknown role %q\n", o.Role.Name)
@@ -68,7 +69,7 @@
 	defer closeLog()
 	milestone(log, "The daemon starts.", zap.String("role", o.Role.Name), zap.String("instance", string(s.Instance)),
 		zap.String("dataCentre", string(s.DataCentre)), zap.Bool("found", s.Found), zap.Strings("seeds", s.PeerSeeds))
-	if err := start(s, log); err != nil {
+	if err := start(s, signals, log); err != nil {
 		log.Error("The daemon ended with an error.", zap.Error(err))
 		return exitFailed
 	}
--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -4,9 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +17,7 @@
 
 	"github.com/bilberryrock/bilberryrock/internal/admission/budget"
 	"github.com/bilberryrock/bilberryrock/internal/controller"
+	"github.com/bilberryrock/bilberryrock/internal/entry/lifecycle"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/forward"
@@ -70,7 +68,7 @@
 }
 
 // runGateway serves clients until SIGTERM.
-func runGateway(s platform.Settings, log *zap.Logger) error {
+func runGateway(s platform.Settings, signals lifecycle.Signals, log *zap.Logger) error {
 	clock := systemclock.Clock{}
 	client := exchange.New(clock)
 	st := state.New(clock, s.DataCentre, platform.Configuration{}, state.Limits{
@@ -96,7 +94,8 @@
 	if err := servers.start(&http.Server{Handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}, s.MetricsAddress); err != nil {
 		return err
 	}
-	if err := wait(s, log, servers.failed, func(n platform.Settings) { follower.LearnSeeds(n.PeerSeeds) }); err != nil {
+	life := live(s, signals, log, func(n platform.Settings) { follower.LearnSeeds(n.PeerSeeds) })
+	if err := wait(life, servers.failed); err != nil {
 		return err
 	}
 	handler.Close()
@@ -114,7 +113,7 @@
 
 // runController serves the operator, the workers and the other daemons until
 // SIGTERM.
-func runController(s platform.Settings, log *zap.Logger) error {
+func runController(s platform.Settings, signals lifecycle.Signals, log *zap.Logger) error {
 	clock := systemclock.Clock{}
 	c, err := controller.New(controller.Settings{
 		Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerAddress, Folder: s.Folder, Found: s.Found, Seeds: s.PeerSeeds,
@@ -140,7 +139,7 @@
 			servers.failed <- err
 		}
 	}()
-	failed := wait(s, log, servers.failed, func(platform.Settings) {})
+	failed := wait(live(s, signals, log, func(platform.Settings) {}), servers.failed)
 	ctx, cancel := context.WithTimeout(context.Background(), s.Grace/2)
 	defer cancel()
 	if err := control.Shutdown(ctx); err != nil {
@@ -182,28 +181,19 @@
 	return nil
 }
 
-// wait returns at SIGTERM or SIGINT, or with the error of a part that failed. It
-// hands over the settings when the file has changed.
-func wait(s platform.Settings, log *zap.Logger, failed <-chan error, changed func(platform.Settings)) error {
-	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	tick := time.NewTicker(reloadEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-stop.Done():
-			milestone(log, "The daemon was asked to stop.")
-			return nil
-		case err := <-failed:
-			return err
-		case <-hup:
-			s = reload(s, log, changed)
-		case <-tick.C:
-			s = reload(s, log, changed)
-		}
+// live returns the life of a daemon, which hands over the settings when the file has
+// changed.
+func live(s platform.Settings, signals lifecycle.Signals, log *zap.Logger, changed func(platform.Settings)) *lifecycle.Life {
+	return lifecycle.New(signals, systemclock.Clock{}, log, lifecycle.Reload(reloadEvery, func() { s = reload(s, log, changed) }))
+}
+
+// wait returns at the first request to stop, or with the error of a part that failed.
+func wait(l *lifecycle.Life, failed <-chan error) error {
+	select {
+	case <-l.Stopping():
+		return nil
+	case err := <-failed:
+		return err
 	}
 }
 
--- a/cmd/bilberryrock-standin/main.go
+++ b/cmd/bilberryrock-standin/main.go
@@ -14,16 +14,16 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/bilberryrock/bilberryrock/internal/entry/lifecycle"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/standin"
 )
@@ -73,6 +73,7 @@
 }
 
 func main() {
+	signals := lifecycle.Catch()
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
 		if flags.WroteHelp(err) {
@@ -81,13 +82,13 @@
 		os.Exit(2)
 	}
 	logger := zap.Must(zap.NewProduction()).Named("standin")
-	if err := run(o, logger); err != nil {
+	if err := run(o, signals, logger); err != nil {
 		logger.Error("The stand-in stopped with an error.", zap.Error(err))
 		os.Exit(1)
 	}
 }
 
-func run(o options, logger *zap.Logger) error {
+func run(o options, signals lifecycle.Signals, logger *zap.Logger) error {
 	config, err := o.config()
 	if err != nil {
 		return err
@@ -110,7 +111,8 @@
 	go func() { failed <- server.Serve(listener) }()
 	logger.Info("The stand-in listens.", zap.String("id", o.ID), zap.String("address", config.Announcement.Address))
 
-	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	life := lifecycle.New(signals, systemclock.Clock{}, logger)
+	term, stop := context.WithCancel(context.Background())
 	defer stop()
 	announcer := standin.NewAnnouncer(s, targets(o.Announce), o.Token, logger)
 	announced := make(chan struct{})
@@ -121,7 +123,8 @@
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "serve")
-	case <-term.Done():
+	case <-life.Stopping():
+		stop()
 	}
 	<-announced
 	return leave(s, server, announcer, o.LeaveGrace+o.Linger, o.Drain)
--- a/cmd/bilberryrock-standin/main_test.go
+++ b/cmd/bilberryrock-standin/main_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/bilberryrock/bilberryrock/internal/entry/lifecycle"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/engine"
@@ -42,7 +43,7 @@
 	})
 	is.NoErr(err)
 	done := make(chan error)
-	go func() { done <- run(o, zap.NewNop()) }()
+	go func() { done <- run(o, lifecycle.Catch(), zap.NewNop()) }()
 
 	a := <-announced
 	is.Equal(a.State, upstream.Serving)
--- a/cmd/bilberryrockd/main.go
+++ b/cmd/bilberryrockd/main.go
@@ -3,16 +3,15 @@
 //	bilberryrockd --config a.ini
 //
 // It runs until SIGTERM or SIGINT and then stops gracefully: it takes no new
-// work and ends once all requests in progress are answered. Its exit status is 0
+// work and ends once all requests in progress are answered. At SIGHUP it checks the
+// settings file and logs whether a restart is needed. Its exit status is 0
 // after a graceful stop, 2 if the settings are wrong and 1 for any other error.
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
+	"reflect"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
@@ -23,7 +22,9 @@
 	_ "time/tzdata"
 
 	"github.com/bilberryrock/bilberryrock/internal/entry/daemon"
+	"github.com/bilberryrock/bilberryrock/internal/entry/lifecycle"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/settings"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
 )
 
 const (
@@ -38,10 +39,10 @@
 }
 
 func main() {
-	os.Exit(run())
+	os.Exit(run(lifecycle.Catch()))
 }
 
-func run() int {
+func run(signals lifecycle.Signals) int {
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
 		var usage *flags.Error
@@ -72,7 +73,7 @@
 		fmt.Fprintln(os.Stderr, "bilberryrockd:", err)
 		return exitFailed
 	}
-	return serve(s, log)
+	return serve(o.Config, s, signals, log)
 }
 
 func printKeys() {
@@ -81,7 +82,7 @@
 	}
 }
 
-func serve(s settings.Settings, log *zap.Logger) int {
+func serve(file string, s settings.Settings, signals lifecycle.Signals, log *zap.Logger) int {
 	// Sync fails on a terminal; the lines are written all the same.
 	defer func() { _ = log.Sync() }()
 	d, err := daemon.New(s, daemon.WithLog(log))
@@ -90,11 +91,10 @@
 		return exitFailed
 	}
 	log = log.Named("daemon")
-	signals, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
+	life := lifecycle.New(signals, systemclock.Clock{}, log, lifecycle.Reload(0, func() { compare(file, s, log) }))
 	var failed error
 	select {
-	case <-signals.Done():
+	case <-life.Stopping():
 	case failed = <-d.Failed():
 		log.Error("A listener failed.", zap.Error(failed))
 	}
@@ -108,6 +108,20 @@
 	return 0
 }
 
+// compare tells whether the settings file differs from the settings in force, which
+// are those of the start.
+func compare(file string, s settings.Settings, log *zap.Logger) {
+	n, err := settings.Load(file)
+	switch {
+	case err != nil:
+		log.Warn("The settings file has a fault.", zap.Error(err))
+	case reflect.DeepEqual(n, s):
+		log.Info("The settings have not changed.")
+	default:
+		log.Warn("The settings have changed; they take effect at the next start.")
+	}
+}
+
 func newLog(l settings.Log) (*zap.Logger, error) {
 	config := zap.NewProductionConfig()
 	if l.Format == "console" {
