Let no daemon wait for the reader of its log, or end without one

A reader that is stuck made all requests wait for the lock of the log, and since the lines on stops are written at once it kept a gateway from stopping.

SIGPIPE is ignored from the first step of main on. Package output takes lines into a bounded buffer that one goroutine writes; lines beyond it are dropped and counted.

--- a/cmd/bilberryrock-platform/log.go
+++ b/cmd/bilberryrock-platform/log.go
@@ -7,39 +7,38 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
+	"github.com/bilberryrock/bilberryrock/internal/report/output"
 )
 
 const (
-	// logBuffer and logFlush bound the lines that wait to be written. One write for
-	// many lines costs less processor time than one for each.
-	logBuffer = 64 << 10
-	logFlush  = 500 * time.Millisecond
+	// logDelay is how long lines wait to be written together.
+	logDelay = 500 * time.Millisecond
 	// logBurst lines with the same message are written each second, and after them
 	// one in logThin.
 	logBurst = 100
 	logThin  = 50
 )
 
-// newLog returns a logger to standard output, and a function that writes what is
-// buffered.
-func newLog(level string) (*zap.Logger, func(), error) {
+// newLog returns a logger to standard output. Its output is to be closed at the end.
+func newLog(level string) (*zap.Logger, *output.Writer, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "log level")
 	}
-	out := &zapcore.BufferedWriteSyncer{WS: os.Stdout, Size: logBuffer, FlushInterval: logFlush}
+	out := output.New(os.Stdout, systemclock.Clock{}, output.Delay(logDelay))
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	config.EncodeDuration = zapcore.StringDurationEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), out, l)
 	core = zapcore.NewSamplerWithOptions(core, time.Second, logBurst, logThin)
-	return zap.New(core), func() { _ = out.Stop() }, nil
+	return zap.New(core), out, nil
 }
 
 // milestone writes a line on the life of the process at once, with all that is
 // buffered, since a process that ends abruptly loses its buffer.
 func milestone(log *zap.Logger, message string, fields ...zap.Field) {
 	log.Info(message, fields...)
-	// Sync fails on a pipe or a terminal, after the buffer was written.
-	_ = log.Sync()
+	_ = log.Sync() // which only wakes the output
 }
--- a/cmd/bilberryrock-platform/main.go
+++ b/cmd/bilberryrock-platform/main.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bilberryrock/bilberryrock/internal/entry/lifecycle"
+	"github.com/bilberryrock/bilberryrock/internal/report/output"
 	"github.com/bilberryrock/bilberryrock/platform"
 )
 
@@ -46,7 +47,7 @@
 		}
 		return exitSettings
 	}
-	roles := map[string]func(platform.Settings, lifecycle.Signals, *zap.Logger) error{"gateway": runGateway, "controller": runController}
+	roles := map[string]func(platform.Settings, lifecycle.Signals, *output.Writer, *zap.Logger) error{"gateway": runGateway, "controller": runController}
 	start, ok := roles[o.Role.Name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "bilberryrock-platform: unknown role %q\n", o.Role.Name)
@@ -61,15 +62,15 @@
 		fmt.Println("no fault found")
 		return 0
 	}
-	log, closeLog, err := newLog(o.Level)
+	log, out, err := newLog(o.Level)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "bilberryrock-platform:", err)
 		return exitSettings
 	}
-	defer closeLog()
+	defer out.Close()
 	milestone(log, "The daemon starts.", zap.String("role", o.Role.Name), zap.String("instance", string(s.Instance)),
 		zap.String("dataCentre", string(s.DataCentre)), zap.Bool("found", s.Found), zap.Strings("seeds", s.PeerSeeds))
-	if err := start(s, signals, log); err != nil {
+	if err := start(s, signals, out, log); err != nil {
 		log.Error("The daemon ended with an error.", zap.Error(err))
 		return exitFailed
 	}
--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -23,6 +23,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/gateway/forward"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/state"
 	"github.com/bilberryrock/bilberryrock/internal/registry/feed"
+	"github.com/bilberryrock/bilberryrock/internal/report/output"
 	"github.com/bilberryrock/bilberryrock/platform"
 )
 
@@ -68,14 +69,14 @@
 }
 
 // runGateway serves clients until SIGTERM.
-func runGateway(s platform.Settings, signals lifecycle.Signals, log *zap.Logger) error {
+func runGateway(s platform.Settings, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
 	clock := systemclock.Clock{}
 	client := exchange.New(clock)
 	st := state.New(clock, s.DataCentre, platform.Configuration{}, state.Limits{
 		Alive: aliveBeats * s.Heartbeat, Lease: s.Revoke - leaseMargin, Fresh: freshLimit,
 		Retries: budget.Limit{Share: s.RetryRatio * retryPart, Extra: s.RetryExtra * retryPart, Window: s.RetryWindow},
 	}, client, log)
-	registry := newRegistry()
+	registry := newRegistry(out)
 	handler := forward.New(clock, st, client, platform.Headers{}, platform.Engines{Client: client},
 		forward.NewMetrics(registry), log)
 	follower := feed.NewClient(s.Instance, clock, st, log, feed.Seeds(s.PeerSeeds...), feed.Home(s.DataCentre),
@@ -113,7 +114,7 @@
 
 // runController serves the operator, the workers and the other daemons until
 // SIGTERM.
-func runController(s platform.Settings, signals lifecycle.Signals, log *zap.Logger) error {
+func runController(s platform.Settings, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
 	clock := systemclock.Clock{}
 	c, err := controller.New(controller.Settings{
 		Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerAddress, Folder: s.Folder, Found: s.Found, Seeds: s.PeerSeeds,
@@ -122,7 +123,7 @@
 	if err != nil {
 		return err
 	}
-	registry := newRegistry()
+	registry := newRegistry(out)
 	registry.MustRegister(c.Collector())
 	servers := &servers{failed: make(chan error, 4)}
 	control := &http.Server{
@@ -151,9 +152,9 @@
 	return failed
 }
 
-func newRegistry() *prometheus.Registry {
+func newRegistry(out *output.Writer) *prometheus.Registry {
 	r := prometheus.NewRegistry()
-	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	r.MustRegister(out.Collector(), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return r
 }
 
--- a/cmd/bilberryrockd/main.go
+++ b/cmd/bilberryrockd/main.go
@@ -25,6 +25,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/entry/lifecycle"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/settings"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
+	"github.com/bilberryrock/bilberryrock/internal/report/output"
 )
 
 const (
@@ -68,7 +69,9 @@
 		fmt.Printf("%s: no fault found\n", o.Config)
 		return 0
 	}
-	log, err := newLog(s.Log)
+	out := output.New(os.Stderr, systemclock.Clock{})
+	defer out.Close()
+	log, err := newLog(s.Log, out)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "bilberryrockd:", err)
 		return exitFailed
@@ -83,8 +86,6 @@
 }
 
 func serve(file string, s settings.Settings, signals lifecycle.Signals, log *zap.Logger) int {
-	// Sync fails on a terminal; the lines are written all the same.
-	defer func() { _ = log.Sync() }()
 	d, err := daemon.New(s, daemon.WithLog(log))
 	if err != nil {
 		log.Named("daemon").Error("The daemon could not start.", zap.Error(err))
@@ -122,18 +123,17 @@
 	}
 }
 
-func newLog(l settings.Log) (*zap.Logger, error) {
-	config := zap.NewProductionConfig()
-	if l.Format == "console" {
-		config = zap.NewDevelopmentConfig()
-	}
+// newLog returns a logger to out in the format of the settings.
+func newLog(l settings.Log, out *output.Writer) (*zap.Logger, error) {
 	level, err := zapcore.ParseLevel(l.Level)
 	if err != nil {
 		return nil, errors.Wrap(err, "log level")
 	}
-	config.Level = zap.NewAtomicLevelAt(level)
-	// Sampling would drop lines that an operator looks for.
-	config.Sampling = nil
-	config.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	return config.Build()
+	config, encoder, trace := zap.NewProductionEncoderConfig(), zapcore.NewJSONEncoder, zapcore.ErrorLevel
+	if l.Format == "console" {
+		config, encoder, trace = zap.NewDevelopmentEncoderConfig(), zapcore.NewConsoleEncoder, zapcore.WarnLevel
+	}
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	// Without sampling, which would drop lines that an operator looks for.
+	return zap.New(zapcore.NewCore(encoder(config), out, level), zap.AddCaller(), zap.AddStacktrace(trace)), nil
 }
--- a/internal/entry/lifecycle/lifecycle.go
+++ b/internal/entry/lifecycle/lifecycle.go
@@ -30,8 +30,10 @@
 	stop, reload chan os.Signal
 }
 
-// Catch catches SIGTERM, SIGINT and SIGHUP for good.
+// Catch catches SIGTERM, SIGINT and SIGHUP for good, and ignores SIGPIPE, which a
+// write to a standard output without a reader raises.
 func Catch() Signals {
+	signal.Ignore(syscall.SIGPIPE)
 	s := Signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
 	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reload, syscall.SIGHUP)
@@ -102,6 +104,5 @@
 // note writes a line at once, since it may be one of the last.
 func (f *Life) note(message string, g os.Signal) {
 	f.logger.Info(message, zap.Stringer("signal", g))
-	// Sync fails on a pipe or a terminal, after the buffer was written.
-	_ = f.logger.Sync()
+	_ = f.logger.Sync() // which only wakes the output
 }
