Let a reload that hangs not keep a daemon from stopping

The goroutine that read the settings was the one that waited for SIGTERM, so a settings file on a hanging file system (shown with a FIFO in its place) made a daemon ignore requests to stop until SIGKILL cut all requests. Reloads have a goroutine of their own now. The scripted test hung in its SIGTERM before and passes.

--- a/internal/entry/lifecycle/lifecycle.go
+++ b/internal/entry/lifecycle/lifecycle.go
@@ -64,6 +64,13 @@
 	for _, o := range options {
 		o(f)
 	}
+	go func() {
+		for g := range s.stop {
+			f.stop(g)
+		}
+	}()
+	// Reading the settings may take long or hang, and must not keep the daemon from
+	// stopping.
 	go func() {
 		for {
 			f.next(s)
@@ -75,20 +82,18 @@
 // Stopping returns a channel that is closed at the first request to stop.
 func (f *Life) Stopping() <-chan struct{} { return f.stopping }
 
+// next waits for one reload.
 func (f *Life) next(s Signals) {
 	var tick <-chan time.Time
 	if f.every > 0 {
 		tick = f.clock.After(f.every)
 	}
 	select {
-	case g := <-s.stop:
-		f.stop(g)
 	case g := <-s.reload:
 		f.note("The daemon was asked to reload.", g)
-		f.reload()
 	case <-tick:
-		f.reload()
 	}
+	f.reload()
 }
 
 func (f *Life) stop(g os.Signal) {
--- a/internal/entry/lifecycle/lifecycle_test.go
+++ b/internal/entry/lifecycle/lifecycle_test.go
@@ -29,12 +29,24 @@
 		return nil
 	}))
 	c := make(clock)
-	l := lifecycle.New(lifecycle.Catch(), c, log, lifecycle.Reload(time.Minute, func() { effects <- "reload" }))
+	hanging := make(chan struct{}, 1) // holds an item while a reload hangs
+	l := lifecycle.New(lifecycle.Catch(), c, log, lifecycle.Reload(time.Minute, func() {
+		hanging <- struct{}{}
+		<-hanging
+		effects <- "reload"
+	}))
 	datadriven.RunTest(t, "testdata/signals.txt", func(t *testing.T, d *datadriven.TestData) string {
 		switch d.Cmd {
 		case "tick":
 			c <- time.Time{}
 			return <-effects + "\n"
+		case "hang":
+			hanging <- struct{}{}
+			c <- time.Time{}
+			return ""
+		case "go-on":
+			<-hanging
+			return <-effects + "\n"
 		case "stopping":
 			select {
 			case <-l.Stopping():
