Bound the head of an answer of an upstream

http.ReadResponse reads a status line and headers to their end, whatever their length. An upstream that sent a head without an end filled the memory of the gateway (and of a controller, whose reports and orders use the same client) until the deadline of the request. A connection now gives at most 32 KiB to the reader of a head; the attempt then fails as sent, so that an order is not sent again.

TestEndlessHead failed before for five heads: status line, no status line, header line, header lines, continued header line. The upstream wrote 64 MiB without being cut off. Blank lines, interim answers, answers to other requests, chunk extensions and trailers had bounds already; their cases passed and guard them.

--- /dev/null
+++ b/internal/gateway/exchange/endless_test.go
@@ -0,0 +1,129 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
+	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
+)
+
+// endlessBytes is more than the socket buffers of a connection hold, so an upstream
+// that has written as much was read without a bound.
+const endlessBytes = 64 << 20
+
+// endless is an upstream that answers a request with start and then with more again
+// and again until the connection is closed. cut receives whether that was before
+// endlessBytes were written.
+type endless struct {
+	listener net.Listener
+	cut      chan bool
+}
+
+func newEndless(t *testing.T, start, more string) *endless {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	e := &endless{listener: l, cut: make(chan bool, 1)}
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		block := strings.Repeat(more, 1+(64<<10)/len(more))
+		_, err = io.WriteString(c, start)
+		for n := 0; n < endlessBytes && err == nil; n += len(block) {
+			_, err = io.WriteString(c, block)
+		}
+		e.cut <- err != nil
+	}()
+	return e
+}
+
+func (e *endless) target() exchange.Target {
+	return exchange.Target{ID: "u1", Address: e.listener.Addr().String()}
+}
+
+// Guards against a daemon that runs out of memory, or waits for its deadline, while
+// an upstream sends a head that has no end. The request was sent, so it may have run.
+func TestEndlessHead(t *testing.T) {
+	for _, c := range []struct{ name, start, more string }{
+		{"status line", "HTTP/1.1 200 ", "OK"},
+		{"no status line", "", "x"},
+		{"header line", "HTTP/1.1 200 OK\r\nA: ", "a"},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "A: a\r\n"},
+		{"continued header line", "HTTP/1.1 200 OK\r\nA: a\r\n", " a\r\n"},
+		{"blank lines", "", "\r\n"},
+		{"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"interim answers with headers", "", "HTTP/1.1 103 Early Hints\r\nA: a\r\n\r\n"},
+		{"answers to other requests", "", text("9", "late")},
+		{"body of an answer to another request", "HTTP/1.1 200 OK\r\nId: 9\r\nContent-Length: 99999999999\r\n\r\n", "x"},
+		{"chunks of an answer to another request", "HTTP/1.1 200 OK\r\nId: 9\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEndless(t, c.start, c.more)
+			_, err := exchange.New(systemclock.Clock{}).Send(context.Background(), e.target(), request("1"))
+			var x *exchange.Error
+			is.True(errors.As(err, &x))
+			is.True(x.Sent)
+			is.True(!x.Refused)
+			is.True(<-e.cut)
+		})
+	}
+}
+
+// Guards against parts of a body that are no content and have no end.
+func TestEndlessChunks(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, c := range []struct{ name, start, more string }{
+		{"chunk extension", head + "1;", "x"},
+		{"chunk extensions", head, "1;" + strings.Repeat("x", 1<<10) + "\r\nx\r\n"},
+		{"size of a chunk", head, "0"},
+		{"trailer line", head + "0\r\nA: ", "x"},
+		{"trailer lines", head + "0\r\n", "A: x\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEndless(t, c.start, c.more)
+			x, err := exchange.New(systemclock.Clock{}).Send(context.Background(), e.target(), request("1"))
+			is.NoErr(err)
+			_, err = io.Copy(io.Discard, x.Response.Body)
+			is.True(err != nil)
+			x.Close()
+			is.True(<-e.cut)
+		})
+	}
+}
+
+// Guards against a bound on heads that also counts the bytes of bodies, or of the
+// answers before on the same connection.
+func TestBodiesAreLongerThanHeads(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("x", 100<<10)
+	long := func(id string) string {
+		return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nA: " + strings.Repeat("a", 20<<10) + "\r\nContent-Length: 102400\r\n\r\n" + body
+	}
+	p := newPeer(t, long("1"), long("1")+long("2"))
+	c := exchange.New(systemclock.Clock{})
+	for _, id := range []string{"1", "2"} {
+		b, err := send(t, c, p, id)
+		is.NoErr(err)
+		is.Equal(b, body)
+	}
+	_, conns := p.counts()
+	is.Equal(conns, 1)
+}
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -47,8 +47,19 @@
 	strayBytes = 256 << 10
 	// bufferBytes is the size of the read buffer of a connection.
 	bufferBytes = 4 << 10
+	// maxHeadBytes bounds the status line and the headers of an answer, which
+	// http.ReadResponse reads to their end however long they are. Heads of upstreams
+	// have less than 1 KiB. A head of short header lines takes up to 40 times its
+	// length in memory, so a larger bound would be felt on small machines.
+	maxHeadBytes = 32 << 10
+	// noBound lets a connection be read without a bound, because the reader of a
+	// body has its own.
+	noBound = -1
 )
 
+// errLongHead tells that an upstream sends a head without an end.
+var errLongHead = errors.Errorf("the head has more than %d bytes", maxHeadBytes)
+
 // Target is the upstream that a request goes to.
 type Target struct {
 	ID      fleet.UpstreamID
@@ -109,6 +120,21 @@
 	net.Conn
 	reader *bufio.Reader
 	until  time.Time // the connection is not used after it
+	// bound is the number of bytes that may still be read, or noBound.
+	bound int
+}
+
+// Read implements net.Conn. What the buffer holds when a head begins doesn't count.
+func (k *conn) Read(b []byte) (int, error) {
+	if k.bound == noBound {
+		return k.Conn.Read(b)
+	}
+	if k.bound == 0 {
+		return 0, errLongHead
+	}
+	n, err := k.Conn.Read(b[:min(len(b), k.bound)])
+	k.bound -= n
+	return n, err
 }
 
 // New returns a Client without connections.
@@ -185,7 +211,9 @@
 	if err != nil {
 		return nil, false, errors.Wrapf(err, "connect to upstream %s", t.ID)
 	}
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, bufferBytes)}, true, nil
+	k := &conn{Conn: n, bound: noBound}
+	k.reader = bufio.NewReaderSize(k, bufferBytes)
+	return k, true, nil
 }
 
 func (c *Client) pop(t Target) *conn {
@@ -233,7 +261,9 @@
 // earlier requests.
 func (k *conn) answer(r Request) (*http.Response, error) {
 	for range maxStray {
+		k.bound = maxHeadBytes
 		p, err := http.ReadResponse(k.reader, &http.Request{Method: r.Method})
+		k.bound = noBound
 		if err != nil {
 			return nil, errors.Wrap(err, "read the answer")
 		}
