--- a/internal/gateway/exchange/endless_test.go
+++ b/internal/gateway/exchange/endless_test.go
@@ -127,3 +127,15 @@
 	_, conns := p.counts()
 	is.Equal(conns, 1)
 }
+
+// Guards against log lines that are as long as what an upstream sent instead of an
+// answer.
+func TestErrorsQuoteLittle(t *testing.T) {
+	garbage := strings.Repeat("\x01", 20<<10)
+	for _, text := range []string{garbage + "\r\n\r\n", "HTTP/1.1 200 OK\r\n" + garbage + "\r\n\r\n", "HTTP/1.1 " + garbage + "\r\n\r\n"} {
+		is := is.New(t)
+		_, err := send(t, exchange.New(systemclock.Clock{}), newPeer(t, text), "1")
+		is.True(err != nil)
+		is.True(len(err.Error()) < 512)
+	}
+}
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -55,6 +55,9 @@
 	// noBound lets a connection be read without a bound, because the reader of a
 	// body has its own.
 	noBound = -1
+	// maxQuoted bounds in bytes what an error tells of a cause. Those of net/http
+	// quote the whole line that they could not read.
+	maxQuoted = 200
 )
 
 // errLongHead tells that an upstream sends a head without an end.
@@ -265,7 +268,7 @@
 		p, err := http.ReadResponse(k.reader, &http.Request{Method: r.Method})
 		k.bound = noBound
 		if err != nil {
-			return nil, errors.Wrap(err, "read the answer")
+			return nil, errors.Wrap(shorten(err), "read the answer")
 		}
 		if p.StatusCode < http.StatusOK {
 			continue
@@ -283,6 +286,14 @@
 	return nil, errors.New("the answers belong to other requests")
 }
 
+// shorten replaces an error with a long text by one with its beginning.
+func shorten(err error) error {
+	if text := err.Error(); len(text) > maxQuoted {
+		return errors.New(text[:maxQuoted] + "...")
+	}
+	return err
+}
+
 func (r Request) encode() []byte {
 	var b bytes.Buffer
 	b.Grow(1<<10 + len(r.Body))
