Don't take the bound of a body for its end

ReadBody of an exchange now returns an error for a longer body, and a connection is kept only after the whole body.

Answers of plain services were bounded in the right way already.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -7,8 +7,10 @@
 //		return err // errors.As(err, *exchange.Error) tells what was sent
 //	}
 //	defer x.Close()
-//	read(x.Response.Body)
-//	x.Keep() // after the whole body was read
+//	body, err := x.ReadBody(limit)
+//	if err == nil {
+//		x.Keep()
+//	}
 package exchange
 
 import (
@@ -307,6 +309,18 @@
 	return b.Bytes()
 }
 
+// ReadBody returns the whole body. A body of more than limit bytes is an error.
+func (x *Exchange) ReadBody(limit int64) ([]byte, error) {
+	if x.Response.ContentLength > limit {
+		return nil, errors.Errorf("the answer has %d bytes, more than %d", x.Response.ContentLength, limit)
+	}
+	body, err := io.ReadAll(io.LimitReader(x.Response.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = errors.Errorf("the answer has more than %d bytes", limit)
+	}
+	return body, err
+}
+
 // Keep returns the connection for further requests. It must be called only after
 // the whole body was read.
 func (x *Exchange) Keep() {
--- /dev/null
+++ b/internal/gateway/forward/endless_test.go
@@ -0,0 +1,63 @@
+package forward_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// bufferedBytes is the size up to which the gateway takes an answer that it keeps
+// whole.
+const bufferedBytes = 1 << 20
+
+// Guards against an answer that is cut off at the bound of the buffer and looks
+// complete.
+func TestLongFailureIsNotCutOff(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusInternalServerError} {
+		is := is.New(t)
+		w := newWorld(t, 1, func(_ int, rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set("Id", "1")
+			rw.Header().Set("Seal", "s")
+			rw.WriteHeader(status)
+			_, _ = io.WriteString(rw, strings.Repeat("x", bufferedBytes+1))
+		})
+		got, header, _, whole := w.call(t, "/single/", "k1")
+		is.Equal(got, http.StatusBadGateway)
+		is.True(whole)
+		is.Equal(header.Get("Seal"), "")
+		is.Equal(len(w.headers()), 1)
+	}
+}
+
+// Guards against the rest of a long body that is read as the answer to the next
+// request on its connection.
+func TestConnectionWithRestOfBodyIsNotKept(t *testing.T) {
+	const forged = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: forged\r\nContent-Length: 0\r\n\r\n"
+	is := is.New(t)
+	w := newWorld(t, 1, func(n int, rw http.ResponseWriter, _ *http.Request) {
+		if n > 1 {
+			events(rw, 1, 2)
+			return
+		}
+		c, b, err := http.NewResponseController(rw).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = fmt.Fprintf(b, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: %d\r\n\r\n", bufferedBytes+len(forged))
+		_, _ = io.WriteString(b, strings.Repeat("x", bufferedBytes))
+		_ = b.Flush()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, forged)
+		}
+	})
+	status, header, _, whole := w.call(t, "/single/", "k1")
+	is.Equal(status, http.StatusOK)
+	is.True(whole)
+	is.Equal(header.Get("Seal"), "from1")
+}
--- a/internal/gateway/forward/plain.go
+++ b/internal/gateway/forward/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -113,10 +112,7 @@
 	}
 	defer x.Close()
 	reply := q.dialect.ReadReply(x.Response.StatusCode, x.Response.Header)
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, bufferedBytes+1))
-	if err == nil && len(body) > bufferedBytes {
-		err = refusal.New(refusal.UpstreamFailed, "the answer has more than %d bytes", bufferedBytes)
-	}
+	body, err := x.ReadBody(bufferedBytes)
 	if reply.NotRun {
 		if err == nil {
 			x.Keep()
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -227,7 +227,7 @@
 	reply := s.dialect.ReadReply(x.Response.StatusCode, x.Response.Header)
 	if reply.NotRun {
 		s.noteRefusal(reply, x.Response.StatusCode, s.clock.Now().Sub(sent))
-		if _, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, bufferedBytes)); err == nil {
+		if _, err := x.ReadBody(bufferedBytes); err == nil {
 			x.Keep()
 		}
 		return false, notRun, refusal.New(refusal.NoUpstream, "upstream %s answered %d without running the request, because of %q",
@@ -260,7 +260,7 @@
 // failure keeps the answer of an upstream that failed. It is forwarded unless
 // another send has an answer.
 func (s *relay) failure(x *exchange.Exchange, t route) (bool, result, error) {
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, bufferedBytes))
+	body, err := x.ReadBody(bufferedBytes)
 	if err != nil {
 		return false, unknown, errors.Wrapf(err, "read the answer of upstream %s", t.target.ID)
 	}
