Don't wait for the body of a refusal

A request that an upstream had refused without running it was sent elsewhere only after the body of the refusal had ended, or a mebibyte of it was read. A body in slow drips held the request until its deadline, and it was then refused although other upstreams were free. The head of a refusal says all that is needed: its body is now read for 100 ms and up to 16 KiB, so that the connection can be kept, and otherwise the connection is closed.

TestRefusalWithoutEndIsLeft failed before: 503 after the whole budget of 20 s for a body that pauses, and the second upstream got nothing.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -57,6 +57,11 @@
 	// noBound lets a connection be read without a bound, because the reader of a
 	// body has its own.
 	noBound = -1
+	// drainBytes and drainTime bound the body of an answer whose content is not used.
+	// A refusal has less than 1 KiB, which is sent together with its head. One that
+	// is longer or later costs its request more time than a new connection costs.
+	drainBytes = 16 << 10
+	drainTime  = 100 * time.Millisecond
 	// maxQuoted bounds in bytes what an error tells of a cause. Those of net/http
 	// quote the whole line that they could not read.
 	maxQuoted = 200
@@ -321,6 +326,24 @@
 	return body, err
 }
 
+// Drain reads a body that is not used and keeps the connection. It closes the
+// connection, and returns why, if the body is long or does not end soon.
+func (x *Exchange) Drain() error {
+	err := x.conn.SetReadDeadline(time.Now().Add(drainTime))
+	if err == nil {
+		_, err = x.ReadBody(drainBytes)
+	}
+	if err == nil {
+		err = x.conn.SetReadDeadline(time.Time{})
+	}
+	if err != nil {
+		x.Close()
+		return errors.Wrap(err, "read the rest of the answer")
+	}
+	x.Keep()
+	return nil
+}
+
 // Keep returns the connection for further requests. It must be called only after
 // the whole body was read.
 func (x *Exchange) Keep() {
--- a/internal/gateway/forward/endless_test.go
+++ b/internal/gateway/forward/endless_test.go
@@ -61,3 +61,36 @@
 	is.True(whole)
 	is.Equal(header.Get("Seal"), "from1")
 }
+
+// Guards against a request that waits for the body of a refusal, which may come
+// slowly or never end, while another upstream could run it.
+func TestRefusalWithoutEndIsLeft(t *testing.T) {
+	for _, c := range []struct {
+		path string
+		more string // is written again and again, unless it is empty
+	}{{"/once/", ""}, {"/once/", "x"}, {"/stream/", ""}, {"/stream/", "x"}} {
+		is := is.New(t)
+		left := make(chan struct{})
+		w := newWorld(t, 2, func(n int, rw http.ResponseWriter, r *http.Request) {
+			if n > 1 {
+				events(rw, 1, 1)
+				return
+			}
+			rw.Header().Set("Not-Run", "1")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(rw, "x")
+			_ = http.NewResponseController(rw).Flush()
+			for c.more != "" && r.Context().Err() == nil {
+				_, _ = io.WriteString(rw, c.more)
+			}
+			<-r.Context().Done()
+			close(left)
+		})
+		status, _, body, whole := w.call(t, c.path, "k1")
+		is.Equal(status, http.StatusOK)
+		is.Equal(body, "id: 1\ndata: 1\n\n")
+		is.True(whole)
+		is.Equal(len(w.headers()), 2)
+		<-left
+	}
+}
--- a/internal/gateway/forward/plain.go
+++ b/internal/gateway/forward/plain.go
@@ -112,13 +112,11 @@
 	}
 	defer x.Close()
 	reply := q.dialect.ReadReply(x.Response.StatusCode, x.Response.Header)
-	body, err := x.ReadBody(bufferedBytes)
 	if reply.NotRun {
-		if err == nil {
-			x.Keep()
-		}
-		return nil, notRun, refusal.New(refusal.NoUpstream, "upstream %s answered %d without running the request", t.ID, x.Response.StatusCode)
+		return nil, notRun, refusal.Because(refusal.NoUpstream, x.Drain(), "upstream %s answered %d without running the request",
+			t.ID, x.Response.StatusCode)
 	}
+	body, err := x.ReadBody(bufferedBytes)
 	if err != nil {
 		return nil, unknown, errors.Wrapf(err, "read the answer of upstream %s", t.ID)
 	}
