Read lines of events that are longer than the read buffer as one line

The rest of a line of more than 2 KiB was parsed as a line of its own. A rest that begins with id: gave the event a wrong number, after which the events up to that number were dropped, and a rest of no characters ended the event before its last line. Lines are now taken from the buffer of the event, which holds them whole.

TestLongLinesOfEvents failed before: event 2 of a stream that went on elsewhere was missing, because event 1 had been read as event 99.

--- a/internal/gateway/forward/endless_test.go
+++ b/internal/gateway/forward/endless_test.go
@@ -94,3 +94,28 @@
 		<-left
 	}
 }
+
+// Guards against the rest of a line that is longer than the read buffer and is taken
+// for a line: an event would get a wrong number, or end before its last line.
+func TestLongLinesOfEvents(t *testing.T) {
+	const readBuffer = 2 << 10
+	for _, rest := range []string{"id: 99", "", "\r"} {
+		is := is.New(t)
+		line := "data: " + strings.Repeat("x", readBuffer-len("data: ")) + rest + "\n"
+		w := newWorld(t, 2, func(n int, rw http.ResponseWriter, r *http.Request) {
+			if n > 1 {
+				events(rw, 2, 2)
+				return
+			}
+			rw.Header().Set("Id", "1")
+			rw.Header().Set("Seal", "s")
+			_, _ = io.WriteString(rw, "id: 1\n"+line+"data: x\n\nid: 2\n"+line)
+			_ = http.NewResponseController(rw).Flush()
+			abort()
+		})
+		_, _, body, whole := w.call(t, "/stream/", "k1")
+		is.True(whole)
+		is.Equal(body, "id: 1\n"+line+"data: x\n\nid: 2\ndata: 2\n\n")
+		is.Equal(w.headers()[1].Get("After"), "1")
+	}
+}
--- a/internal/gateway/forward/events.go
+++ b/internal/gateway/forward/events.go
@@ -32,14 +32,15 @@
 func (s *events) next() (event, error) {
 	s.buffer = s.buffer[:0]
 	var e event
+	start := 0 // of the current line in the buffer
 	for {
-		line, err := s.reader.ReadSlice('\n')
-		s.buffer = append(s.buffer, line...)
+		part, err := s.reader.ReadSlice('\n')
+		s.buffer = append(s.buffer, part...)
 		if len(s.buffer) > maxEventBytes {
 			return event{}, errors.Errorf("an event has more than %d bytes", maxEventBytes)
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
+			continue // the line goes on
 		}
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(s.buffer) > 0 {
@@ -47,7 +48,8 @@
 			}
 			return event{}, err
 		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(s.buffer[start:], "\r\n")
+		start = len(s.buffer)
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
 			if err != nil {
