Take blank lines of a stream for no events

Three bytes of blank lines counted as an event. An upstream that sent blank lines without end was read until the deadline, each three bytes were forwarded with a flush of their own, and the stream counted as making progress, so that it did not go elsewhere. Blank lines are now part of the event that follows, whose size is bounded, so such a run ends and the stream goes on elsewhere if it may be resumed. Blank lines at the end of a stream are forwarded; one or two of them broke a stream before.

--- a/internal/gateway/forward/endless_test.go
+++ b/internal/gateway/forward/endless_test.go
@@ -119,3 +119,67 @@
 		is.Equal(w.headers()[1].Get("After"), "1")
 	}
 }
+
+// endlessBytes is more than the socket buffers of a connection hold, so an upstream
+// that has written as much was read without a bound.
+const endlessBytes = 64 << 20
+
+// repeat writes text again and again until the connection is closed, or until it has
+// written endlessBytes. It reports whether the connection was closed.
+func repeat(rw http.ResponseWriter, text string) bool {
+	block := strings.Repeat(text, 1+(64<<10)/len(text))
+	for n := 0; n < endlessBytes; n += len(block) {
+		if _, err := io.WriteString(rw, block); err != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against bytes that never become an event and are read, or forwarded as the
+// answer, until the deadline. A stream that may be resumed goes elsewhere, any other
+// one may have run and fails.
+func TestEndlessEvent(t *testing.T) {
+	for _, text := range []string{"x", "data: x\n", "\n", "\r\n"} {
+		for _, path := range []string{"/stream/", "/single/"} {
+			is := is.New(t)
+			cut := make(chan bool, 1)
+			w := newWorld(t, 2, func(n int, rw http.ResponseWriter, _ *http.Request) {
+				if n > 1 {
+					events(rw, 1, 1)
+					return
+				}
+				rw.Header().Set("Id", "1")
+				rw.Header().Set("Seal", "s")
+				cut <- repeat(rw, text)
+			})
+			status, _, body, whole := w.call(t, path, "k1")
+			is.True(<-cut)
+			is.True(whole)
+			if path == "/single/" {
+				is.Equal(status, http.StatusBadGateway)
+				is.Equal(len(w.headers()), 1)
+				continue
+			}
+			is.Equal(status, http.StatusOK)
+			is.Equal(body, "id: 1\ndata: 1\n\n")
+			is.Equal(len(w.headers()), 2)
+		}
+	}
+}
+
+// Guards against blank lines between and after events that are lost or break a
+// stream.
+func TestBlankLines(t *testing.T) {
+	for _, text := range []string{
+		"id: 1\ndata: 1\n\n\n\n\nid: 2\ndata: 2\n\n", "\n\r\nid: 1\ndata: 1\n\n",
+		"id: 1\ndata: 1\n\n\n", "id: 1\ndata: 1\n\n\n\n\n\n", "\n", "",
+	} {
+		is := is.New(t)
+		w := newWorld(t, 1, func(_ int, rw http.ResponseWriter, _ *http.Request) { ok(rw, text) })
+		status, _, body, whole := w.call(t, "/single/", "k1")
+		is.Equal(status, http.StatusOK)
+		is.Equal(body, text)
+		is.True(whole)
+	}
+}
--- a/internal/gateway/forward/events.go
+++ b/internal/gateway/forward/events.go
@@ -27,12 +27,14 @@
 	buffer []byte
 }
 
-// next returns the next whole event. The error is io.EOF at the end of a stream,
-// and io.ErrUnexpectedEOF when the stream ends within an event.
+// next returns the next whole event with the blank lines before it. The error is
+// io.EOF at the end of a stream, and io.ErrUnexpectedEOF when the stream ends within
+// an event. Blank lines at the end of a stream come as an event without a number.
 func (s *events) next() (event, error) {
 	s.buffer = s.buffer[:0]
 	var e event
-	start := 0 // of the current line in the buffer
+	start := 0     // of the current line in the buffer
+	begun := false // a line of the event that is not blank was read
 	for {
 		part, err := s.reader.ReadSlice('\n')
 		s.buffer = append(s.buffer, part...)
@@ -43,10 +45,7 @@
 			continue // the line goes on
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(s.buffer) > 0 {
-				err = io.ErrUnexpectedEOF
-			}
-			return event{}, err
+			return s.end(err, begun || start < len(s.buffer))
 		}
 		line := bytes.TrimRight(s.buffer[start:], "\r\n")
 		start = len(s.buffer)
@@ -57,13 +56,26 @@
 			}
 			e.id = n
 		}
-		if len(line) == 0 && len(s.buffer) > 2 {
+		if len(line) > 0 {
+			begun = true
+		} else if begun {
 			e.raw = s.buffer
 			return e, nil
 		}
 	}
 }
 
+// end returns what is left when the stream ends with an error.
+func (s *events) end(err error, within bool) (event, error) {
+	switch {
+	case !errors.Is(err, io.EOF) || len(s.buffer) == 0:
+		return event{}, err
+	case within:
+		return event{}, io.ErrUnexpectedEOF
+	}
+	return event{raw: s.buffer}, nil
+}
+
 // pace tells how the events of a stream reached the client. Times count from the
 // arrival of the request.
 type pace struct {
