Count events that the client has as no progress of a stream

Events up to the last one that the client has are dropped, but each put off the look into a stream that makes no progress. An engine that sent such events without end held the stream until its deadline, and counted as an engine that works. The stream is now looked into after the usual time, and goes on elsewhere.

TestRepeatedEventsAreNoProgress failed before: the stream was cut off at its deadline of 20 s after one event.

--- a/internal/gateway/forward/endless_test.go
+++ b/internal/gateway/forward/endless_test.go
@@ -183,3 +183,26 @@
 		is.True(whole)
 	}
 }
+
+// Guards against a stream that is held until its deadline, while other engines could
+// go on with it, because its engine sends an event that the client has again and
+// again.
+func TestRepeatedEventsAreNoProgress(t *testing.T) {
+	is := is.New(t)
+	left := make(chan struct{})
+	w := newWorld(t, 2, func(n int, rw http.ResponseWriter, r *http.Request) {
+		if n > 1 {
+			events(rw, 2, 2)
+			return
+		}
+		for r.Context().Err() == nil {
+			events(rw, 1, 1)
+		}
+		close(left)
+	})
+	_, _, body, whole := w.call(t, "/brisk/", "k1")
+	is.True(whole)
+	is.Equal(body, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+	is.Equal(w.headers()[1].Get("After"), "1")
+	<-left
+}
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -287,12 +287,12 @@
 		if err != nil {
 			return false, unknown, errors.Wrap(err, "read the stream")
 		}
-		w.progress()
 		s.refusals = 0
-		s.noteProgress(w.route)
 		if e.id > 0 && e.id <= s.last {
-			continue // the client has it
+			continue // the client has it, and it may come without end
 		}
+		w.progress()
+		s.noteProgress(w.route)
 		s.begin(x.Response)
 		if e.id > 0 {
 			s.last, s.resumed = e.id, true
