Bound an event of a stream to 64 KiB

Each stream in progress could hold 1 MiB of an event that does not end; 192 streams of one engine can then fill the 206 MB of a gateway. Events have a few hundred bytes.

TestLongEventIsNotAwaited failed before: 128 KiB of an event were held until the deadline, and the stream ended with 504.

--- a/internal/gateway/forward/endless_test.go
+++ b/internal/gateway/forward/endless_test.go
@@ -168,6 +168,27 @@
 	}
 }
 
+// Guards against streams that hold a large part of the memory for events that do not
+// end. With a bound of 1 MiB, the 192 slots of one engine can take 192 MiB.
+func TestLongEventIsNotAwaited(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2, func(n int, rw http.ResponseWriter, r *http.Request) {
+		if n > 1 {
+			events(rw, 1, 1)
+			return
+		}
+		rw.Header().Set("Id", "1")
+		rw.Header().Set("Seal", "s")
+		_, _ = io.WriteString(rw, "data: "+strings.Repeat("x", 128<<10))
+		_ = http.NewResponseController(rw).Flush()
+		<-r.Context().Done()
+	})
+	status, _, body, whole := w.call(t, "/stream/", "k1")
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "id: 1\ndata: 1\n\n")
+	is.True(whole)
+}
+
 // Guards against blank lines between and after events that are lost or break a
 // stream.
 func TestBlankLines(t *testing.T) {
--- a/internal/gateway/forward/events.go
+++ b/internal/gateway/forward/events.go
@@ -10,8 +10,10 @@
 	"github.com/pkg/errors"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event of a stream, which has a few hundred bytes. Each
+// stream in progress may hold as much, and a gateway with 200 MB of memory has more
+// than a thousand.
+const maxEventBytes = 64 << 10
 
 // event is one event of a text/event-stream, with the blank line that ends it.
 type event struct {
