Quote little of an event or a refusal in the log

The error of strconv quoted the whole number of an event, and that of a refusal the whole header that names the engine at fault: up to the size of an event or a head in each of two log lines for each send. TestLogQuotesLittle failed before: 16 KiB of either were in the log. It needs the logs of the gateway under test, which observe them now, and a header for the engine at fault.

--- a/internal/gateway/forward/endless_test.go
+++ b/internal/gateway/forward/endless_test.go
@@ -227,3 +227,27 @@
 	is.Equal(w.headers()[1].Get("After"), "1")
 	<-left
 }
+
+// Guards against log lines that are as long as what an upstream sent.
+func TestLogQuotesLittle(t *testing.T) {
+	long := strings.Repeat("\x7f", 16<<10)
+	for _, c := range []behave{
+		func(_ int, rw http.ResponseWriter, _ *http.Request) { ok(rw, "id: "+long+"\ndata: 1\n\n") },
+		func(_ int, rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set("At", strings.Repeat("a", 16<<10))
+			rw.Header().Set("Not-Run", "1")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		},
+	} {
+		is := is.New(t)
+		w := newWorld(t, 1, c)
+		_, _, _, whole := w.call(t, "/single/", "k1")
+		is.True(whole)
+		w.gateway.Close()
+		is.True(w.logs.FilterMessage("A stream broke.").Len() > 0)
+		for _, e := range w.logs.All() {
+			text, _ := e.ContextMap()["error"].(string)
+			is.True(len(text) < 512)
+		}
+	}
+}
--- a/internal/gateway/forward/events.go
+++ b/internal/gateway/forward/events.go
@@ -52,11 +52,11 @@
 		line := bytes.TrimRight(s.buffer[start:], "\r\n")
 		start = len(s.buffer)
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
-			if err != nil {
-				return event{}, errors.Wrap(err, "number of an event")
+			value = bytes.TrimSpace(value)
+			if e.id, err = strconv.ParseUint(string(value), 10, 64); err != nil {
+				// The error of strconv quotes the whole value.
+				return event{}, errors.Errorf("the number of an event is %.64q", value)
 			}
-			e.id = n
 		}
 		if len(line) > 0 {
 			begun = true
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/bilberryrock/bilberryrock/internal/admission/budget"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
@@ -54,7 +55,7 @@
 }
 
 func (dialect) ReadReply(_ int, h http.Header) gateway.Reply {
-	return gateway.Reply{ID: fleet.RequestID(h.Get("Id")), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != ""}
+	return gateway.Reply{ID: fleet.RequestID(h.Get("Id")), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", At: h.Get("At")}
 }
 
 // decoder returns a fixed release.
@@ -75,6 +76,7 @@
 	servers []*httptest.Server // of the pools in turn
 	mu      sync.Mutex
 	seen    []http.Header
+	logs    *observer.ObservedLogs // of the gateway
 }
 
 // behave answers the n-th request to any upstream, counted from 1.
@@ -119,7 +121,8 @@
 // newWorldWith bounds the retries.
 func newWorldWith(t *testing.T, upstreams int, b behave, retries budget.Limit) *world {
 	is := is.New(t)
-	w := &world{}
+	core, logs := observer.New(zap.InfoLevel)
+	w := &world{logs: logs}
 	var entries []registry.Entry
 	for i := range upstreams {
 		for _, pool := range []fleet.PoolID{"plain", "model"} {
@@ -151,7 +154,7 @@
 		u.Entries[i].Sequence, u.Entries[i].Heard = 2, clock.Now()
 	}
 	st.Receive(u)
-	h := forward.New(clock, st, client, dialect{}, prober{}, forward.NewMetrics(prometheus.NewRegistry()), zap.NewNop())
+	h := forward.New(clock, st, client, dialect{}, prober{}, forward.NewMetrics(prometheus.NewRegistry()), zap.New(core))
 	w.gateway = httptest.NewServer(h)
 	t.Cleanup(w.gateway.Close)
 	return w
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -227,7 +227,7 @@
 	reply := s.dialect.ReadReply(x.Response.StatusCode, x.Response.Header)
 	if reply.NotRun {
 		s.noteRefusal(reply, x.Response.StatusCode, s.clock.Now().Sub(sent))
-		return false, notRun, refusal.Because(refusal.NoUpstream, x.Drain(), "upstream %s answered %d without running the request, because of %q",
+		return false, notRun, refusal.Because(refusal.NoUpstream, x.Drain(), "upstream %s answered %d without running the request, because of %.64q",
 			t.target.ID, x.Response.StatusCode, reply.At)
 	}
 	if err := s.checkOwn(reply, x.Response, t.target); err != nil {
