End a request whose body does not come by its deadline

The body of a request was read without a bound on the time, before the deadline of the request was in force. The read now ends at the deadline; the answer is 503, since no upstream has got the request.

--- a/internal/gateway/forward/endless_test.go
+++ b/internal/gateway/forward/endless_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -251,3 +253,40 @@
 		}
 	}
 }
+
+// Guards against a request whose body does not come and that is held beyond its
+// deadline.
+func TestBodyThatDoesNotCome(t *testing.T) {
+	for _, body := range []string{"Content-Length: 5\r\n\r\nx", "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"} {
+		is := is.New(t)
+		w := newWorld(t, 1, func(_ int, rw http.ResponseWriter, _ *http.Request) { ok(rw, "done") })
+		c, err := net.Dial("tcp", w.gateway.Listener.Addr().String())
+		is.NoErr(err)
+		defer func() { _ = c.Close() }()
+		is.NoErr(c.SetDeadline(time.Now().Add(patience))) // bounds what would otherwise hang
+		_, err = io.WriteString(c, "POST /once/ HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: k1\r\nBudget: 100\r\n"+body)
+		is.NoErr(err)
+		p, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		is.Equal(p.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(len(w.headers()), 0)
+	}
+}
+
+// Guards against chunked bodies of clients that have no end.
+func TestEndlessBodyOfClient(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, func(_ int, rw http.ResponseWriter, _ *http.Request) { ok(rw, "done") })
+	for _, chunk := range []string{"40\r\n" + strings.Repeat("x", 64) + "\r\n", "1;" + strings.Repeat("x", 1<<10) + "\r\nx\r\n"} {
+		c, err := net.Dial("tcp", w.gateway.Listener.Addr().String())
+		is.NoErr(err)
+		defer func() { _ = c.Close() }()
+		_, err = io.WriteString(c, "POST /once/ HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: k1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		block := strings.Repeat(chunk, 1+(64<<10)/len(chunk))
+		for n := 0; n < endlessBytes && err == nil; n += len(block) {
+			_, err = io.WriteString(c, block)
+		}
+		is.True(err != nil)
+	}
+	is.Equal(len(w.headers()), 0)
+}
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -13,6 +13,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -26,6 +27,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/placement"
 	"github.com/bilberryrock/bilberryrock/internal/release"
 	"github.com/bilberryrock/bilberryrock/internal/release/table"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
 
@@ -202,6 +204,8 @@
 	return nil
 }
 
+// readBody reads the body until the deadline of the request at the latest. No
+// upstream has got a request whose body did not come in time.
 func (q *request) readBody() error {
 	limit := q.table.Release.Limits.BodyBytes
 	if limit <= 0 {
@@ -213,14 +217,24 @@
 	if q.r.ContentLength == 0 {
 		return nil
 	}
-	b, err := io.ReadAll(io.LimitReader(q.r.Body, limit+1))
-	if err != nil {
-		return refusal.Because(refusal.BadRequest, err, "read the body")
+	control := http.NewResponseController(q.w)
+	err := control.SetReadDeadline(time.Now().Add(q.deadline.Sub(q.clock.Now())))
+	if err == nil {
+		q.body, err = io.ReadAll(io.LimitReader(q.r.Body, limit+1))
 	}
-	if int64(len(b)) > limit {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return refusal.Because(refusal.NoUpstream, err, "the body did not come in time")
+	}
+	if err == nil && int64(len(q.body)) > limit {
+		// The deadline stays, because net/http reads on before it answers.
 		return refusal.New(refusal.TooLarge, "the body has more than %d bytes", limit)
 	}
-	q.body = b
+	if err == nil {
+		err = control.SetReadDeadline(time.Time{})
+	}
+	if err != nil {
+		return refusal.Because(refusal.BadRequest, err, "read the body")
+	}
 	return nil
 }
 
