--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/excerpt"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
@@ -62,9 +63,6 @@
 	// is longer or later costs its request more time than a new connection costs.
 	drainBytes = 16 << 10
 	drainTime  = 100 * time.Millisecond
-	// maxQuoted bounds in bytes what an error tells of a cause. Those of net/http
-	// quote the whole line that they could not read.
-	maxQuoted = 200
 )
 
 // errLongHead tells that an upstream sends a head without an end.
@@ -275,7 +273,7 @@
 		p, err := http.ReadResponse(k.reader, &http.Request{Method: r.Method})
 		k.bound = noBound
 		if err != nil {
-			return nil, errors.Wrap(shorten(err), "read the answer")
+			return nil, errors.Wrap(excerpt.Error(err), "read the answer")
 		}
 		if p.StatusCode < http.StatusOK {
 			continue
@@ -293,14 +291,6 @@
 	return nil, errors.New("the answers belong to other requests")
 }
 
-// shorten replaces an error with a long text by one with its beginning.
-func shorten(err error) error {
-	if text := err.Error(); len(text) > maxQuoted {
-		return errors.New(text[:maxQuoted] + "...")
-	}
-	return err
-}
-
 func (r Request) encode() []byte {
 	var b bytes.Buffer
 	b.Grow(1<<10 + len(r.Body))
--- a/internal/upstream/engine/call.go
+++ b/internal/upstream/engine/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bilberryrock/bilberryrock/internal/fleet/excerpt"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 )
 
@@ -65,6 +66,7 @@
 
 // failure gives err its kind. Without a connection nothing was sent.
 func (p *pool) failure(ctx context.Context, err error, connected bool) error {
+	err = excerpt.Error(err)
 	if !connected {
 		return refusal.Because(refusal.NoUpstream, err, "connect to upstream at %s", p.address)
 	}
@@ -95,7 +97,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(answer, out); err != nil {
-		return refusal.Because(refusal.UpstreamFailed, err, "answer of engine at %s", p.address)
+		return refusal.Because(refusal.UpstreamFailed, excerpt.Error(err), "answer of engine at %s", p.address)
 	}
 	return nil
 }
@@ -116,7 +118,7 @@
 	// An answer that is not the error body of the protocol has an empty code.
 	_ = json.Unmarshal(answer, &body)
 	return refusal.New(kindOf(status, body.Error.Code), "engine at %s answered %d %s: %s",
-		p.address, status, body.Error.Code, body.Error.Message)
+		p.address, status, excerpt.Text(body.Error.Code), excerpt.Text(body.Error.Message))
 }
 
 func kindOf(status int, code string) refusal.Kind {
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/excerpt"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 )
@@ -26,7 +27,7 @@
 	if result.Request != s.Request || result.Epoch != s.Epoch || result.Position != s.Position {
 		return upstream.StepResult{}, refusal.New(refusal.UpstreamFailed,
 			"engine at %s answered request %s epoch %d position %d to request %s epoch %d position %d",
-			c.pool.address, result.Request, result.Epoch, result.Position, s.Request, s.Epoch, s.Position)
+			c.pool.address, excerpt.Text(string(result.Request)), result.Epoch, result.Position, s.Request, s.Epoch, s.Position)
 	}
 	if len(result.Output) != len(s.Input) {
 		return upstream.StepResult{}, refusal.New(refusal.UpstreamFailed,
@@ -54,7 +55,7 @@
 	}
 	if kv.Request != r {
 		return upstream.KV{}, refusal.New(refusal.UpstreamFailed,
-			"engine at %s exported request %s instead of %s", c.pool.address, kv.Request, r)
+			"engine at %s exported request %s instead of %s", c.pool.address, excerpt.Text(string(kv.Request)), r)
 	}
 	return kv, nil
 }
