Bound the head of an answer to a call of bilberryrockd to 64 KiB

The bound was the default of net/http, 10 MiB for each call in progress. TestLongHead failed before: a head of 128 KiB was accepted. TestEndlessAnswer passed before, too, and guards the bounds on heads, interim answers, bodies, chunks and trailers.

--- a/internal/upstream/engine/endless_test.go
+++ b/internal/upstream/engine/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,10 +11,65 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/engine"
 )
 
+// endlessBytes is more than the socket buffers of a connection hold, so an upstream
+// that has written as much was read without a bound.
+const endlessBytes = 64 << 20
+
+// Guards against a daemon that runs out of memory, or waits for its deadline, while
+// an upstream sends bytes without end. The call was sent, so it may have run.
+func TestEndlessAnswer(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, c := range []struct{ name, start, more string }{
+		{"status line", "HTTP/1.1 200 ", "OK"},
+		{"no status line", "", "x"},
+		{"header line", "HTTP/1.1 200 OK\r\nA: ", "a"},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "A: a\r\n"},
+		{"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"body", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+		{"chunks", chunked, "1\r\nx\r\n"},
+		{"chunk extension", chunked + "1;", "x"},
+		{"trailer lines", chunked + "0\r\n", "A: x\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			cut := make(chan bool, 1)
+			address := serveRaw(t, func(k net.Conn, _ *http.Request) bool {
+				block := strings.Repeat(c.more, 1+(64<<10)/len(c.more))
+				_, err := io.WriteString(k, c.start)
+				for n := 0; n < endlessBytes && err == nil; n += len(block) {
+					_, err = io.WriteString(k, block)
+				}
+				cut <- err != nil
+				return false
+			})
+			d := engine.NewDialer(engine.WithMaxAnswer(1000))
+			defer d.Close()
+			_, err := d.Service(at(address)).Call(context.Background(), upstream.Call{Method: "POST", Path: "/orders"})
+			is.Equal(refusal.KindOf(err), refusal.UpstreamFailed)
+			is.True(len(err.Error()) < 512)
+			is.True(<-cut)
+		})
+	}
+}
+
+// Guards against calls that each take megabytes for the head of an answer.
+func TestLongHead(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("A", strings.Repeat("a", 128<<10))
+	}))
+	defer server.Close()
+	d := engine.NewDialer()
+	defer d.Close()
+	_, err := d.Service(at(server.Listener.Addr().String())).Call(context.Background(), upstream.Call{Method: "GET", Path: "/"})
+	is.Equal(refusal.KindOf(err), refusal.UpstreamFailed)
+}
+
 // Guards against log lines and decision records that are as long as what an engine
 // sent instead of an answer.
 func TestErrorsQuoteLittle(t *testing.T) {
--- a/internal/upstream/engine/engine.go
+++ b/internal/upstream/engine/engine.go
@@ -30,6 +30,9 @@
 	DefaultCallTimeout = time.Minute
 	DefaultMaxAnswer   = 64 << 20 // bytes
 	defaultMaxIdle     = 256      // connections kept for each upstream
+	// maxHead bounds the head of an answer in bytes. The default of net/http is
+	// 10 MiB, and each call may read as much. Callers may send 64 KiB, too.
+	maxHead = 64 << 10
 	// idleTimeout is shorter than the usual idle timeout of servers, so that a
 	// call rarely meets a connection that the server is about to close.
 	idleTimeout = 20 * time.Second
@@ -146,6 +149,8 @@
 			MaxIdleConnsPerHost: defaultMaxIdle,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHead,
 		},
 	}
 }
