Refuse a call whose body is too long in the stand-in

A stand-in of a plain service ran a call with the first 16 MiB of its body and answered 200 with their digest. TestLongCall failed before; the status is now 413.

--- a/internal/upstream/standin/service.go
+++ b/internal/upstream/standin/service.go
@@ -8,8 +8,11 @@
 	"net/http"
 	"strings"
 	"sync"
+
+	"github.com/pkg/errors"
 )
 
+// maxCallBody bounds the body of a call in bytes.
 const maxCallBody = 16 << 20
 
 // service answers every call and counts it.
@@ -34,7 +37,12 @@
 func (s *service) serve(w http.ResponseWriter, r *http.Request) {
 	s.enter(1)
 	defer s.enter(-1)
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxCallBody))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBody))
+	var long *http.MaxBytesError
+	if errors.As(err, &long) {
+		writeError(w, http.StatusRequestEntityTooLarge, "tooLarge", err.Error())
+		return
+	}
 	if err != nil {
 		writeError(w, http.StatusBadRequest, "badRequest", err.Error())
 		return
--- a/internal/upstream/standin/standin_test.go
+++ b/internal/upstream/standin/standin_test.go
@@ -93,6 +93,24 @@
 	return fmt.Sprintf("%d %s", w.Code, w.Body)
 }
 
+// TestLongCall guards against a call that runs with a part of its body.
+func TestLongCall(t *testing.T) {
+	is := is.New(t)
+	var record bytes.Buffer
+	s := standin.New(standin.Config{
+		Announcement: upstream.Announcement{ID: "s", Kind: upstream.Service},
+		Clock:        fakeclock.New(fakeclock.Start), Recorder: standin.NewRecorder(&record),
+	})
+	defer s.Close()
+	for size, status := range map[int]int{16 << 20: http.StatusOK, 16<<20 + 1: http.StatusRequestEntityTooLarge} {
+		record.Reset()
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/orders", bytes.NewReader(make([]byte, size))))
+		is.Equal(w.Code, status)
+		is.Equal(record.Len() > 0, status == http.StatusOK)
+	}
+}
+
 // TestBatches guards against a batch that grows beyond its limit and against a
 // low priority that goes before a high one.
 func TestBatches(t *testing.T) {
