End a request whose client does not read its answer

Writes to a client had no bound on the time: a client that kept its connection open and did not read held its request, connection and descriptors for good, and a graceful stop waited for it. Writes now end a second after the deadline of the request; net/http removes the bound before the next request of the connection.

TestClientThatDoesNotRead failed before: the request had not ended 20 s after its budget of 300 ms.

--- a/internal/gateway/forward/endless_test.go
+++ b/internal/gateway/forward/endless_test.go
@@ -290,3 +290,36 @@
 	}
 	is.Equal(len(w.headers()), 0)
 }
+
+// Guards against a client that does not read its answer and holds its request and
+// connection without end.
+func TestClientThatDoesNotRead(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, func(_ int, rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Id", "1")
+		rw.Header().Set("Seal", "s")
+		for i := 1; ; i++ {
+			if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", 32<<10)); err != nil {
+				return
+			}
+		}
+	})
+	c, err := net.Dial("tcp", w.gateway.Listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "POST /single/ HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: k1\r\nBudget: 300\r\nContent-Length: 0\r\n\r\n")
+	is.NoErr(err)
+	p, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(p.StatusCode, http.StatusOK)
+	ended := make(chan struct{})
+	go func() {
+		w.gateway.Close() // waits for requests in progress
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(patience): // bounds what would otherwise hang
+		t.Fatal("the request did not end")
+	}
+}
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -43,6 +43,9 @@
 	// seconds.
 	admissionWait = 1500 * time.Millisecond
 	admissionPoll = 25 * time.Millisecond
+	// writeMargin is the time after the deadline of a request in which the client must
+	// have read its answer. Its connection is closed then.
+	writeMargin = time.Second
 	// extraSends are the sends beyond the attempts of a route that upstreams
 	// answered without running the request.
 	extraSends = 2
@@ -137,6 +140,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	q.boundWrites()
 	q.pool.Budget.Deposit()
 	if q.route.Repeat == release.Stream {
 		q.stream(ctx)
@@ -145,6 +149,15 @@
 	q.plain(ctx)
 }
 
+// boundWrites ends writes to a client that does not read. net/http removes the bound
+// after the request.
+func (q *request) boundWrites() {
+	until := time.Now().Add(q.deadline.Sub(q.clock.Now()) + writeMargin)
+	if err := http.NewResponseController(q.w).SetWriteDeadline(until); err != nil {
+		q.logger.Warn("Writes to a client have no bound.", zap.String("request", string(q.call.ID)), zap.Error(err))
+	}
+}
+
 // awaitAdmission waits a while for what the gateway lacks after a start or while
 // its controllers elect a leader. A refused client comes back once at most.
 func (q *request) awaitAdmission() error {
