Log the outcome of a stream whose client cannot be written to

The line on the end of such a request had an empty outcome, and so had its metrics. TestClientThatDoesNotRead failed before with the check that it is clientGone.

--- a/internal/gateway/forward/endless_test.go
+++ b/internal/gateway/forward/endless_test.go
@@ -322,4 +322,7 @@
 	case <-time.After(patience): // bounds what would otherwise hang
 		t.Fatal("the request did not end")
 	}
+	ends := w.logs.FilterMessage("A request ended.").All()
+	is.Equal(len(ends), 1)
+	is.Equal(ends[0].ContextMap()["outcome"], "clientGone")
 }
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -297,10 +297,12 @@
 		if e.id > 0 {
 			s.last, s.resumed = e.id, true
 		}
-		if _, err := s.w.Write(e.raw); err != nil {
-			return true, answered, errors.Wrap(err, "write to the client")
+		_, err = s.w.Write(e.raw)
+		if err == nil {
+			err = flush.Flush()
 		}
-		if err := flush.Flush(); err != nil {
+		if err != nil {
+			s.outcome = "clientGone"
 			return true, answered, errors.Wrap(err, "write to the client")
 		}
 		s.pace.note(s.clock.Now().Sub(s.arrival))
