Bound the answers of engines by what each call can get

Every call of bilberryrockd read up to 64 MiB, the size of a KV cache, so the steps in progress at one faulty engine could take gigabytes. A step now reads up to 64 KiB and 32 bytes for each position, and calls without a list in their answer up to 64 KiB. A longer answer is upstreamFailed, as before.

TestAnswersAreBoundedByTheCall failed before: a token of 128 KiB was accepted.

--- a/internal/upstream/engine/call.go
+++ b/internal/upstream/engine/call.go
@@ -15,9 +15,9 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 )
 
-// send sends one request and returns the whole answer. The transport never
-// repeats a request that may have been written.
-func (p *pool) send(ctx context.Context, method, path string, header http.Header, body []byte) (int, http.Header, []byte, error) {
+// send sends one request and returns the whole answer, of at most limit bytes. The
+// transport never repeats a request that may have been written.
+func (p *pool) send(ctx context.Context, method, path string, header http.Header, body []byte, limit int64) (int, http.Header, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.dialer.callTimeout)
 	defer cancel()
 	connected := false
@@ -33,12 +33,12 @@
 		return 0, nil, nil, p.failure(ctx, err, connected)
 	}
 	defer response.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, p.dialer.maxAnswer+1))
+	answer, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
 		return 0, nil, nil, p.failure(ctx, err, true)
 	}
-	if int64(len(answer)) > p.dialer.maxAnswer {
-		return 0, nil, nil, refusal.New(refusal.UpstreamFailed, "answer of upstream at %s is larger than %d bytes", p.address, p.dialer.maxAnswer)
+	if int64(len(answer)) > limit {
+		return 0, nil, nil, refusal.New(refusal.UpstreamFailed, "answer of upstream at %s is larger than %d bytes", p.address, limit)
 	}
 	return response.StatusCode, response.Header, answer, nil
 }
@@ -76,8 +76,9 @@
 	return refusal.Because(refusal.UpstreamFailed, err, "call of upstream at %s", p.address)
 }
 
-// exchange sends in as JSON and decodes the answer into out. Either may be nil.
-func (p *pool) exchange(ctx context.Context, method, path string, in, out any) error {
+// exchange sends in as JSON and decodes the answer into out. Either may be nil. The
+// answer has at most limit bytes.
+func (p *pool) exchange(ctx context.Context, method, path string, in, out any, limit int64) error {
 	var body []byte
 	if in != nil {
 		encoded, err := json.Marshal(in)
@@ -86,7 +87,7 @@
 		}
 		body = encoded
 	}
-	status, _, answer, err := p.send(ctx, method, path, jsonHeader, body)
+	status, _, answer, err := p.send(ctx, method, path, jsonHeader, body, min(limit, p.dialer.maxAnswer))
 	if err != nil {
 		return err
 	}
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -12,6 +12,18 @@
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 )
 
+const (
+	// shortAnswer bounds in bytes the answers of engines that hold no list: they have
+	// less than 1 KiB. Many calls are in progress at once, and each may read as much.
+	shortAnswer = 64 << 10
+	// outputBytes is an output of a step in JSON: 20 digits, a comma, and space for
+	// answers that are indented.
+	outputBytes = 32
+)
+
+// stepAnswer bounds the answer to a step, which has one output for each position.
+func stepAnswer(s upstream.Step) int64 { return shortAnswer + outputBytes*int64(len(s.Input)) }
+
 // Client is the client of one model engine.
 type Client struct {
 	pool *pool
@@ -21,7 +33,7 @@
 // of kind refusal.UpstreamFailed, after which the same step may be sent again.
 func (c *Client) Step(ctx context.Context, s upstream.Step) (upstream.StepResult, error) {
 	var result upstream.StepResult
-	if err := c.pool.exchange(ctx, http.MethodPost, "/v1/steps", s, &result); err != nil {
+	if err := c.pool.exchange(ctx, http.MethodPost, "/v1/steps", s, &result, stepAnswer(s)); err != nil {
 		return upstream.StepResult{}, err
 	}
 	if result.Request != s.Request || result.Epoch != s.Epoch || result.Position != s.Position {
@@ -38,19 +50,19 @@
 
 // Cancel ends a request and frees its memory.
 func (c *Client) Cancel(ctx context.Context, r fleet.RequestID) error {
-	return c.pool.exchange(ctx, http.MethodPost, requestPath(r)+"/cancel", nil, nil)
+	return c.pool.exchange(ctx, http.MethodPost, requestPath(r)+"/cancel", nil, nil, shortAnswer)
 }
 
 // CancelEpoch implements upstream.EpochCanceller.
 func (c *Client) CancelEpoch(ctx context.Context, r fleet.RequestID, e fleet.Epoch) error {
 	path := requestPath(r) + "/cancel?epoch=" + strconv.FormatUint(uint64(e), 10)
-	return c.pool.exchange(ctx, http.MethodPost, path, nil, nil)
+	return c.pool.exchange(ctx, http.MethodPost, path, nil, nil, shortAnswer)
 }
 
 // Export returns the KV cache of a request.
 func (c *Client) Export(ctx context.Context, r fleet.RequestID) (upstream.KV, error) {
 	var kv upstream.KV
-	if err := c.pool.exchange(ctx, http.MethodGet, requestPath(r)+"/kv", nil, &kv); err != nil {
+	if err := c.pool.exchange(ctx, http.MethodGet, requestPath(r)+"/kv", nil, &kv, c.pool.dialer.maxAnswer); err != nil {
 		return upstream.KV{}, err
 	}
 	if kv.Request != r {
@@ -63,18 +75,18 @@
 // Import takes over a KV cache under epoch e.
 func (c *Client) Import(ctx context.Context, e fleet.Epoch, kv upstream.KV) error {
 	path := requestPath(kv.Request) + "/kv?epoch=" + strconv.FormatUint(uint64(e), 10)
-	return c.pool.exchange(ctx, http.MethodPut, path, kv, nil)
+	return c.pool.exchange(ctx, http.MethodPut, path, kv, nil, shortAnswer)
 }
 
 // Command hands over a command.
 func (c *Client) Command(ctx context.Context, command upstream.Command) error {
-	return c.pool.exchange(ctx, http.MethodPost, "/v1/commands", command, nil)
+	return c.pool.exchange(ctx, http.MethodPost, "/v1/commands", command, nil, shortAnswer)
 }
 
 // Describe returns what the engine says of itself now.
 func (c *Client) Describe(ctx context.Context) (upstream.Announcement, error) {
 	var a upstream.Announcement
-	err := c.pool.exchange(ctx, http.MethodGet, "/v1/description", nil, &a)
+	err := c.pool.exchange(ctx, http.MethodGet, "/v1/description", nil, &a, shortAnswer)
 	return a, err
 }
 
@@ -82,7 +94,7 @@
 func (c *Client) CacheEvents(ctx context.Context, after uint64) (upstream.CacheEvents, error) {
 	var events upstream.CacheEvents
 	path := "/v1/cache-events?after=" + strconv.FormatUint(after, 10)
-	err := c.pool.exchange(ctx, http.MethodGet, path, nil, &events)
+	err := c.pool.exchange(ctx, http.MethodGet, path, nil, &events, c.pool.dialer.maxAnswer)
 	return events, err
 }
 
@@ -97,7 +109,7 @@
 
 // Call sends c once and returns the whole answer, whatever its status.
 func (s *serviceClient) Call(ctx context.Context, c upstream.Call) (upstream.Answer, error) {
-	status, header, body, err := s.pool.send(ctx, c.Method, c.Path, c.Header, c.Body)
+	status, header, body, err := s.pool.send(ctx, c.Method, c.Path, c.Header, c.Body, s.pool.dialer.maxAnswer)
 	if err != nil {
 		return upstream.Answer{}, err
 	}
--- a/internal/upstream/engine/endless_test.go
+++ b/internal/upstream/engine/endless_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -96,3 +98,38 @@
 		is.True(len(err.Error()) < 1024)
 	}
 }
+
+// Guards against steps and commands that each take up to 64 MiB for an answer that
+// has a few bytes, and against a bound that a long prompt exceeds.
+func TestAnswersAreBoundedByTheCall(t *testing.T) {
+	is := is.New(t)
+	text := strings.Repeat("x", 128<<10)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var s upstream.Step
+		if r.Method == http.MethodPost {
+			_ = json.NewDecoder(r.Body).Decode(&s)
+		}
+		result := upstream.StepResult{Request: s.Request, Epoch: s.Epoch, Position: s.Position, Output: s.Input}
+		if len(s.Input) < 2 {
+			result.Token = text
+		}
+		_ = json.NewEncoder(w).Encode(result)
+	}))
+	defer server.Close()
+	d := engine.NewDialer()
+	defer d.Close()
+	c := d.Client(at(server.Listener.Addr().String()))
+	_, err := c.Step(context.Background(), upstream.Step{Request: "r", Input: []uint64{1}})
+	is.Equal(refusal.KindOf(err), refusal.UpstreamFailed)
+	_, err = c.Describe(context.Background())
+	is.Equal(refusal.KindOf(err), refusal.UpstreamFailed)
+	is.Equal(refusal.KindOf(c.Cancel(context.Background(), "r")), refusal.UpstreamFailed)
+	is.Equal(refusal.KindOf(c.Command(context.Background(), upstream.Command{})), refusal.UpstreamFailed)
+	long := make([]uint64, 100_000)
+	for i := range long {
+		long[i] = math.MaxUint64
+	}
+	r, err := c.Step(context.Background(), upstream.Step{Request: "r", Input: long})
+	is.NoErr(err)
+	is.Equal(len(r.Output), len(long))
+}
