--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -44,7 +44,8 @@
 	idleMargin = time.Second
 	// userTimeout ends a connection whose sent bytes are not acknowledged.
 	userTimeout = 2 * time.Second
-	// maxStray bounds the answers to earlier requests that are passed over.
+	// maxStray bounds the answers to earlier requests and the interim answers that are
+	// passed over.
 	maxStray = 3
 	// strayBytes bounds the body of such an answer.
 	strayBytes = 256 << 10
@@ -288,7 +289,7 @@
 			return nil, errors.New("the answer belongs to another request")
 		}
 	}
-	return nil, errors.New("the answers belong to other requests")
+	return nil, errors.Errorf("no answer to the request among the first %d", maxStray)
 }
 
 func (r Request) encode() []byte {
