--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -307,7 +307,7 @@
 
 // ReadBody returns the whole body. A body of more than limit bytes is an error.
 func (x *Exchange) ReadBody(limit int64) ([]byte, error) {
-	if x.Response.ContentLength > limit {
+	if x.Response.ContentLength > limit && x.Response.Body != http.NoBody {
 		return nil, errors.Errorf("the answer has %d bytes, more than %d", x.Response.ContentLength, limit)
 	}
 	body, err := io.ReadAll(io.LimitReader(x.Response.Body, limit+1))
--- a/internal/gateway/exchange/exchange_test.go
+++ b/internal/gateway/exchange/exchange_test.go
@@ -211,3 +211,24 @@
 	_, conns := p.counts()
 	is.Equal(conns, 2)
 }
+
+// Guards against answers to HEAD that fail because of the length of a body that they
+// don't have.
+func TestLengthWithoutBody(t *testing.T) {
+	is := is.New(t)
+	head := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99999999\r\n\r\n"
+	p := newPeer(t, head, head)
+	c := exchange.New(systemclock.Clock{})
+	for range 2 {
+		q := request("1")
+		q.Method, q.Body = http.MethodHead, nil
+		x, err := c.Send(context.Background(), p.target(), q)
+		is.NoErr(err)
+		b, err := x.ReadBody(1 << 10)
+		is.NoErr(err)
+		is.Equal(len(b), 0)
+		x.Keep()
+	}
+	_, conns := p.counts()
+	is.Equal(conns, 1)
+}
