Count comments in a stream as no progress

An engine that sent comments instead of events put off the look into its stream until the deadline. Comments are still forwarded. TestCommentsAreNoProgress failed before: the stream was cut off at its deadline of 20 s.

--- a/internal/gateway/forward/endless_test.go
+++ b/internal/gateway/forward/endless_test.go
@@ -230,6 +230,27 @@
 	<-left
 }
 
+// Guards against a stream that is held until its deadline because its engine sends
+// comments, which are no answer, instead of events.
+func TestCommentsAreNoProgress(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2, func(n int, rw http.ResponseWriter, r *http.Request) {
+		if n > 1 {
+			events(rw, 2, 2)
+			return
+		}
+		events(rw, 1, 1)
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(rw, ": busy\n\n")
+			_ = http.NewResponseController(rw).Flush()
+		}
+	})
+	_, _, body, whole := w.call(t, "/brisk/", "k1")
+	is.True(whole)
+	is.Equal(strings.ReplaceAll(body, ": busy\n\n", ""), "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+	is.Equal(w.headers()[1].Get("After"), "1")
+}
+
 // Guards against log lines that are as long as what an upstream sent.
 func TestLogQuotesLittle(t *testing.T) {
 	long := strings.Repeat("\x7f", 16<<10)
--- a/internal/gateway/forward/events.go
+++ b/internal/gateway/forward/events.go
@@ -20,6 +20,9 @@
 	raw []byte
 	// id is the number of the event. It is 0 for events without one.
 	id uint64
+	// comment tells that there are only comments and blank lines, which servers send
+	// so that an idle connection is kept.
+	comment bool
 }
 
 // events reads a stream event by event. The bytes of an event are valid until the
@@ -34,7 +37,7 @@
 // an event. Blank lines at the end of a stream come as an event without a number.
 func (s *events) next() (event, error) {
 	s.buffer = s.buffer[:0]
-	var e event
+	e := event{comment: true}
 	start := 0     // of the current line in the buffer
 	begun := false // a line of the event that is not blank was read
 	for {
@@ -60,6 +63,7 @@
 		}
 		if len(line) > 0 {
 			begun = true
+			e.comment = e.comment && line[0] == ':'
 		} else if begun {
 			e.raw = s.buffer
 			return e, nil
@@ -75,7 +79,7 @@
 	case within:
 		return event{}, io.ErrUnexpectedEOF
 	}
-	return event{raw: s.buffer}, nil
+	return event{raw: s.buffer, comment: true}, nil
 }
 
 // pace tells how the events of a stream reached the client. Times count from the
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -291,8 +291,10 @@
 		if e.id > 0 && e.id <= s.last {
 			continue // the client has it, and it may come without end
 		}
-		w.progress()
-		s.noteProgress(w.route)
+		if !e.comment {
+			w.progress()
+			s.noteProgress(w.route)
+		}
 		s.begin(x.Response)
 		if e.id > 0 {
 			s.last, s.resumed = e.id, true
