--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -7,8 +7,10 @@
 //		return err // errors.As(err, *exchange.Error) tells what was sent
 //	}
 //	defer x.Close()
-//	read(x.Response.Body)
-//	x.Keep() // after the whole body was read
+//	body, err := x.ReadBody(limit)
+//	if err == nil {
+//		x.Keep()
+//	}
 package exchange
 
 import (
@@ -25,6 +27,7 @@
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/excerpt"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
@@ -41,14 +44,31 @@
 	idleMargin = time.Second
 	// userTimeout ends a connection whose sent bytes are not acknowledged.
 	userTimeout = 2 * time.Second
-	// maxStray bounds the answers to earlier requests that are passed over.
+	// maxStray bounds the answers to earlier requests and the interim answers that are
+	// passed over.
 	maxStray = 3
 	// strayBytes bounds the body of such an answer.
 	strayBytes = 256 << 10
 	// bufferBytes is the size of the read buffer of a connection.
 	bufferBytes = 4 << 10
+	// maxHeadBytes bounds the status line and the headers of an answer, which
+	// http.ReadResponse reads to their end however long they are. Heads of upstreams
+	// have less than 1 KiB. A head of short header lines takes up to 40 times its
+	// length in memory, so a larger bound would be felt on small machines.
+	maxHeadBytes = 32 << 10
+	// noBound lets a connection be read without a bound, because the reader of a
+	// body has its own.
+	noBound = -1
+	// drainBytes and drainTime bound the body of an answer whose content is not used.
+	// A refusal has less than 1 KiB, which is sent together with its head. One that
+	// is longer or later costs its request more time than a new connection costs.
+	drainBytes = 16 << 10
+	drainTime  = 100 * time.Millisecond
 )
 
+// errLongHead tells that an upstream sends a head without an end.
+var errLongHead = errors.Errorf("the head has more than %d bytes", maxHeadBytes)
+
 // Target is the upstream that a request goes to.
 type Target struct {
 	ID      fleet.UpstreamID
@@ -109,6 +129,21 @@
 	net.Conn
 	reader *bufio.Reader
 	until  time.Time // the connection is not used after it
+	// bound is the number of bytes that may still be read, or noBound.
+	bound int
+}
+
+// Read implements net.Conn. What the buffer holds when a head begins doesn't count.
+func (k *conn) Read(b []byte) (int, error) {
+	if k.bound == noBound {
+		return k.Conn.Read(b)
+	}
+	if k.bound == 0 {
+		return 0, errLongHead
+	}
+	n, err := k.Conn.Read(b[:min(len(b), k.bound)])
+	k.bound -= n
+	return n, err
 }
 
 // New returns a Client without connections.
@@ -185,7 +220,9 @@
 	if err != nil {
 		return nil, false, errors.Wrapf(err, "connect to upstream %s", t.ID)
 	}
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, bufferBytes)}, true, nil
+	k := &conn{Conn: n, bound: noBound}
+	k.reader = bufio.NewReaderSize(k, bufferBytes)
+	return k, true, nil
 }
 
 func (c *Client) pop(t Target) *conn {
@@ -233,9 +270,11 @@
 // earlier requests.
 func (k *conn) answer(r Request) (*http.Response, error) {
 	for range maxStray {
+		k.bound = maxHeadBytes
 		p, err := http.ReadResponse(k.reader, &http.Request{Method: r.Method})
+		k.bound = noBound
 		if err != nil {
-			return nil, errors.Wrap(err, "read the answer")
+			return nil, errors.Wrap(excerpt.Error(err), "read the answer")
 		}
 		if p.StatusCode < http.StatusOK {
 			continue
@@ -250,7 +289,7 @@
 			return nil, errors.New("the answer belongs to another request")
 		}
 	}
-	return nil, errors.New("the answers belong to other requests")
+	return nil, errors.Errorf("no answer to the request among the first %d", maxStray)
 }
 
 func (r Request) encode() []byte {
@@ -266,6 +305,36 @@
 	return b.Bytes()
 }
 
+// ReadBody returns the whole body. A body of more than limit bytes is an error.
+func (x *Exchange) ReadBody(limit int64) ([]byte, error) {
+	if x.Response.ContentLength > limit && x.Response.Body != http.NoBody {
+		return nil, errors.Errorf("the answer has %d bytes, more than %d", x.Response.ContentLength, limit)
+	}
+	body, err := io.ReadAll(io.LimitReader(x.Response.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = errors.Errorf("the answer has more than %d bytes", limit)
+	}
+	return body, err
+}
+
+// Drain reads a body that is not used and keeps the connection. It closes the
+// connection, and returns why, if the body is long or does not end soon.
+func (x *Exchange) Drain() error {
+	err := x.conn.SetReadDeadline(time.Now().Add(drainTime))
+	if err == nil {
+		_, err = x.ReadBody(drainBytes)
+	}
+	if err == nil {
+		err = x.conn.SetReadDeadline(time.Time{})
+	}
+	if err != nil {
+		x.Close()
+		return errors.Wrap(err, "read the rest of the answer")
+	}
+	x.Keep()
+	return nil
+}
+
 // Keep returns the connection for further requests. It must be called only after
 // the whole body was read.
 func (x *Exchange) Keep() {
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -13,6 +13,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -26,6 +27,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/placement"
 	"github.com/bilberryrock/bilberryrock/internal/release"
 	"github.com/bilberryrock/bilberryrock/internal/release/table"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
 
@@ -41,6 +43,9 @@
 	// seconds.
 	admissionWait = 1500 * time.Millisecond
 	admissionPoll = 25 * time.Millisecond
+	// writeMargin is the time after the deadline of a request in which the client must
+	// have read its answer. Its connection is closed then.
+	writeMargin = time.Second
 	// extraSends are the sends beyond the attempts of a route that upstreams
 	// answered without running the request.
 	extraSends = 2
@@ -135,6 +140,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	q.boundWrites()
 	q.pool.Budget.Deposit()
 	if q.route.Repeat == release.Stream {
 		q.stream(ctx)
@@ -143,6 +149,15 @@
 	q.plain(ctx)
 }
 
+// boundWrites ends writes to a client that does not read. net/http removes the bound
+// after the request.
+func (q *request) boundWrites() {
+	until := time.Now().Add(q.deadline.Sub(q.clock.Now()) + writeMargin)
+	if err := http.NewResponseController(q.w).SetWriteDeadline(until); err != nil {
+		q.logger.Warn("Writes to a client have no bound.", zap.String("request", string(q.call.ID)), zap.Error(err))
+	}
+}
+
 // awaitAdmission waits a while for what the gateway lacks after a start or while
 // its controllers elect a leader. A refused client comes back once at most.
 func (q *request) awaitAdmission() error {
@@ -202,6 +217,8 @@
 	return nil
 }
 
+// readBody reads the body until the deadline of the request at the latest. No
+// upstream has got a request whose body did not come in time.
 func (q *request) readBody() error {
 	limit := q.table.Release.Limits.BodyBytes
 	if limit <= 0 {
@@ -213,14 +230,24 @@
 	if q.r.ContentLength == 0 {
 		return nil
 	}
-	b, err := io.ReadAll(io.LimitReader(q.r.Body, limit+1))
-	if err != nil {
-		return refusal.Because(refusal.BadRequest, err, "read the body")
+	control := http.NewResponseController(q.w)
+	err := control.SetReadDeadline(time.Now().Add(q.deadline.Sub(q.clock.Now())))
+	if err == nil {
+		q.body, err = io.ReadAll(io.LimitReader(q.r.Body, limit+1))
 	}
-	if int64(len(b)) > limit {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return refusal.Because(refusal.NoUpstream, err, "the body did not come in time")
+	}
+	if err == nil && int64(len(q.body)) > limit {
+		// The deadline stays, because net/http reads on before it answers.
 		return refusal.New(refusal.TooLarge, "the body has more than %d bytes", limit)
 	}
-	q.body = b
+	if err == nil {
+		err = control.SetReadDeadline(time.Time{})
+	}
+	if err != nil {
+		return refusal.Because(refusal.BadRequest, err, "read the body")
+	}
 	return nil
 }
 
--- a/internal/gateway/forward/plain.go
+++ b/internal/gateway/forward/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -113,16 +112,11 @@
 	}
 	defer x.Close()
 	reply := q.dialect.ReadReply(x.Response.StatusCode, x.Response.Header)
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, bufferedBytes+1))
-	if err == nil && len(body) > bufferedBytes {
-		err = refusal.New(refusal.UpstreamFailed, "the answer has more than %d bytes", bufferedBytes)
-	}
 	if reply.NotRun {
-		if err == nil {
-			x.Keep()
-		}
-		return nil, notRun, refusal.New(refusal.NoUpstream, "upstream %s answered %d without running the request", t.ID, x.Response.StatusCode)
+		return nil, notRun, refusal.Because(refusal.NoUpstream, x.Drain(), "upstream %s answered %d without running the request",
+			t.ID, x.Response.StatusCode)
 	}
+	body, err := x.ReadBody(bufferedBytes)
 	if err != nil {
 		return nil, unknown, errors.Wrapf(err, "read the answer of upstream %s", t.ID)
 	}
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -227,10 +227,7 @@
 	reply := s.dialect.ReadReply(x.Response.StatusCode, x.Response.Header)
 	if reply.NotRun {
 		s.noteRefusal(reply, x.Response.StatusCode, s.clock.Now().Sub(sent))
-		if _, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, bufferedBytes)); err == nil {
-			x.Keep()
-		}
-		return false, notRun, refusal.New(refusal.NoUpstream, "upstream %s answered %d without running the request, because of %q",
+		return false, notRun, refusal.Because(refusal.NoUpstream, x.Drain(), "upstream %s answered %d without running the request, because of %.64q",
 			t.target.ID, x.Response.StatusCode, reply.At)
 	}
 	if err := s.checkOwn(reply, x.Response, t.target); err != nil {
@@ -260,7 +257,7 @@
 // failure keeps the answer of an upstream that failed. It is forwarded unless
 // another send has an answer.
 func (s *relay) failure(x *exchange.Exchange, t route) (bool, result, error) {
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, bufferedBytes))
+	body, err := x.ReadBody(bufferedBytes)
 	if err != nil {
 		return false, unknown, errors.Wrapf(err, "read the answer of upstream %s", t.target.ID)
 	}
@@ -290,20 +287,24 @@
 		if err != nil {
 			return false, unknown, errors.Wrap(err, "read the stream")
 		}
-		w.progress()
 		s.refusals = 0
-		s.noteProgress(w.route)
 		if e.id > 0 && e.id <= s.last {
-			continue // the client has it
+			continue // the client has it, and it may come without end
+		}
+		if !e.comment {
+			w.progress()
+			s.noteProgress(w.route)
 		}
 		s.begin(x.Response)
 		if e.id > 0 {
 			s.last, s.resumed = e.id, true
 		}
-		if _, err := s.w.Write(e.raw); err != nil {
-			return true, answered, errors.Wrap(err, "write to the client")
+		_, err = s.w.Write(e.raw)
+		if err == nil {
+			err = flush.Flush()
 		}
-		if err := flush.Flush(); err != nil {
+		if err != nil {
+			s.outcome = "clientGone"
 			return true, answered, errors.Wrap(err, "write to the client")
 		}
 		s.pace.note(s.clock.Now().Sub(s.arrival))
