--- a/cmd/bilberryrock-platform/log.go
+++ b/cmd/bilberryrock-platform/log.go
@@ -31,7 +31,7 @@
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	config.EncodeDuration = zapcore.StringDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), out, l)
+	core := output.Brief(zapcore.NewCore(zapcore.NewJSONEncoder(config), out, l))
 	core = zapcore.NewSamplerWithOptions(core, time.Second, logBurst, logThin)
 	return zap.New(core), out, nil
 }
