Divide a short grace time, and say which requests a stop cuts off

A gateway took requests for 2.6 s after SIGTERM whatever the grace time was. Under 3.3 s the rest was negative: all streams were cut off at 2.6 s, with a grace time of 2 s after SIGKILL was due, and the exit status was 0. It was 0, too, whenever the end of the grace time cut requests off.

The drain takes at most three quarters of the time now, and the margin before SIGKILL at most an eighth, so that nothing is cut off before the last sixth of the grace time. Requests that are cut off are named in the log, and the exit status is 1. The warning with 0 requests, which came of the coarse polling of Shutdown, is gone: a stop that cuts off nothing but connections without a whole request says so at level info.

--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -39,12 +39,17 @@
 	// retryPart is the part of the platform's retry budget that is used. The rest
 	// covers gateways that just joined and windows that the platform cuts otherwise.
 	retryPart = 0.8
-	// stopMargin is kept between the end of a graceful stop and SIGKILL.
+	// stopMargin is kept between the end of a graceful stop and SIGKILL, or stopPart
+	// of a shorter grace time. The platform excuses a request that is cut off in the
+	// last sixth of the grace time.
 	stopMargin = 700 * time.Millisecond
+	stopPart   = 8
 	// drainLeast is how long a gateway takes requests after SIGTERM. The platform
 	// needs two checks, a second apart, to notice that it is not ready, and streams
-	// that begin within three seconds may be cut at the end.
+	// that begin within three seconds may be cut at the end. The rest of the grace
+	// time, and at least a drainPart of it, is for the requests that came last.
 	drainLeast = 2600 * time.Millisecond
+	drainPart  = 4
 	// headerTimeout bounds the time to read the head of a request, bodyTimeout that
 	// for its body, and idleTimeout the time between two requests. A body of 4 MiB
 	// takes 3.4 s at 10 Mbit/s. Clients reuse connections for a shorter time than
@@ -87,7 +92,7 @@
 	defer follower.Stop()
 	servers := &servers{clock: clock, log: log, failed: make(chan error, 4)}
 	front := server(handler)
-	clients, err := servers.start("clients", front, s.Clients)
+	clients, err := servers.start("clients", front, s.Clients, listener.Identify(requestID))
 	if err != nil {
 		return err
 	}
@@ -101,16 +106,24 @@
 	if err := wait(life, servers.failed); err != nil {
 		return err
 	}
+	drain, end := stopTimes(s.Grace)
+	ctx, cancel := context.WithTimeout(context.Background(), end)
+	defer cancel()
 	handler.Close()
 	clients.Drain()
 	milestone(log, "The gateway drains.", zap.Int64("requests", handler.Active()), zap.Duration("grace", s.Grace))
-	time.Sleep(drainLeast)
+	time.Sleep(drain)
 	milestone(log, "The gateway takes no further connections.", zap.Int64("requests", handler.Active()))
-	ctx, cancel := context.WithTimeout(context.Background(), s.Grace-stopMargin-drainLeast)
-	defer cancel()
 	return clients.Stop(ctx)
 }
 
+// stopTimes divides the grace time: a gateway takes requests for the time drain after
+// SIGTERM, and all requests are answered, or cut off, at the time end.
+func stopTimes(grace time.Duration) (drain, end time.Duration) {
+	end = grace - min(stopMargin, grace/stopPart)
+	return min(drainLeast, end-end/drainPart), end
+}
+
 // runController serves the operator, the workers and the other daemons until
 // SIGTERM.
 func runController(s platform.Settings, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
@@ -139,7 +152,8 @@
 		}
 	}()
 	failed := wait(live(s, signals, log, func(platform.Settings) {}), servers.failed)
-	ctx, cancel := context.WithTimeout(context.Background(), s.Grace-stopMargin)
+	_, end := stopTimes(s.Grace)
+	ctx, cancel := context.WithTimeout(context.Background(), end)
 	defer cancel()
 	answer, cancel := context.WithTimeout(ctx, s.Grace/2)
 	defer cancel()
@@ -181,12 +195,22 @@
 	failed chan error
 }
 
-func (s *servers) start(name string, v *http.Server, address string) (*listener.Server, error) {
+func (s *servers) start(name string, v *http.Server, address string, options ...listener.Option) (*listener.Server, error) {
 	l, err := listener.Listen(name, address)
 	if err != nil {
 		return nil, err
 	}
-	return listener.New(name, l, v, s.clock, s.log, listener.Failed(func(err error) { s.failed <- err })), nil
+	options = append(options, listener.Failed(func(err error) { s.failed <- err }))
+	return listener.New(name, l, v, s.clock, s.log, options...), nil
+}
+
+// requestID names a request of a client in the log.
+func requestID(r *http.Request) string {
+	call, err := platform.Headers{}.ReadCall(r.Header)
+	if err != nil || call.ID == "" {
+		return r.Method + " " + r.URL.Path
+	}
+	return string(call.ID)
 }
 
 // live returns the life of a daemon, which hands over the settings when the file has
--- a/internal/entry/listener/listener.go
+++ b/internal/entry/listener/listener.go
@@ -16,6 +16,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,8 @@
 	// queue counts as empty, and acceptTime bounds the time until then.
 	acceptPause = 5 * time.Millisecond
 	acceptTime  = 100 * time.Millisecond
+	// maxNamed bounds the requests that the log names when they are cut off.
+	maxNamed = 100
 )
 
 // Server is one HTTP listener.
@@ -51,14 +54,17 @@
 	// certificate and key are PEM files. Empty ones mean plain HTTP.
 	certificate, key string
 
+	identify func(*http.Request) string
+
 	draining atomic.Bool
 	stopping atomic.Bool
-	handling atomic.Int64
 	served   chan struct{} // closed when no further connection is accepted
 	changed  chan struct{} // gets a token when a connection or a request has ended
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// requests are those that handlers work on.
+	requests map[*http.Request]struct{}
 	// lingered tells that connections without a request are closed.
 	lingered bool
 }
@@ -74,6 +80,10 @@
 	return func(s *Server) { s.certificate, s.key = certificate, key }
 }
 
+// Identify sets a function that names a request in the log. Without it the log has
+// method and path.
+func Identify(f func(*http.Request) string) Option { return func(s *Server) { s.identify = f } }
+
 // Failed sets a function that gets the error after which no further connection is
 // accepted, unless that was asked for.
 func Failed(f func(error)) Option { return func(s *Server) { s.failed = f } }
@@ -92,7 +102,9 @@
 	s := &Server{
 		name: name, http: v, clock: c, log: log, listener: &queue{TCPListener: l},
 		wrap: func(l net.Listener) net.Listener { return l }, failed: func(error) {},
-		served: make(chan struct{}), changed: make(chan struct{}, 1), conns: make(map[*conn]struct{}),
+		identify: func(r *http.Request) string { return r.Method + " " + r.URL.Path },
+		served:   make(chan struct{}), changed: make(chan struct{}, 1), conns: make(map[*conn]struct{}),
+		requests: make(map[*http.Request]struct{}),
 	}
 	for _, o := range options {
 		o(s)
@@ -157,19 +169,28 @@
 	_ = s.listener.Close()
 }
 
-// cut closes all connections at the end of the time.
+// cut closes all connections at the end of the time and tells which requests that
+// cuts off.
 func (s *Server) cut() error {
-	n := s.handling.Load()
+	var names []string
 	s.mu.Lock()
-	open := len(s.conns)
+	open, n := len(s.conns), len(s.requests)
+	for r := range s.requests {
+		if len(names) < maxNamed {
+			names = append(names, s.identify(r))
+		}
+	}
 	s.mu.Unlock()
-	s.log.Warn("Connections were open at the end of the stop.", zap.String("listener", s.name),
-		zap.Int64("requests", n), zap.Int("connections", open))
-	err := s.http.Close()
-	if n > 0 {
-		return errors.Errorf("listener %s: %d requests were cut off at the stop", s.name, n)
+	slices.Sort(names)
+	if n == 0 {
+		s.log.Info("Connections without a whole request were closed.", zap.String("listener", s.name), zap.Int("connections", open))
+		return errors.Wrapf(s.http.Close(), "close listener %s", s.name)
 	}
-	return errors.Wrapf(err, "close listener %s", s.name)
+	s.log.Warn("Requests were cut off at the stop.", zap.String("listener", s.name), zap.Int("requests", n), zap.Strings("named", names))
+	if err := s.http.Close(); err != nil {
+		s.log.Warn("Connections could not be closed.", zap.String("listener", s.name), zap.Error(err))
+	}
+	return errors.Errorf("listener %s: %d requests were cut off at the stop", s.name, n)
 }
 
 // remaining returns the number of connections and requests to wait for.
@@ -178,7 +199,7 @@
 	defer s.mu.Unlock()
 	if s.lingered && s.certificate != "" {
 		// The bytes of a TLS connection do not tell whether it has a request.
-		return int(s.handling.Load())
+		return len(s.requests)
 	}
 	n := 0
 	for c := range s.conns {
@@ -238,9 +259,13 @@
 
 func (s *Server) closing(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.handling.Add(1)
+		s.mu.Lock()
+		s.requests[r] = struct{}{}
+		s.mu.Unlock()
 		defer func() {
-			s.handling.Add(-1)
+			s.mu.Lock()
+			delete(s.requests, r)
+			s.mu.Unlock()
 			s.notify()
 		}()
 		v := &writer{ResponseWriter: w, server: s}
--- a/internal/entry/listener/listener_test.go
+++ b/internal/entry/listener/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // TestStop guards against requests that a stop cuts off: those whose head becomes
@@ -47,6 +49,7 @@
 	release chan struct{} // lets the handlers of /hold write their answers
 	expire  context.CancelFunc
 	stopped chan error
+	log     bytes.Buffer
 	clients map[string]*client
 }
 
@@ -77,7 +80,8 @@
 		<-r.release
 		_, _ = io.WriteString(w, "answer")
 	})
-	r.server = New("test", l, &http.Server{Handler: m}, r.linger, zap.NewNop())
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{MessageKey: "msg"}), zapcore.AddSync(&r.log), zap.InfoLevel)
+	r.server = New("test", l, &http.Server{Handler: m}, r.linger, zap.New(core))
 	t.Cleanup(func() { _ = r.server.http.Close() })
 	return r
 }
@@ -130,9 +134,11 @@
 	case "expire":
 		r.expire()
 	case "stopped":
-		if err := <-r.stopped; err != nil {
-			return err.Error()
+		err := <-r.stopped
+		if err == nil {
+			return r.log.String() + "ok"
 		}
+		return r.log.String() + err.Error()
 	default:
 		d.Fatalf(t, "unknown command %q", d.Cmd)
 	}
@@ -223,7 +229,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			s := &Server{changed: make(chan struct{}, 1)}
+			s := &Server{changed: make(chan struct{}, 1), requests: make(map[*http.Request]struct{})}
 			answer := func(drain bool) string {
 				w := httptest.NewRecorder()
 				s.closing(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
