Decide with the head of the answer whether a client may keep its connection

A gateway decided it when a request came. Answers to requests that began before SIGTERM carried no "Connection: close", so their clients sent the next request on a connection that was about to close. Package listener closes these connections since it serves the gateway; now the handler itself does, also when the gateway loses its readiness for another reason while a request is in progress.

Evidence: TestDrain of package forward failed in "drain=during" with "connection kept" and passes. The case of other listeners is TestDrain of package listener.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -127,9 +127,6 @@
 	defer h.active.Add(-1)
 	q := &request{Handler: h, w: w, r: r, arrival: h.clock.Now()}
 	defer q.report()
-	if h.closing.Load() || !h.state.Ready() {
-		w.Header().Set("Connection", "close")
-	}
 	if err := q.awaitAdmission(); err != nil {
 		q.refuse(err)
 		return
@@ -360,10 +357,20 @@
 	}
 	body := `{"error":"` + a.Code + `"}`
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	q.w.WriteHeader(a.Status)
+	q.writeHead(a.Status)
 	_, _ = io.WriteString(q.w, body) // the client may have gone
 }
 
+// writeHead writes the head of the answer. Whether the client may use the connection
+// again is decided as late as this, since the gateway may have begun to drain since
+// the request came.
+func (q *request) writeHead(status int) {
+	if !q.Ready() {
+		q.w.Header().Set("Connection", "close")
+	}
+	q.w.WriteHeader(status)
+}
+
 // report writes the log line and the metrics of a finished request.
 func (q *request) report() {
 	took := q.clock.Now().Sub(q.arrival)
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -73,6 +73,8 @@
 // world is a gateway in front of upstreams that all run the same handler.
 type world struct {
 	gateway *httptest.Server
+	handler *forward.Handler
+	closes  bool               // whether the last answer closes its connection
 	servers []*httptest.Server // of the pools in turn
 	mu      sync.Mutex
 	seen    []http.Header
@@ -155,6 +157,7 @@
 	}
 	st.Receive(u)
 	h := forward.New(clock, st, client, dialect{}, prober{}, forward.NewMetrics(prometheus.NewRegistry()), zap.New(core))
+	w.handler = h
 	w.gateway = httptest.NewServer(h)
 	t.Cleanup(w.gateway.Close)
 	return w
@@ -191,6 +194,7 @@
 	p, err := http.DefaultClient.Do(r)
 	is.New(t).NoErr(err)
 	defer func() { _ = p.Body.Close() }()
+	w.closes = p.Close
 	b, err := io.ReadAll(p.Body)
 	return p.StatusCode, p.Header, string(b), err == nil
 }
--- a/internal/gateway/forward/plain.go
+++ b/internal/gateway/forward/plain.go
@@ -152,7 +152,7 @@
 	q.status, q.outcome = a.status, "answered"
 	copyHeaders(q.w.Header(), a.header)
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	q.w.WriteHeader(a.status)
+	q.writeHead(a.status)
 	if _, err := q.w.Write(a.body); err != nil {
 		q.outcome = "clientGone"
 	}
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -330,7 +330,7 @@
 	s.status = p.StatusCode
 	copyHeaders(s.w.Header(), p.Header)
 	s.w.Header().Del("Content-Length")
-	s.w.WriteHeader(p.StatusCode)
+	s.writeHead(p.StatusCode)
 }
 
 // giveUp ends a stream that no engine completes. A stream that has begun is cut
