Refuse streams that cannot be resumed while a gateway drains

A stream that came after SIGTERM and may not be resumed could be cut off at the end of the grace time and was then lost for its caller, though other gateways could have taken it. It is refused with 503 "stopping" and a Retry-After under a second before it is sent to any upstream. Streams that may be resumed go on as before.

Evidence: TestDrain in package forward, case /single/ with drain=before, was "200, sends 1" and is "503, may come back true, sends 0".

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -131,6 +131,11 @@
 		q.refuse(err)
 		return
 	}
+	if q.closing.Load() && q.route.Repeat == release.Stream && !q.route.Resumable {
+		// The end of the grace time could cut it off for good. Another gateway takes it.
+		q.refuse(refusal.New(refusal.Stopping, "the gateway stops, and the stream cannot be resumed"))
+		return
+	}
 	if err := q.readBody(); err != nil {
 		q.refuse(err)
 		return
