Drain when a listener fails, and go on without the metrics

A failure of any listener of a gateway ended the process at once with status 1 and cut off all streams, also a failure of the metrics, which no request needs. A failure of the clients' or the readiness listener now makes the gateway drain as after SIGTERM; the exit status stays 1. A failure of the metrics listener is logged in gateway and controller and changes nothing else.

The clients' listener opens last, so that a fault of another address at the start doesn't cut off connections that were accepted before.

--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -92,20 +92,19 @@
 	defer follower.Stop()
 	servers := &servers{clock: clock, log: log, failed: make(chan error, 4)}
 	front := server(handler)
-	clients, err := servers.start("clients", front, s.Clients, listener.Identify(requestID))
-	if err != nil {
+	// Clients come last: a fault of another address must not cut off what was accepted.
+	if err := servers.startMetrics(registry, s.MetricsAddress); err != nil {
 		return err
 	}
 	if _, err := servers.start("readiness", server(readiness(handler.Ready)), s.Ready); err != nil {
 		return err
 	}
-	if _, err := servers.start("metrics", server(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})), s.MetricsAddress); err != nil {
+	clients, err := servers.start("clients", front, s.Clients, listener.Identify(requestID))
+	if err != nil {
 		return err
 	}
 	life := live(s, signals, log, func(n platform.Settings) { follower.LearnSeeds(n.PeerSeeds) })
-	if err := wait(life, servers.failed); err != nil {
-		return err
-	}
+	failed := wait(life, servers.failed, log)
 	drain, end := stopTimes(s.Grace)
 	ctx, cancel := context.WithTimeout(context.Background(), end)
 	defer cancel()
@@ -114,7 +113,10 @@
 	milestone(log, "The gateway drains.", zap.Int64("requests", handler.Active()), zap.Duration("grace", s.Grace))
 	time.Sleep(drain)
 	milestone(log, "The gateway takes no further connections.", zap.Int64("requests", handler.Active()))
-	return clients.Stop(ctx)
+	if err := clients.Stop(ctx); err != nil && failed == nil {
+		failed = err
+	}
+	return failed
 }
 
 // stopTimes divides the grace time: a gateway takes requests for the time drain after
@@ -139,11 +141,11 @@
 	registry.MustRegister(c.Collector())
 	servers := &servers{clock: clock, log: log, failed: make(chan error, 4)}
 	control := server(platform.Control(c, log))
-	calls, err := servers.start("control", control, s.Control)
-	if err != nil {
+	if err := servers.startMetrics(registry, s.MetricsAddress); err != nil {
 		return err
 	}
-	if _, err := servers.start("metrics", server(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})), s.MetricsAddress); err != nil {
+	calls, err := servers.start("control", control, s.Control)
+	if err != nil {
 		return err
 	}
 	go func() {
@@ -151,7 +153,7 @@
 			servers.failed <- err
 		}
 	}()
-	failed := wait(live(s, signals, log, func(platform.Settings) {}), servers.failed)
+	failed := wait(live(s, signals, log, func(platform.Settings) {}), servers.failed, log)
 	_, end := stopTimes(s.Grace)
 	ctx, cancel := context.WithTimeout(context.Background(), end)
 	defer cancel()
@@ -188,7 +190,8 @@
 	})
 }
 
-// servers runs HTTP servers and reports the first that fails.
+// servers runs HTTP servers and reports failures of those that the daemon cannot do
+// without.
 type servers struct {
 	clock  systemclock.Clock
 	log    *zap.Logger
@@ -200,10 +203,17 @@
 	if err != nil {
 		return nil, err
 	}
-	options = append(options, listener.Failed(func(err error) { s.failed <- err }))
+	options = append([]listener.Option{listener.Failed(func(err error) { s.failed <- err })}, options...)
 	return listener.New(name, l, v, s.clock, s.log, options...), nil
 }
 
+// startMetrics serves the metrics, whose loss ends no request.
+func (s *servers) startMetrics(r *prometheus.Registry, address string) error {
+	_, err := s.start("metrics", server(promhttp.HandlerFor(r, promhttp.HandlerOpts{})), address,
+		listener.Failed(func(err error) { s.log.Error("The metrics are not served any more.", zap.Error(err)) }))
+	return err
+}
+
 // requestID names a request of a client in the log.
 func requestID(r *http.Request) string {
 	call, err := platform.Headers{}.ReadCall(r.Header)
@@ -220,11 +230,13 @@
 }
 
 // wait returns at the first request to stop, or with the error of a part that failed.
-func wait(l *lifecycle.Life, failed <-chan error) error {
+// The daemon drains in both cases.
+func wait(l *lifecycle.Life, failed <-chan error, log *zap.Logger) error {
 	select {
 	case <-l.Stopping():
 		return nil
 	case err := <-failed:
+		log.Error("A part of the daemon failed, which now stops.", zap.Error(err))
 		return err
 	}
 }
