Bound the whole stop of bilberryrockd by stopTimeout

The drain delay had no bound by the stop timeout (drainDelay=5m with stopTimeout=1s was accepted and waited for), each of the four listeners got the whole time that was left, one after the other, and the wait for the loops had no bound.

All stages share one deadline now, which is a second, or an eighth of a short timeout, before its end. The listeners stop at the same time, every failed stage is logged, and a stage that does not end at all is named by the error of Stop. Settings whose drainDelay is more than half of stopTimeout are refused, so that at least half of a stop is for the requests in progress.

--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -32,6 +33,13 @@
 	"github.com/bilberryrock/bilberryrock/internal/membership/packet"
 )
 
+const (
+	// endTime is kept at the end of the stop timeout for the parts that end after the
+	// requests, or an endPart of a short timeout.
+	endTime = time.Second
+	endPart = 8
+)
+
 // Daemon is a running entry instance.
 type Daemon struct {
 	settings settings.Settings
@@ -58,10 +66,12 @@
 	// was in force here before. It stays true.
 	ready    atomic.Bool
 	stopping atomic.Bool
-	failed   chan error
-	ended    chan struct{}
-	woken    chan struct{}
-	loops    sync.WaitGroup
+	// stage is the stage of a stop in progress, a string.
+	stage  atomic.Value
+	failed chan error
+	ended  chan struct{}
+	woken  chan struct{}
+	loops  sync.WaitGroup
 }
 
 // Option changes a Daemon at its construction.
@@ -128,43 +138,103 @@
 }
 
 // Stop stops gracefully within the stop timeout. The error tells what was cut
-// off.
+// off, or which part did not end.
 func (d *Daemon) Stop() error {
 	d.stopping.Store(true)
 	d.health.SetNotReady("stopping")
 	d.log.Info("Daemon stops.")
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Instance.StopTimeout)
+	total := d.settings.Instance.StopTimeout
+	rest := min(endTime, total/endPart)
+	ctx, cancel := context.WithTimeout(context.Background(), total-rest)
 	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.stop(ctx) }()
+	select {
+	case err := <-stopped:
+		return err
+	case <-ctx.Done():
+	}
+	select {
+	case err := <-stopped:
+		return err
+	case <-d.clock.After(rest):
+		return errors.Errorf("the stop did not end within %s: %s", total, d.stage.Load())
+	}
+}
+
+func (d *Daemon) stop(ctx context.Context) error {
 	for _, s := range d.servers {
 		s.Drain()
 	}
+	d.stage.Store("drain delay")
 	// The balancer still sends requests until it has seen the loss of readiness.
-	<-d.clock.After(d.settings.Instance.DrainDelay)
-	err := d.requests.drain(ctx)
-	if e := d.stopServers(ctx); err == nil {
-		err = e
-	}
-	close(d.ended)
-	d.loops.Wait()
-	if e := d.node.Leave(ctx); err == nil {
-		err = errors.Wrap(e, "leave membership")
+	select {
+	case <-d.clock.After(d.settings.Instance.DrainDelay):
+	case <-ctx.Done():
 	}
-	if e := d.state.stop(ctx); err == nil {
-		err = e
+	var failed error
+	for _, s := range []struct {
+		stage string
+		end   func(context.Context) error
+	}{
+		{"requests", d.requests.drain},
+		{"listeners", d.stopServers},
+		{"loops", d.endLoops},
+		{"membership", func(ctx context.Context) error { return errors.Wrap(d.node.Leave(ctx), "leave membership") }},
+		{"state", d.state.stop},
+		{"connections", d.endConnections},
+	} {
+		d.stage.Store(s.stage)
+		err := s.end(ctx)
+		switch {
+		case err != nil && failed == nil:
+			failed = err
+		case err != nil:
+			d.log.Warn("A stage of the stop failed.", zap.String("stage", s.stage), zap.Error(err))
+		}
 	}
-	d.decisions.close()
-	d.grpc.Stop()
-	d.peers.Close()
 	d.log.Info("Daemon stopped.")
-	return err
+	return failed
 }
 
+// stopServers stops all listeners at the same time, so that one with a slow request
+// takes no time from the others.
 func (d *Daemon) stopServers(ctx context.Context) error {
-	var failed error
+	results := make(chan error, len(d.servers))
 	for _, s := range d.servers {
-		if err := s.Stop(ctx); err != nil {
+		go func() { results <- s.Stop(ctx) }()
+	}
+	var failed error
+	for range d.servers {
+		err := <-results
+		switch {
+		case err != nil && failed == nil:
 			failed = err
+		case err != nil:
+			d.log.Warn("A further listener did not stop gracefully.", zap.Error(err))
 		}
 	}
 	return failed
 }
+
+func (d *Daemon) endLoops(ctx context.Context) error {
+	close(d.ended)
+	ended := make(chan struct{})
+	go func() {
+		d.loops.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return errors.New("a loop did not end")
+	}
+}
+
+func (d *Daemon) endConnections(context.Context) error {
+	d.decisions.close()
+	d.grpc.Stop()
+	d.peers.Close()
+	return nil
+}
--- a/internal/entry/daemon/tls_test.go
+++ b/internal/entry/daemon/tls_test.go
@@ -94,9 +94,24 @@
 	}
 }
 
-// startSecure starts a daemon from a settings file with TLS for operators and
-// peers.
+// startSecure starts a daemon with TLS for operators and peers.
 func startSecure(t *testing.T, a *authority) settings.Settings {
+	t.Helper()
+	s := secureSettings(t, a)
+	d, err := New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := d.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+// secureSettings returns settings with TLS for operators and peers, as from a file.
+func secureSettings(t *testing.T, a *authority) settings.Settings {
 	t.Helper()
 	f, err := processes.New("", a.dir)
 	if err != nil {
@@ -144,15 +159,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d, err := New(s)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if err := d.Stop(); err != nil {
-			t.Error(err)
-		}
-	})
 	return s
 }
 
--- a/internal/fleet/settings/load.go
+++ b/internal/fleet/settings/load.go
@@ -139,7 +139,7 @@
 // checkTogether checks the settings that depend on each other.
 func checkTogether(name string, s Settings) error {
 	checks := []func(Settings) (section, key, problem string){
-		checkVoting, checkSecret, checkVoterSet, checkOperatorTLS, checkPeerTLS, checkDeadlines, checkListeners,
+		checkVoting, checkSecret, checkVoterSet, checkOperatorTLS, checkPeerTLS, checkStop, checkDeadlines, checkListeners,
 	}
 	for _, check := range checks {
 		if section, key, problem := check(s); problem != "" {
@@ -197,6 +197,14 @@
 	return "", "", ""
 }
 
+// checkStop leaves at least half of a stop for the requests in progress.
+func checkStop(s Settings) (section, key, problem string) {
+	if s.Instance.DrainDelay > s.Instance.StopTimeout/2 {
+		return "instance", "drainDelay", "drainDelay is greater than half of stopTimeout"
+	}
+	return "", "", ""
+}
+
 func checkDeadlines(s Settings) (section, key, problem string) {
 	if s.Requests.Deadline > s.Requests.MaxDeadline {
 		return "requests", "deadline", "deadline is greater than maxDeadline"
