--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -113,8 +113,16 @@
 	milestone(log, "The gateway drains.", zap.Int64("requests", handler.Active()), zap.Duration("grace", s.Grace))
 	time.Sleep(drain)
 	milestone(log, "The gateway takes no further connections.", zap.Int64("requests", handler.Active()))
-	if err := clients.Stop(ctx); err != nil && failed == nil {
-		failed = err
+	return first(failed, clients.Stop(ctx), log)
+}
+
+// first returns the first error of a stop and logs a further one.
+func first(failed, err error, log *zap.Logger) error {
+	if failed == nil {
+		return err
+	}
+	if err != nil {
+		log.Warn("The stop failed, too.", zap.Error(err))
 	}
 	return failed
 }
@@ -159,13 +167,8 @@
 	defer cancel()
 	answer, cancel := context.WithTimeout(ctx, s.Grace/2)
 	defer cancel()
-	if err := calls.Stop(answer); err != nil && failed == nil {
-		failed = err
-	}
-	if err := c.Stop(ctx); err != nil && failed == nil {
-		failed = err
-	}
-	return failed
+	failed = first(failed, calls.Stop(answer), log)
+	return first(failed, c.Stop(ctx), log)
 }
 
 // server returns a server that bounds what it reads of a request, and for how long.
