--- a/internal/entry/listener/listener_test.go
+++ b/internal/entry/listener/listener_test.go
@@ -61,6 +61,8 @@
 const (
 	half = "GET / HTTP/1.1\r\nHo"
 	rest = "st: h\r\n\r\n"
+	post = "POST /body HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo"
+	body = "dy"
 	hold = "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n"
 )
 
@@ -81,6 +83,13 @@
 		_, _ = io.WriteString(w, "answer")
 	})
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{MessageKey: "msg"}), zapcore.AddSync(&r.log), zap.InfoLevel)
+	m.HandleFunc("/body", func(w http.ResponseWriter, q *http.Request) {
+		r.begun <- struct{}{}
+		b, err := io.ReadAll(q.Body)
+		if err != nil || string(b) != "body" {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	})
 	r.server = New("test", l, &http.Server{Handler: m}, r.linger, zap.New(core))
 	t.Cleanup(func() { _ = r.server.http.Close() })
 	return r
@@ -106,6 +115,11 @@
 		c.send(rest)
 	case "get":
 		c.send(half + rest)
+	case "post":
+		c.send(post)
+		<-r.begun
+	case "body":
+		c.send(body)
 	case "hold":
 		c.send(hold)
 		<-r.begun
@@ -169,6 +183,9 @@
 	if _, err := io.Copy(io.Discard, p.Body); err != nil {
 		return "cut off"
 	}
+	if p.StatusCode != http.StatusOK {
+		return p.Status
+	}
 	if p.Close {
 		return "closed"
 	}
