--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -18,6 +16,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/admission/budget"
 	"github.com/bilberryrock/bilberryrock/internal/controller"
 	"github.com/bilberryrock/bilberryrock/internal/entry/lifecycle"
+	"github.com/bilberryrock/bilberryrock/internal/entry/listener"
 	"github.com/bilberryrock/bilberryrock/internal/entry/timed"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
@@ -40,12 +39,17 @@
 	// retryPart is the part of the platform's retry budget that is used. The rest
 	// covers gateways that just joined and windows that the platform cuts otherwise.
 	retryPart = 0.8
-	// stopMargin is kept between the end of a graceful stop and SIGKILL.
+	// stopMargin is kept between the end of a graceful stop and SIGKILL, or stopPart
+	// of a shorter grace time. The platform excuses a request that is cut off in the
+	// last sixth of the grace time.
 	stopMargin = 700 * time.Millisecond
+	stopPart   = 8
 	// drainLeast is how long a gateway takes requests after SIGTERM. The platform
 	// needs two checks, a second apart, to notice that it is not ready, and streams
-	// that begin within three seconds may be cut at the end.
+	// that begin within three seconds may be cut at the end. The rest of the grace
+	// time, and at least a drainPart of it, is for the requests that came last.
 	drainLeast = 2600 * time.Millisecond
+	drainPart  = 4
 	// headerTimeout bounds the time to read the head of a request, bodyTimeout that
 	// for its body, and idleTimeout the time between two requests. A body of 4 MiB
 	// takes 3.4 s at 10 Mbit/s. Clients reuse connections for a shorter time than
@@ -86,32 +90,48 @@
 	follower := feed.NewClient(s.Instance, clock, st, log, feed.Seeds(s.PeerSeeds...), feed.Home(s.DataCentre),
 		feed.Dial(dialOptions()...))
 	defer follower.Stop()
-	servers := &servers{failed: make(chan error, 4)}
+	servers := &servers{clock: clock, log: log, failed: make(chan error, 4)}
 	front := server(handler)
-	if err := servers.start(front, s.Clients); err != nil {
+	// Clients come last: a fault of another address must not cut off what was accepted.
+	if err := servers.startMetrics(registry, s.MetricsAddress); err != nil {
 		return err
 	}
-	if err := servers.start(server(readiness(handler.Ready)), s.Ready); err != nil {
+	if _, err := servers.start("readiness", server(readiness(handler.Ready)), s.Ready); err != nil {
 		return err
 	}
-	if err := servers.start(server(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})), s.MetricsAddress); err != nil {
+	clients, err := servers.start("clients", front, s.Clients, listener.Identify(requestID))
+	if err != nil {
 		return err
 	}
 	life := live(s, signals, log, func(n platform.Settings) { follower.LearnSeeds(n.PeerSeeds) })
-	if err := wait(life, servers.failed); err != nil {
-		return err
-	}
+	failed := wait(life, servers.failed, log)
+	drain, end := stopTimes(s.Grace)
+	ctx, cancel := context.WithTimeout(context.Background(), end)
+	defer cancel()
 	handler.Close()
+	clients.Drain()
 	milestone(log, "The gateway drains.", zap.Int64("requests", handler.Active()), zap.Duration("grace", s.Grace))
-	time.Sleep(drainLeast)
+	time.Sleep(drain)
 	milestone(log, "The gateway takes no further connections.", zap.Int64("requests", handler.Active()))
-	ctx, cancel := context.WithTimeout(context.Background(), s.Grace-stopMargin-drainLeast)
-	defer cancel()
-	if err := front.Shutdown(ctx); err != nil {
-		log.Warn("Requests were in progress at the stop.", zap.Int64("requests", handler.Active()), zap.Error(err))
-		return front.Close()
+	return first(failed, clients.Stop(ctx), log)
+}
+
+// first returns the first error of a stop and logs a further one.
+func first(failed, err error, log *zap.Logger) error {
+	if failed == nil {
+		return err
+	}
+	if err != nil {
+		log.Warn("The stop failed, too.", zap.Error(err))
 	}
-	return nil
+	return failed
+}
+
+// stopTimes divides the grace time: a gateway takes requests for the time drain after
+// SIGTERM, and all requests are answered, or cut off, at the time end.
+func stopTimes(grace time.Duration) (drain, end time.Duration) {
+	end = grace - min(stopMargin, grace/stopPart)
+	return min(drainLeast, end-end/drainPart), end
 }
 
 // runController serves the operator, the workers and the other daemons until
@@ -127,12 +147,13 @@
 	}
 	registry := newRegistry(out)
 	registry.MustRegister(c.Collector())
-	servers := &servers{failed: make(chan error, 4)}
+	servers := &servers{clock: clock, log: log, failed: make(chan error, 4)}
 	control := server(platform.Control(c, log))
-	if err := servers.start(control, s.Control); err != nil {
+	if err := servers.startMetrics(registry, s.MetricsAddress); err != nil {
 		return err
 	}
-	if err := servers.start(server(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})), s.MetricsAddress); err != nil {
+	calls, err := servers.start("control", control, s.Control)
+	if err != nil {
 		return err
 	}
 	go func() {
@@ -140,16 +161,14 @@
 			servers.failed <- err
 		}
 	}()
-	failed := wait(live(s, signals, log, func(platform.Settings) {}), servers.failed)
-	ctx, cancel := context.WithTimeout(context.Background(), s.Grace/2)
+	failed := wait(live(s, signals, log, func(platform.Settings) {}), servers.failed, log)
+	_, end := stopTimes(s.Grace)
+	ctx, cancel := context.WithTimeout(context.Background(), end)
 	defer cancel()
-	if err := control.Shutdown(ctx); err != nil {
-		log.Warn("Calls were in progress at the stop.", zap.Error(err))
-	}
-	if err := c.Stop(ctx); err != nil && failed == nil {
-		failed = err
-	}
-	return failed
+	answer, cancel := context.WithTimeout(ctx, s.Grace/2)
+	defer cancel()
+	failed = first(failed, calls.Stop(answer), log)
+	return first(failed, c.Stop(ctx), log)
 }
 
 // server returns a server that bounds what it reads of a request, and for how long.
@@ -174,20 +193,37 @@
 	})
 }
 
-// servers runs HTTP servers and reports the first that fails.
-type servers struct{ failed chan error }
+// servers runs HTTP servers and reports failures of those that the daemon cannot do
+// without.
+type servers struct {
+	clock  systemclock.Clock
+	log    *zap.Logger
+	failed chan error
+}
 
-func (s *servers) start(v *http.Server, address string) error {
-	l, err := net.Listen("tcp", address)
+func (s *servers) start(name string, v *http.Server, address string, options ...listener.Option) (*listener.Server, error) {
+	l, err := listener.Listen(name, address)
 	if err != nil {
-		return errors.Wrap(err, "listen")
+		return nil, err
 	}
-	go func() {
-		if err := v.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			s.failed <- errors.Wrapf(err, "listener %s", address)
-		}
-	}()
-	return nil
+	options = append([]listener.Option{listener.Failed(func(err error) { s.failed <- err })}, options...)
+	return listener.New(name, l, v, s.clock, s.log, options...), nil
+}
+
+// startMetrics serves the metrics, whose loss ends no request.
+func (s *servers) startMetrics(r *prometheus.Registry, address string) error {
+	_, err := s.start("metrics", server(promhttp.HandlerFor(r, promhttp.HandlerOpts{})), address,
+		listener.Failed(func(err error) { s.log.Error("The metrics are not served any more.", zap.Error(err)) }))
+	return err
+}
+
+// requestID names a request of a client in the log.
+func requestID(r *http.Request) string {
+	call, err := platform.Headers{}.ReadCall(r.Header)
+	if err != nil || call.ID == "" {
+		return r.Method + " " + r.URL.Path
+	}
+	return string(call.ID)
 }
 
 // live returns the life of a daemon, which hands over the settings when the file has
@@ -197,11 +233,13 @@
 }
 
 // wait returns at the first request to stop, or with the error of a part that failed.
-func wait(l *lifecycle.Life, failed <-chan error) error {
+// The daemon drains in both cases.
+func wait(l *lifecycle.Life, failed <-chan error, log *zap.Logger) error {
 	select {
 	case <-l.Stopping():
 		return nil
 	case err := <-failed:
+		log.Error("A part of the daemon failed, which now stops.", zap.Error(err))
 		return err
 	}
 }
