--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,8 @@
 	go test -race $$skip $$(go list ./... | grep -v -e /internal/trial/ -e /platform$$) && \
 	go test -race -count=1 $$skip ./internal/trial/... ./platform
 
-# The fault soak of the programs on the platform, 50 seeds.
+# The fault soak of the programs on the platform: 50 seeds, each with planned work
+# and with mixed faults.
 soak:
 	SOAK_SEEDS=50 go test -count=1 -timeout 40m -run Soak -v ./platform
 
