--- a/internal/upstream/standin/engine.go
+++ b/internal/upstream/standin/engine.go
@@ -143,12 +143,15 @@
 	}
 	for _, j := range batch {
 		j.result, j.err = e.execute(j)
-		close(j.ready)
 	}
 	e.mu.Lock()
 	e.running = 0
 	e.sweep()
 	e.mu.Unlock()
+	// The answers come last, since they tell callers that the steps do not run any more.
+	for _, j := range batch {
+		close(j.ready)
+	}
 	return true
 }
 
