Don't cut off a silent stream that cannot go on elsewhere

A watcher now pays for the further run first, and leaves the stream where it is if it may not have one. TestSilentStreamIsNotCutOff failed (the answer was not complete). Ruled out: the end of the grace time (the cuts came 1.5 s after SIGTERM) and an end of the process.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -110,8 +110,10 @@
 	runs, sends int
 	// arrived tells that an upstream may have got any send.
 	arrived bool
-	// denied tells that the retry budget did not allow another send.
-	denied  bool
+	// denied tells that the retry budget did not allow another send, and paid that it
+	// has allowed the next one already. A watcher sets them, too.
+	denied  atomic.Bool
+	paid    atomic.Bool
 	avoid   []fleet.UpstreamID
 	ran     []fleet.UpstreamID // that may have run the request
 	last    string             // the upstream of the newest send
@@ -299,24 +301,49 @@
 	if q.sends == 0 {
 		return true
 	}
-	if q.runs > 0 && !q.mayRepeat() {
+	if !q.withinRoute(q.runs, q.sends) {
 		return false
 	}
-	runs := q.attempts()
+	// Sends that no upstream got are no load.
+	return !q.arrived || q.pay()
+}
+
+// withinRoute reports whether the route allows another send after so many sends, of
+// which so many may have run the request.
+func (q *request) withinRoute(runs, sends int) bool {
+	if runs > 0 && !q.mayRepeat() {
+		return false
+	}
+	most := q.attempts()
 	if q.route.Repeat == release.Stream {
 		// The route bounds the upstreams, and each run goes on where the last one ended.
-		runs = max(runs, maxStreamRuns)
+		most = max(most, maxStreamRuns)
 	}
-	if q.runs >= runs || q.sends >= runs+extraSends {
-		return false
+	return runs < most && sends < most+extraSends
+}
+
+// pay takes one send from the retry budget, unless that was done ahead.
+func (q *request) pay() bool {
+	return q.paid.CompareAndSwap(true, false) || q.withdraw()
+}
+
+func (q *request) prepay() bool {
+	if q.paid.Load() {
+		return true
 	}
-	// Sends that no upstream got are no load.
-	if q.arrived && !q.pool.Budget.Withdraw() {
-		q.denied = true
+	ok := q.withdraw()
+	q.paid.Store(ok)
+	return ok
+}
+
+func (q *request) withdraw() bool {
+	if q.pool.Budget.Withdraw() {
+		return true
+	}
+	if !q.denied.Swap(true) {
 		q.metrics.denied()
-		return false
 	}
-	return true
+	return false
 }
 
 // attempts is the number of upstreams that the route allows for one request.
@@ -400,7 +427,7 @@
 		zap.String("upstream", q.last), zap.Uint64("version", uint64(q.state.Version())),
 		zap.Duration("confirmedAgo", q.state.Age()),
 	}
-	if q.denied {
+	if q.denied.Load() {
 		fields = append(fields, zap.Bool("retryDenied", true))
 	}
 	if q.pace.events > 0 {
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -64,9 +64,10 @@
 func (d decoder) Decode([]byte) (*release.Release, error) { return d.release, nil }
 
 // prober finds no stalled stream.
-type prober struct{}
+type prober struct{ asked *atomic.Int64 }
 
-func (prober) Report(context.Context, fleet.UpstreamID, string) (placement.Report, error) {
+func (p prober) Report(context.Context, fleet.UpstreamID, string) (placement.Report, error) {
+	p.asked.Add(1)
 	return placement.Report{}, nil
 }
 
@@ -79,6 +80,7 @@
 	mu      sync.Mutex
 	seen    []http.Header
 	logs    *observer.ObservedLogs // of the gateway
+	asked   atomic.Int64           // reports of engines
 }
 
 // behave answers the n-th request to any upstream, counted from 1.
@@ -156,7 +158,7 @@
 		u.Entries[i].Sequence, u.Entries[i].Heard = 2, clock.Now()
 	}
 	st.Receive(u)
-	h := forward.New(clock, st, client, dialect{}, prober{}, forward.NewMetrics(prometheus.NewRegistry()), zap.New(core))
+	h := forward.New(clock, st, client, dialect{}, prober{&w.asked}, forward.NewMetrics(prometheus.NewRegistry()), zap.New(core))
 	w.handler = h
 	w.gateway = httptest.NewServer(h)
 	t.Cleanup(w.gateway.Close)
@@ -346,6 +348,26 @@
 	is.Equal(len(ports), 2)
 }
 
+// TestSilentStreamIsNotCutOff guards against a stream that is cut off because its
+// engine is silent for a while, though the retry budget allows no other run.
+func TestSilentStreamIsNotCutOff(t *testing.T) {
+	is := is.New(t)
+	var w *world
+	w = newWorldWith(t, 2, func(_ int, rw http.ResponseWriter, r *http.Request) {
+		ok(rw, "id: 1\ndata: 1\n\n")
+		_ = http.NewResponseController(rw).Flush()
+		for w.asked.Load() < 5 && r.Context().Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		_, _ = io.WriteString(rw, "id: 2\ndata: 2\n\n")
+	}, budget.Limit{Window: 10 * time.Second})
+	status, _, body, complete := w.call(t, "/brisk/", "k1")
+	is.Equal(status, http.StatusOK)
+	is.True(complete)
+	is.Equal(body, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+	is.Equal(len(w.headers()), 1)
+}
+
 // Guards against a broken stream that looks complete.
 func TestBrokenStreamIsCutOff(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/forward/metrics.go
+++ b/internal/gateway/forward/metrics.go
@@ -32,7 +32,7 @@
 			Name: "bilberryrock_gateway_stalls_total", Help: "Checks of streams that made no progress.",
 		}),
 		denials: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "bilberryrock_gateway_retries_denied_total", Help: "Further sends that the retry budget of all gateways did not allow.",
+			Name: "bilberryrock_gateway_retries_denied_total", Help: "Requests that the retry budget of all gateways did not allow a further send.",
 		}),
 	}
 	r.MustRegister(m.requests, m.refusals, m.latency, m.stalls, m.denials)
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -365,10 +365,12 @@
 	route  route
 	timer  *time.Timer
 	checks int
+	// runs and sends are those of the request once the send in progress has ended.
+	runs, sends int
 }
 
 func (s *relay) watch(ctx context.Context, cancel context.CancelCauseFunc, t route) *watcher {
-	w := &watcher{relay: s, ctx: ctx, cancel: cancel, route: t}
+	w := &watcher{relay: s, ctx: ctx, cancel: cancel, route: t, runs: s.runs + 1, sends: s.sends}
 	w.timer = time.AfterFunc(patience(s.request.route.Target*firstNum/firstDen), w.check)
 	return w
 }
@@ -396,8 +398,10 @@
 	}
 	if err != nil {
 		s.blame(first)
-		w.cancel(errors.Wrapf(err, "engine at %s does not answer", first))
-		return
+		if w.mayMove() {
+			w.cancel(errors.Wrapf(err, "engine at %s does not answer", first))
+			return
+		}
 	}
 	for _, k := range r.Stalled {
 		if k.Request == s.call.ID || w.passes(k.Address) {
@@ -409,7 +413,8 @@
 	if w.checks == 1 {
 		w.findSlow()
 	}
-	if w.checks >= silentChecks && !s.moved {
+	// Silence alone is no reason to cut off a stream that cannot go on elsewhere.
+	if w.checks >= silentChecks && !s.moved && w.mayMove() {
 		s.moved = true
 		w.cancel(errors.New("the stream made no progress"))
 		return
@@ -417,6 +422,11 @@
 	w.timer.Reset(patience(s.request.route.MaxGap * gapPatience))
 }
 
+// mayMove reports whether the stream may go on elsewhere, and pays for it.
+func (w *watcher) mayMove() bool {
+	return w.relay.withinRoute(w.runs, w.sends) && w.relay.prepay()
+}
+
 // findSlow asks the other engines of the path for their pace, so that further
 // streams pass over slow ones.
 func (w *watcher) findSlow() {
