--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -81,6 +81,7 @@
 	seen    []http.Header
 	logs    *observer.ObservedLogs // of the gateway
 	asked   atomic.Int64           // reports of engines
+	tell    func(budget.Count)     // sums of retries of the pool "model"
 }
 
 // behave answers the n-th request to any upstream, counted from 1.
@@ -160,6 +161,9 @@
 	st.Receive(u)
 	h := forward.New(clock, st, client, dialect{}, prober{&w.asked}, forward.NewMetrics(prometheus.NewRegistry()), zap.New(core))
 	w.handler = h
+	w.tell = func(c budget.Count) {
+		st.Receive(feed.Update{Report: usage.Report{Gateways: 1, Sends: map[fleet.PoolID]budget.Count{"model": c}}})
+	}
 	w.gateway = httptest.NewServer(h)
 	t.Cleanup(w.gateway.Close)
 	return w
@@ -348,6 +352,32 @@
 	is.Equal(len(ports), 2)
 }
 
+// TestBrokenStreamAwaitsRetry guards against a stream that is cut off although the
+// retry budget allows another run a moment later.
+func TestBrokenStreamAwaitsRetry(t *testing.T) {
+	is := is.New(t)
+	w := newWorldWith(t, 2, func(n int, rw http.ResponseWriter, _ *http.Request) {
+		if n == 1 {
+			ok(rw, "id: 1\ndata: 1\n\n")
+			_ = http.NewResponseController(rw).Flush()
+			abort()
+		}
+		ok(rw, "id: 2\ndata: 2\n\n")
+	}, budget.Limit{Extra: 1e6, Window: 10 * time.Second})
+	w.tell(budget.Count{Retries: 1e9})
+	go func() {
+		for len(w.logs.FilterMessage("A stream broke.").All()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		w.tell(budget.Count{})
+	}()
+	status, _, body, complete := w.call(t, "/stream/", "k1")
+	is.Equal(status, http.StatusOK)
+	is.True(complete)
+	is.Equal(body, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+	is.Equal(len(w.headers()), 2)
+}
+
 // TestSilentStreamIsNotCutOff guards against a stream that is cut off because its
 // engine is silent for a while, though the retry budget allows no other run.
 func TestSilentStreamIsNotCutOff(t *testing.T) {
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -51,7 +51,7 @@
 // stream forwards a request whose answer is a series of events.
 func (q *request) stream(ctx context.Context) {
 	s := &relay{request: q, last: q.call.LastEvent, resumed: q.call.HasLastEvent}
-	for s.rest(ctx); q.maySend(ctx); s.rest(ctx) {
+	for s.rest(ctx); s.awaitSend(ctx); s.rest(ctx) {
 		if s.run(ctx) {
 			return
 		}
@@ -71,6 +71,24 @@
 	}
 }
 
+// awaitSend reports whether another send is allowed. A stream that the client has in
+// part waits a while for the retry budget, since its client cannot begin anew.
+func (s *relay) awaitSend(ctx context.Context) bool {
+	for start := s.clock.Now(); ; {
+		if s.maySend(ctx) {
+			return true
+		}
+		if !s.begun || !s.withinRoute(s.runs, s.sends) || s.clock.Now().Sub(start) >= pathWait {
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-s.clock.After(pathPoll):
+		}
+	}
+}
+
 // relay forwards one stream, possibly from several engines in turn.
 type relay struct {
 	*request
