--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -83,8 +83,27 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Belongs reports whether an answer is the one to this request.
-	Belongs func(h http.Header) bool
+	// ID names the request, and AnswerID returns the id that an answer bears. Without
+	// AnswerID each answer counts as the one to this request.
+	ID       fleet.RequestID
+	AnswerID func(h http.Header) fleet.RequestID
+	// Single asks for a connection that is opened for this request and closed after
+	// it. Upstreams may repeat an answer late, and the id does not tell the copy from
+	// the answer if there is none, or if the request was sent to the upstream before.
+	Single bool
+}
+
+// owns reports whether an answer is the one to the request. One without an id is an
+// error on a connection that was used before.
+func (r Request) owns(h http.Header, fresh bool) (bool, error) {
+	if r.AnswerID == nil {
+		return true, nil
+	}
+	id := r.AnswerID(h)
+	if id == "" && r.ID != "" && !fresh {
+		return false, errors.New("an answer without an id came on a connection that was used before")
+	}
+	return id == r.ID || id == "", nil
 }
 
 // Error is a failed attempt.
@@ -177,6 +196,7 @@
 	client *Client
 	target Target
 	conn   *conn
+	single bool
 	stop   func() bool
 	kept   bool
 }
@@ -184,7 +204,7 @@
 // Send writes the request and reads the head of the answer. Cancelling ctx closes
 // the connection at any time until Keep or Close.
 func (c *Client) Send(ctx context.Context, t Target, r Request) (*Exchange, error) {
-	k, fresh, err := c.take(ctx, t)
+	k, fresh, err := c.take(ctx, t, r.Single)
 	if err != nil {
 		return nil, &Error{Refused: true, cause: err}
 	}
@@ -192,8 +212,8 @@
 	n, err := k.Write(r.encode())
 	if err == nil {
 		var p *http.Response
-		if p, err = k.answer(r); err == nil {
-			return &Exchange{Response: p, Fresh: fresh, client: c, target: t, conn: k, stop: stop}, nil
+		if p, err = k.answer(r, fresh); err == nil {
+			return &Exchange{Response: p, Fresh: fresh, client: c, target: t, conn: k, single: r.Single, stop: stop}, nil
 		}
 	}
 	stop()
@@ -204,9 +224,9 @@
 	return nil, &Error{Sent: n > 0, cause: errors.Wrapf(err, "upstream %s at %s", t.ID, t.Address)}
 }
 
-// take returns a kept connection or opens one.
-func (c *Client) take(ctx context.Context, t Target) (*conn, bool, error) {
-	for {
+// take returns a kept connection, unless a new one is asked for, or opens one.
+func (c *Client) take(ctx context.Context, t Target, fresh bool) (*conn, bool, error) {
+	for !fresh {
 		k := c.pop(t)
 		if k == nil {
 			break
@@ -268,7 +288,7 @@
 
 // answer reads the head of the answer to r, and passes over complete answers to
 // earlier requests.
-func (k *conn) answer(r Request) (*http.Response, error) {
+func (k *conn) answer(r Request, fresh bool) (*http.Response, error) {
 	for range maxStray {
 		k.bound = maxHeadBytes
 		p, err := http.ReadResponse(k.reader, &http.Request{Method: r.Method})
@@ -279,7 +299,11 @@
 		if p.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.Belongs == nil || r.Belongs(p.Header) {
+		own, err := r.owns(p.Header, fresh)
+		if err != nil {
+			return nil, err
+		}
+		if own {
 			return p, nil
 		}
 		if p.Close || p.ContentLength < 0 && len(p.TransferEncoding) == 0 {
@@ -335,12 +359,12 @@
 	return nil
 }
 
-// Keep returns the connection for further requests. It must be called only after
-// the whole body was read.
+// Keep returns the connection for further requests, or closes the one of a single
+// request. It must be called only after the whole body was read.
 func (x *Exchange) Keep() {
 	p := x.Response
 	until, ok := x.client.keepUntil(p)
-	if !x.stop() || p.Close || !ok || x.conn.reader.Buffered() > 0 {
+	if !x.stop() || x.single || p.Close || !ok || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		x.kept = true
 		return
--- a/internal/gateway/exchange/exchange_test.go
+++ b/internal/gateway/exchange/exchange_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
 )
@@ -94,7 +95,7 @@
 func request(id string) exchange.Request {
 	return exchange.Request{
 		Method: http.MethodPost, URI: "/a?b=c", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
-		Belongs: func(h http.Header) bool { return h.Get("Id") == id },
+		ID: fleet.RequestID(id), AnswerID: func(h http.Header) fleet.RequestID { return fleet.RequestID(h.Get("Id")) },
 	}
 }
 
@@ -232,3 +233,51 @@
 	_, conns := p.counts()
 	is.Equal(conns, 1)
 }
+
+// unnamed is a refusal that bears no id.
+const unnamed = "HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n"
+
+// Guards against a late refusal without an id that is taken for the answer to the next
+// request, which then counts as not run though it runs.
+func TestUnnamedAnswerOnKeptConnection(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, text("1", "one"), unnamed+text("2", "two"))
+	c := exchange.New(systemclock.Clock{})
+	_, err := send(t, c, p, "1")
+	is.NoErr(err)
+	_, err = send(t, c, p, "2")
+	is.True(err != nil)
+	is.True(!exchange.Unsent(err)) // it may have run
+}
+
+// Guards against a request that waits for another answer after a refusal without an id
+// that can only be its own.
+func TestUnnamedAnswerOnNewConnection(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, unnamed)
+	x, err := exchange.New(systemclock.Clock{}).Send(context.Background(), p.target(), request("1"))
+	is.NoErr(err)
+	defer x.Close()
+	is.Equal(x.Response.StatusCode, http.StatusServiceUnavailable)
+}
+
+// Guards against a single request on a connection that others used, or use after it.
+func TestSingleRequestSharesNoConnection(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, text("1", "one"), text("1", "two"), text("3", "three"))
+	c := exchange.New(systemclock.Clock{})
+	_, err := send(t, c, p, "1")
+	is.NoErr(err)
+	r := request("1")
+	r.Single = true
+	x, err := c.Send(context.Background(), p.target(), r)
+	is.NoErr(err)
+	b, err := x.ReadBody(10)
+	is.NoErr(err)
+	x.Keep()
+	is.Equal(string(b), "two")
+	_, err = send(t, c, p, "3")
+	is.NoErr(err)
+	_, conns := p.counts()
+	is.Equal(conns, 2) // the third request uses the connection of the first
+}
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -116,6 +116,7 @@
 	paid    atomic.Bool
 	avoid   []fleet.UpstreamID
 	ran     []fleet.UpstreamID // that may have run the request
+	asked   []fleet.UpstreamID // that the request was sent to
 	last    string             // the upstream of the newest send
 	status  int
 	outcome string
@@ -269,16 +270,23 @@
 	s.Left = q.deadline.Sub(q.clock.Now())
 	s.Urgency = q.urgency()
 	q.dialect.WriteSend(header, s)
-	id := q.call.ID
 	return exchange.Request{
 		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host, Header: header, Body: q.body,
-		Belongs: func(h http.Header) bool {
-			got := q.dialect.ReadReply(http.StatusOK, h).ID
-			return got == "" || got == id
-		},
+		ID:       q.call.ID,
+		AnswerID: func(h http.Header) fleet.RequestID { return q.dialect.ReadReply(http.StatusOK, h).ID },
+		Single:   q.sentTo(s.Upstream),
 	}
 }
 
+// sentTo notes a send to an upstream and reports whether there was one before.
+func (q *request) sentTo(id fleet.UpstreamID) bool {
+	if slices.Contains(q.asked, id) {
+		return true
+	}
+	q.asked = append(q.asked, id)
+	return false
+}
+
 func (q *request) urgency() int {
 	n := q.route.Priority
 	if q.account != nil {
