Give orders only under a leadership that holds as they are written

A controller took itself for the leader by a status up to 300 ms old, beside a confirmation that any leader could have answered. One that was paused, woke and got its next confirmation from its successor gave orders with its old fence until the next look at the status, which engines without fencing carry out. An order could also be written up to a second after it was decided. Package tenure now takes only confirmations in which a majority answered the own replica (voter.Lead), from the time of the question, and the placer asks again once the connection to the engine is open (Command.Valid).

A pause between the question and the write of some microseconds is left to the fence and the number of orders that each order names.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -17,12 +17,12 @@
 	"time"
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
+	"github.com/bilberryrock/bilberryrock/internal/controller/tenure"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/placement"
 	"github.com/bilberryrock/bilberryrock/internal/placement/placer"
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
-	"github.com/bilberryrock/bilberryrock/internal/quorum/replica"
 	"github.com/bilberryrock/bilberryrock/internal/quorum/voter"
 	"github.com/bilberryrock/bilberryrock/internal/registry"
 	"github.com/bilberryrock/bilberryrock/internal/registry/catalog"
@@ -50,9 +50,6 @@
 	confirmTimeout = 1500 * time.Millisecond
 	// membersEvery is the time between two looks at the members of the group.
 	membersEvery = 300 * time.Millisecond
-	// touchLimit is the age of the last confirmation from which on this controller
-	// counts as cut off.
-	touchLimit = time.Second
 )
 
 // Settings are what a controller is told at its start.
@@ -87,15 +84,14 @@
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
 
-	mu        sync.Mutex
-	confirmed feed.Confirmation
-	members   []string
-	places    map[string]fleet.DataCentreID // data centres of the other controllers
-	leading   bool
-	fence     fleet.Fence
-	peers     map[string]*feed.Client
-	inForce   *release.Release
-	stopping  bool
+	tenure *tenure.Tenure
+
+	mu       sync.Mutex
+	members  []string
+	places   map[string]fleet.DataCentreID // data centres of the other controllers
+	peers    map[string]*feed.Client
+	inForce  *release.Release
+	stopping bool
 }
 
 // New opens the data folder, listens for other daemons and starts.
@@ -109,7 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.voter = v
+	c.voter, c.tenure = v, tenure.New(v, clock)
 	listener, err := net.Listen("tcp", s.Address)
 	if err != nil {
 		_ = v.Stop(context.Background())
@@ -152,7 +148,7 @@
 			c.follow(ctx)
 		}
 	})
-	c.placer = placer.New(clock, c.catalog, c, c, m, c.feed, s.Alive, l)
+	c.placer = placer.New(clock, c.catalog, c.tenure, c, m, c.feed, s.Alive, l)
 	return c, nil
 }
 
@@ -277,27 +273,19 @@
 // inTouch returns an error of kind refusal.NotReady if this controller is cut off
 // from the majority. Most gateways would then not learn that an upstream leaves.
 func (c *Controller) inTouch() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if age := c.clock.Now().Sub(c.confirmed.Start); age > touchLimit {
+	if age := c.tenure.Age(); age > tenure.Limit {
 		return refusal.New(refusal.NotReady, "the majority last answered %s ago", age.Round(time.Millisecond))
 	}
 	return nil
 }
 
-// confirm asks the leader for the newest version, which a majority confirms.
+// confirm asks a majority for the newest version and the leadership.
 func (c *Controller) confirm(ctx context.Context) {
-	start := c.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	v, err := c.newest(ctx)
-	if err != nil {
+	if err := c.tenure.Confirm(ctx); err != nil {
 		c.logger.Debug("The newest release is not confirmed.", zap.Error(err))
-		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.confirmed = feed.Confirmation{Version: v, Start: start}
 }
 
 // newest asks the leader for the version that a majority confirms as the newest.
@@ -314,11 +302,7 @@
 }
 
 // Confirmation implements feed.Source.
-func (c *Controller) Confirmation() feed.Confirmation {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.confirmed
-}
+func (c *Controller) Confirmation() feed.Confirmation { return c.tenure.Confirmation() }
 
 // Controllers implements feed.Source.
 func (c *Controller) Controllers() []feed.Controller {
@@ -344,14 +328,6 @@
 	}
 }
 
-// Leading implements placer.Leadership.
-func (c *Controller) Leading(context.Context) (fleet.Fence, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	fresh := c.clock.Now().Sub(c.confirmed.Start) < touchLimit
-	return c.fence, c.leading && fresh
-}
-
 // InForce implements placer.Releases.
 func (c *Controller) InForce() *release.Release {
 	c.mu.Lock()
@@ -382,14 +358,10 @@
 	c.inForce = r
 }
 
-// lookAtMembers notes the leadership and follows the controllers that are members
-// of the group.
+// lookAtMembers follows the controllers that are members of the group.
 func (c *Controller) lookAtMembers(ctx context.Context) {
 	var members []string
-	leading, fence := false, fleet.Fence(0)
 	for _, g := range c.voter.Status(ctx) {
-		leading = g.Role == replica.Leader.String()
-		fence = fleet.Fence(g.Term)
 		for _, m := range g.Members {
 			members = append(members, m.Address)
 		}
@@ -399,7 +371,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.members, c.leading, c.fence = members, leading, fence
+	c.members = members
 	if c.stopping {
 		return
 	}
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -87,6 +87,9 @@
 	// AnswerID each answer counts as the one to this request.
 	ID       fleet.RequestID
 	AnswerID func(h http.Header) fleet.RequestID
+	// Prepare is called once a connection is open, right before the request is written,
+	// and may complete the header. After an error the request is not sent.
+	Prepare func(h http.Header) error
 	// Single asks for a connection that is opened for this request and closed after
 	// it. Upstreams may repeat an answer late, and the id does not tell the copy from
 	// the answer if there is none, or if the request was sent to the upstream before.
@@ -208,6 +211,10 @@
 	if err != nil {
 		return nil, &Error{Refused: true, cause: err}
 	}
+	if err := r.prepare(ctx); err != nil {
+		_ = k.Close()
+		return nil, &Error{cause: errors.Wrapf(err, "upstream %s at %s", t.ID, t.Address)}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = k.Close() })
 	n, err := k.Write(r.encode())
 	if err == nil {
@@ -316,6 +323,14 @@
 	return nil, errors.Errorf("no answer to the request among the first %d", maxStray)
 }
 
+// prepare returns an error if the request must not be sent any more.
+func (r Request) prepare(ctx context.Context) error {
+	if ctx.Err() != nil || r.Prepare == nil {
+		return ctx.Err()
+	}
+	return r.Prepare(r.Header)
+}
+
 func (r Request) encode() []byte {
 	var b bytes.Buffer
 	b.Grow(1<<10 + len(r.Body))
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -111,13 +111,17 @@
 	// Orders is the number of orders that the engine must have accepted so far.
 	Orders uint64
 	Fence  fleet.Fence
+	// Valid reports whether the order may still be given. It is asked once the
+	// connection is open, right before the order is written.
+	Valid func() bool
 }
 
 // Commander speaks to engines in the protocol of the platform.
 type Commander interface {
 	// Report asks an engine for its state.
 	Report(ctx context.Context, id fleet.UpstreamID, address string) (Report, error)
-	// Place orders an engine to hold a range.
+	// Place orders an engine to hold a range. An order that is not valid any more is
+	// not given, with the outcome Refused.
 	Place(ctx context.Context, id fleet.UpstreamID, address string, o Command) (Outcome, error)
 }
 
--- a/internal/placement/placer/placer.go
+++ b/internal/placement/placer/placer.go
@@ -47,9 +47,9 @@
 	lateOrder = 3 * time.Second
 )
 
-// Leadership tells whether this instance leads, and under which fence.
+// Leadership tells whether this instance leads at this moment, and under which fence.
 type Leadership interface {
-	Leading(ctx context.Context) (fleet.Fence, bool)
+	Leading() (fleet.Fence, bool)
 }
 
 // Releases returns the release in force, or nil.
@@ -133,7 +133,7 @@
 	if r == nil {
 		return
 	}
-	f, ok := p.leadership.Leading(ctx)
+	f, ok := p.leadership.Leading()
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -263,7 +263,9 @@
 			}
 			orders = report.Orders
 		}
-		outcome, err := p.commander.Place(ctx, e.ID, e.Address, placement.Command{Layers: r, Orders: orders, Fence: fence})
+		outcome, err := p.commander.Place(ctx, e.ID, e.Address, placement.Command{
+			Layers: r, Orders: orders, Fence: fence, Valid: func() bool { return p.leads(fence) },
+		})
 		p.logger.Info("An engine got an order.", zap.String("upstream", string(e.ID)),
 			zap.Int("from", int(r.From)), zap.Int("to", int(r.To)), zap.Uint64("fence", uint64(fence)),
 			zap.Uint64("orders", orders), zap.Duration("heardAgo", p.clock.Now().Sub(e.Heard)),
@@ -272,6 +274,13 @@
 	})
 }
 
+// leads reports whether the leadership under a fence still holds. The process may have
+// been paused since the order was decided, and another instance may lead now.
+func (p *Placer) leads(fence fleet.Fence) bool {
+	f, ok := p.leadership.Leading()
+	return ok && f == fence
+}
+
 // finish applies the result of a call, unless the leadership changed meanwhile.
 func (p *Placer) finish(k *engine, fence fleet.Fence, apply func()) {
 	p.mu.Lock()
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -236,6 +236,31 @@
 	return v.client.Read(ctx, id, query)
 }
 
+// Lead hands a query to the own replica and returns its reply and term once a majority
+// has confirmed that it leads the group. The kind of the error is refusal.NotReady if
+// another replica leads.
+func (v *Voter) Lead(ctx context.Context, id quorum.GroupID, query []byte) ([]byte, quorum.Term, error) {
+	ctx, cancel := context.WithTimeout(ctx, v.config.attemptTimeout)
+	defer cancel()
+	g, err := v.group(id)
+	if err != nil {
+		return nil, 0, err
+	}
+	var term quorum.Term
+	reply, err := g.await(ctx, func(m *member, d done) {
+		m.read(query, func(reply []byte, err error) {
+			// Reads fail when the replica ceases to lead, so the term is that of the
+			// confirmation.
+			term = m.replica.Term()
+			d(reply, err)
+		})
+	})
+	if err != nil {
+		return nil, 0, err // term may still be written
+	}
+	return reply, term, nil
+}
+
 // local runs a call on the own replica.
 func (v *Voter) local(ctx context.Context, k call) ([]byte, error) {
 	g, err := v.group(k.group)
--- a/internal/quorum/voter/voter_test.go
+++ b/internal/quorum/voter/voter_test.go
@@ -176,3 +176,27 @@
 	s.is.NoErr(err)
 	s.is.Equal(len(problems), 0)
 }
+
+// Guards against a replica that takes the leadership of another one for its own: only
+// the leader's own replica answers Lead.
+func TestOnlyTheLeaderLeads(t *testing.T) {
+	s := newSite(t, 3)
+	for i := range 3 {
+		s.start(i)
+	}
+	ctx := context.Background()
+	_, err := s.nodes[0].voter.Read(ctx, quorum.ConfigGroup, nil)
+	s.is.NoErr(err)
+	leaders := 0
+	for _, n := range s.nodes {
+		reply, term, err := n.voter.Lead(ctx, quorum.ConfigGroup, nil)
+		if err != nil {
+			s.is.Equal(refusal.KindOf(err), refusal.NotReady)
+			continue
+		}
+		leaders++
+		s.is.Equal(string(reply), "0")
+		s.is.True(term > 0)
+	}
+	s.is.Equal(leaders, 1)
+}
