Check what allows a send again as it is written, and count suspensions

Between the choice of an upstream and the write of a request, a gateway may be stopped or suspended for seconds. It then sent requests after their deadline, with X-Deadline-Ms of before the pause, with keys whose lease had run out or that had been taken away, and to upstreams that may have left. exchange.Request.Prepare is called on the open connection, sets the time that is left, and refuses what is over; such a request was certainly not run.

The monotonic clock stands still while a machine is suspended, so ages of heartbeats, choices and leaderships outlasted it (key leases did not: they used the boot clock). The platform's daemons use systemclock.Steady now, which counts suspensions.

--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -18,6 +18,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/entry/lifecycle"
 	"github.com/bilberryrock/bilberryrock/internal/entry/listener"
 	"github.com/bilberryrock/bilberryrock/internal/entry/timed"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/forward"
@@ -78,7 +79,7 @@
 
 // runGateway serves clients until SIGTERM.
 func runGateway(s platform.Settings, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
-	clock := systemclock.Clock{}
+	clock := systemclock.NewSteady()
 	client := exchange.New(clock)
 	st := state.New(clock, s.DataCentre, platform.Configuration{}, state.Limits{
 		Alive: aliveBeats * s.Heartbeat, Lease: s.Revoke - leaseMargin, Fresh: freshLimit,
@@ -137,7 +138,7 @@
 // runController serves the operator, the workers and the other daemons until
 // SIGTERM.
 func runController(s platform.Settings, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
-	clock := systemclock.Clock{}
+	clock := systemclock.NewSteady()
 	c, err := controller.New(controller.Settings{
 		Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerAddress, Folder: s.Folder, Found: s.Found, Seeds: s.PeerSeeds,
 		Alive: aliveBeats * s.Heartbeat, Dial: dialOptions(),
@@ -196,7 +197,7 @@
 // servers runs HTTP servers and reports failures of those that the daemon cannot do
 // without.
 type servers struct {
-	clock  systemclock.Clock
+	clock  fleet.Clock
 	log    *zap.Logger
 	failed chan error
 }
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -141,7 +141,7 @@
 // Client keeps the connections to all upstreams. It is safe for concurrent use.
 type Client struct {
 	clock fleet.Clock
-	dial  func(ctx context.Context, address string) (net.Conn, error)
+	dial  Dial
 
 	mu   sync.Mutex
 	idle map[Target][]*conn
@@ -168,16 +168,28 @@
 	return n, err
 }
 
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// Option changes a Client at its construction.
+type Option func(*Client)
+
+// WithDial replaces how connections are opened.
+func WithDial(d Dial) Option { return func(c *Client) { c.dial = d } }
+
+// DialTCP opens a connection with the time limits of this package.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: control}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // New returns a Client without connections.
-func New(clock fleet.Clock) *Client {
-	d := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: control}
-	return &Client{
-		clock: clock,
-		dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return d.DialContext(ctx, "tcp", address)
-		},
-		idle: make(map[Target][]*conn),
+func New(clock fleet.Clock, options ...Option) *Client {
+	c := &Client{clock: clock, dial: DialTCP, idle: make(map[Target][]*conn)}
+	for _, o := range options {
+		o(c)
 	}
+	return c
 }
 
 func control(_, _ string, c syscall.RawConn) error {
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -49,6 +49,10 @@
 	// writeMargin is the time after the deadline of a request in which the client must
 	// have read its answer. Its connection is closed then.
 	writeMargin = time.Second
+	// sendWithin is the age of a choice of upstreams up to which it is acted on. Opening
+	// a connection takes up to 0.4 s. What was known of an upstream may be wrong later,
+	// as after a pause of the process.
+	sendWithin = time.Second
 	// extraSends are the sends beyond the attempts of a route that upstreams
 	// answered without running the request.
 	extraSends = 2
@@ -146,7 +150,7 @@
 		q.refuse(err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, cancel := context.WithTimeout(r.Context(), q.deadline.Sub(h.clock.Now()))
 	defer cancel()
 	q.boundWrites()
 	q.pool.Budget.Deposit()
@@ -267,17 +271,44 @@
 	if q.account != nil {
 		s.Account = q.account.ID
 	}
-	s.Left = q.deadline.Sub(q.clock.Now())
 	s.Urgency = q.urgency()
-	q.dialect.WriteSend(header, s)
+	decided := q.clock.Now()
 	return exchange.Request{
 		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host, Header: header, Body: q.body,
 		ID:       q.call.ID,
 		AnswerID: func(h http.Header) fleet.RequestID { return q.dialect.ReadReply(http.StatusOK, h).ID },
 		Single:   q.sentTo(s.Upstream),
+		Prepare: func(h http.Header) error {
+			now := q.clock.Now()
+			s.Left = q.deadline.Sub(now)
+			q.dialect.WriteSend(h, s)
+			return q.mayStillSend(now.Sub(decided), s.Left)
+		},
 	}
 }
 
+// mayStillSend checks again what allowed a send, some time after it was decided. The
+// process may have been paused in the meantime.
+func (q *request) mayStillSend(after, left time.Duration) error {
+	if left <= 0 {
+		return refusal.New(refusal.NoUpstream, "the time of the request is over")
+	}
+	if after > sendWithin {
+		return refusal.New(refusal.NoUpstream, "the upstream was chosen %s ago", after.Round(time.Millisecond))
+	}
+	if q.account == nil || q.runs > 0 {
+		return nil
+	}
+	if !q.state.Leased() {
+		return refusal.New(refusal.NotReady, "the configuration was last confirmed %s ago", q.state.Age().Round(time.Millisecond))
+	}
+	t := q.state.Table()
+	if a, ok := t.Account(q.call.Key); len(t.Release.Accounts) > 0 && (!ok || a.ID != q.account.ID) {
+		return refusal.New(refusal.Unauthenticated, "the account key was taken away")
+	}
+	return nil
+}
+
 // sentTo notes a send to an upstream and reports whether there was one before.
 func (q *request) sentTo(id fleet.UpstreamID) bool {
 	if slices.Contains(q.asked, id) {
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -58,10 +58,12 @@
 	return gateway.Reply{ID: fleet.RequestID(h.Get("Id")), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", At: h.Get("At")}
 }
 
-// decoder returns a fixed release.
-type decoder struct{ release *release.Release }
+// decoder returns the release that a test has set.
+type decoder struct {
+	release *atomic.Pointer[release.Release]
+}
 
-func (d decoder) Decode([]byte) (*release.Release, error) { return d.release, nil }
+func (d decoder) Decode([]byte) (*release.Release, error) { return d.release.Load(), nil }
 
 // prober finds no stalled stream.
 type prober struct{ asked *atomic.Int64 }
@@ -82,6 +84,24 @@
 	logs    *observer.ObservedLogs // of the gateway
 	asked   atomic.Int64           // reports of engines
 	tell    func(budget.Count)     // sums of retries of the pool "model"
+	receive func(feed.Update)      // an update of a controller
+	renew   func()                 // a heartbeat of each upstream
+	clock   *aged
+	decoded atomic.Pointer[release.Release]
+	// opening is called before each connection to an upstream is opened, unless nil.
+	opening atomic.Pointer[func()]
+}
+
+// pauseOnce stops the process once for a time while it opens a connection.
+func (w *world) pauseOnce(d time.Duration, then func()) {
+	var once sync.Once
+	f := func() {
+		once.Do(func() {
+			w.clock.age.Add(int64(d))
+			then()
+		})
+	}
+	w.opening.Store(&f)
 }
 
 // behave answers the n-th request to any upstream, counted from 1.
@@ -89,6 +109,9 @@
 
 const patience = 20 * time.Second
 
+// lease is the time after a confirmation for which account keys are accepted.
+const lease = time.Hour
+
 func sample() *release.Release {
 	engine := &release.Engine{
 		Layers: 4, LayerMB: 1, UsualPrompt: 1, UsualAnswer: 1, TokenBytes: 1,
@@ -119,6 +142,8 @@
 
 func (a *aged) Now() time.Time { return a.Clock.Now().Add(time.Duration(a.age.Load())) }
 
+func (a *aged) Boot() time.Duration { return a.Clock.Boot() + time.Duration(a.age.Load()) }
+
 func newWorld(t *testing.T, upstreams int, b behave) *world {
 	return newWorldWith(t, upstreams, b, budget.Limit{Share: 0.1, Extra: 40, Window: 10 * time.Second})
 }
@@ -142,8 +167,15 @@
 		}
 	}
 	clock := &aged{}
-	client := exchange.New(clock)
-	st := state.New(clock, "dc1", decoder{sample()}, state.Limits{Alive: time.Hour, Lease: time.Hour, Fresh: time.Hour, Retries: retries}, client, zap.NewNop())
+	w.clock = clock
+	w.decoded.Store(sample())
+	client := exchange.New(clock, exchange.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+		if f := w.opening.Load(); f != nil {
+			(*f)()
+		}
+		return exchange.DialTCP(ctx, address)
+	}))
+	st := state.New(clock, "dc1", decoder{&w.decoded}, state.Limits{Alive: time.Hour, Lease: lease, Fresh: time.Hour, Retries: retries}, client, zap.NewNop())
 	command, err := store.Command(1, nil)
 	is.NoErr(err)
 	log := store.New()
@@ -155,12 +187,16 @@
 	}
 	st.Receive(u)
 	clock.age.Store(int64(4 * time.Second))
-	for i := range u.Entries {
-		u.Entries[i].Sequence, u.Entries[i].Heard = 2, clock.Now()
+	w.renew = func() {
+		for i := range u.Entries {
+			u.Entries[i].Sequence++
+			u.Entries[i].Heard = clock.Now()
+		}
+		st.Receive(u)
 	}
-	st.Receive(u)
+	w.renew()
 	h := forward.New(clock, st, client, dialect{}, prober{&w.asked}, forward.NewMetrics(prometheus.NewRegistry()), zap.New(core))
-	w.handler = h
+	w.handler, w.receive = h, st.Receive
 	w.tell = func(c budget.Count) {
 		st.Receive(feed.Update{Report: usage.Report{Gateways: 1, Sends: map[fleet.PoolID]budget.Count{"model": c}}})
 	}
