Tell late copies of answers apart in the calls of bilberryrockd

An upstream that sent the second copy of an answer when its connection carried the next call had it taken for the answer to that call: the next caller of a plain service got another one's answer, and a command of an engine counted as accepted. net/http drops only bytes that come while a connection is idle. The first call of TestSentOnce returns the id, since it needs a kept connection.

--- a/internal/upstream/engine/call.go
+++ b/internal/upstream/engine/call.go
@@ -11,8 +11,10 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/excerpt"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
 )
 
 // send sends one request and returns the whole answer, of at most limit bytes. The
@@ -20,11 +22,12 @@
 func (p *pool) send(ctx context.Context, method, path string, header http.Header, body []byte, limit int64) (int, http.Header, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.dialer.callTimeout)
 	defer cancel()
-	connected := false
+	connected, reused := false, false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
+		GotConn: func(i httptrace.GotConnInfo) { connected, reused = true, i.Reused },
 	})
-	request, err := p.request(ctx, method, path, header, body)
+	id := string(fleet.NewRequestID())
+	request, err := p.request(ctx, method, path, header, body, id)
 	if err != nil {
 		return 0, nil, nil, err
 	}
@@ -33,6 +36,9 @@
 		return 0, nil, nil, p.failure(ctx, err, connected)
 	}
 	defer response.Body.Close()
+	if err := p.checkOwn(response, id, reused); err != nil {
+		return 0, nil, nil, err
+	}
 	answer, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
 		return 0, nil, nil, p.failure(ctx, err, true)
@@ -43,10 +49,24 @@
 	return response.StatusCode, response.Header, answer, nil
 }
 
+// checkOwn returns an error if the answer is not the one to the call with an id. Its
+// connection is closed then, since the body is not read.
+func (p *pool) checkOwn(r *http.Response, id string, reused bool) error {
+	got := r.Header.Get(upstream.CallHeader)
+	r.Header.Del(upstream.CallHeader)
+	if got == id || got == "" && !reused {
+		p.echoes.Store(got == id)
+		return nil
+	}
+	p.echoes.Store(false)
+	p.transport.CloseIdleConnections()
+	return refusal.New(refusal.UpstreamFailed, "upstream at %s sent an answer to another call", p.address)
+}
+
 // request builds the request. The transport would repeat a request with a method
 // or an Idempotency-Key header that marks it as idempotent after a lost
 // connection, so the body is given without a way to read it again.
-func (p *pool) request(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Request, error) {
+func (p *pool) request(ctx context.Context, method, path string, header http.Header, body []byte, id string) (*http.Request, error) {
 	target, err := url.ParseRequestURI(path)
 	if err != nil {
 		return nil, refusal.Because(refusal.BadRequest, err, "path %q of a call", path)
@@ -60,6 +80,8 @@
 	if header != nil {
 		request.Header = header.Clone()
 	}
+	request.Header.Set(upstream.CallHeader, id)
+	request.Close = !p.echoes.Load()
 	request.ContentLength = int64(len(body))
 	return request, nil
 }
--- a/internal/upstream/engine/engine.go
+++ b/internal/upstream/engine/engine.go
@@ -1,7 +1,8 @@
 // Package engine holds the clients of model engines and plain services over
 // HTTP, as specified in docs/api.md.
 //
-// A Dialer keeps one connection pool for each upstream:
+// A Dialer keeps one connection pool for each upstream that returns the id of a call
+// in its answer, and opens a connection for each call to others:
 //
 //	dialer := engine.NewDialer()
 //	defer dialer.Close()
@@ -17,6 +18,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
@@ -58,6 +60,9 @@
 	transport *http.Transport
 	dialer    *Dialer
 	used      time.Time
+	// echoes tells that the upstream returns the ids of calls, so that connections can
+	// be kept.
+	echoes atomic.Bool
 }
 
 // Option changes a Dialer.
--- a/internal/upstream/engine/engine_test.go
+++ b/internal/upstream/engine/engine_test.go
@@ -81,7 +81,8 @@
 				// closes the connection without an answer.
 				address := serveRaw(t, func(c net.Conn, r *http.Request) bool {
 					if calls.Add(1) == 1 {
-						fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+						// Connections are kept only with the id of the call.
+						fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Call-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Call-Id"))
 						return true
 					}
 					return false
--- a/internal/upstream/standin/standin.go
+++ b/internal/upstream/standin/standin.go
@@ -112,6 +112,7 @@
 	if c.SessionTimeout == 0 {
 		s.config.SessionTimeout = DefaultSessionTimeout
 	}
+	s.router.Use(echoCall)
 	s.faults = newInjector(s)
 	s.router.Post("/faults", s.faults.serveFaults)
 	protocol := s.router.With(s.faults.wrap)
@@ -125,6 +126,16 @@
 	return s
 }
 
+// echoCall returns the id of a call in its answer.
+func echoCall(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(upstream.CallHeader); id != "" {
+			w.Header().Set(upstream.CallHeader, id)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // ServeHTTP answers one request of the engine protocol or one call.
 func (s *Standin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.router.ServeHTTP(w, r)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -155,6 +155,11 @@
 	Layers  LayerRange    `json:"layers"`
 }
 
+// CallHeader is the header with the id of a call to an upstream, which the answer
+// returns. A server may send a second copy of an answer when its connection carries
+// the next call, and nothing else in HTTP/1.1 tells which call an answer belongs to.
+const CallHeader = "X-Call-Id"
+
 // EngineClient is the use of one engine. Errors have a kind of package refusal;
 // refusal.NoUpstream means that the engine certainly did not get the call,
 // refusal.Conflict that it refused it as out of date.
