Test answers lost at any byte, trickling and slow streams

An order whose answer ends after any of its bytes, by a close or a reset, runs once and is answered 502. Streams whose engine sends bytes, comments, blank lines or repeated events without end go on elsewhere, or end incomplete at their deadline, and slow ones that may run once are left alone.

--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -126,6 +126,7 @@
 			{Name: "again", Host: "h", Prefix: "/again/", Repeat: release.Idempotent, Timeout: patience, Target: patience, Split: plain, MaxAttempts: 2},
 			{Name: "stream", Host: "h", Prefix: "/stream/", Repeat: release.Stream, Timeout: patience, Target: patience, MaxGap: patience, Split: model, MaxAttempts: 2, Resumable: true},
 			{Name: "brisk", Host: "h", Prefix: "/brisk/", Repeat: release.Stream, Timeout: patience, Target: time.Millisecond, MaxGap: time.Millisecond, Split: model, MaxAttempts: 2, Resumable: true},
+			{Name: "slow", Host: "h", Prefix: "/slow/", Repeat: release.Stream, Timeout: patience, Target: time.Millisecond, MaxGap: time.Millisecond, Split: model, MaxAttempts: 2},
 			{Name: "single", Host: "h", Prefix: "/single/", Repeat: release.Stream, Timeout: patience, Target: patience, MaxGap: patience, Split: model, MaxAttempts: 2},
 		},
 		Services: []release.Service{{Pool: "plain"}, {Pool: "model", Engine: engine}},
