--- a/Makefile
+++ b/Makefile
@@ -18,10 +18,10 @@
 	go test -race $$skip $$(go list ./... | grep -v -e /internal/trial/ -e /platform$$) && \
 	go test -race -count=1 $$skip ./internal/trial/... ./platform
 
-# The fault soak of the programs on the platform: 50 seeds, each with planned work
-# and with mixed faults.
+# The fault soak of the programs on the platform: 50 seeds, each with planned work,
+# with mixed faults and with hand-overs.
 soak:
-	SOAK_SEEDS=50 go test -count=1 -timeout 40m -run Soak -v ./platform
+	SOAK_SEEDS=50 go test -count=1 -timeout 60m -run Soak -v ./platform
 
 check: tools
 	bash scripts/check.sh
