Count only the checks since the last event of a stream

A gateway looks into a stream that is silent, and takes it elsewhere after three looks without a finding. The looks were counted over the whole stream, so a sound one that was slow three times in all was taken elsewhere and its prompt read again; and a look that took its time ended a stream that had gone on meanwhile. Two looks could also run at once, since an event starts the timer anew (found by the race detector). TestSlowStreamIsNotMoved (it went to two engines) and TestSlowStreamIsNotCutOff with -race failed before.

--- a/internal/gateway/forward/slow_test.go
+++ b/internal/gateway/forward/slow_test.go
@@ -81,7 +81,6 @@
 		for i := 1; i <= 3; i++ {
 			time.Sleep(2 * leastPatience)
 			events(rw, i, i)
-			_ = http.NewResponseController(rw).Flush()
 		}
 	})
 	status, _, body, whole := w.call(t, "/slow/", "k1")
@@ -91,6 +90,27 @@
 	is.Equal(len(w.headers()), 1)
 }
 
+// Guards against a stream that may be resumed and goes on elsewhere because it was
+// silent a few times in all, though it made progress in between. It would be read again
+// there.
+func TestSlowStreamIsNotMoved(t *testing.T) {
+	is := is.New(t)
+	var w *world
+	w = newWorld(t, 2, func(_ int, rw http.ResponseWriter, _ *http.Request) {
+		for i := 1; i <= 4; i++ {
+			for before := w.asked.Load(); w.asked.Load() == before; { // the gateway looks into it
+				time.Sleep(time.Millisecond)
+			}
+			events(rw, i, i)
+		}
+	})
+	status, _, body, whole := w.call(t, "/brisk/", "k1")
+	is.Equal(status, http.StatusOK)
+	is.True(whole)
+	is.Equal(strings.Count(body, "data:"), 4)
+	is.Equal(len(w.headers()), 1)
+}
+
 // leastPatience is the least time without an event after which a gateway looks into a
 // stream.
 const leastPatience = 200 * time.Millisecond
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
@@ -382,7 +383,14 @@
 	cancel context.CancelCauseFunc
 	route  route
 	timer  *time.Timer
+	// checking tells that a check is in progress. The others of its time are left out.
+	checking atomic.Bool
+	// events counts the events so far.
+	events atomic.Int64
+	// checks are those since the last event, which was the one with the number seen.
+	// Both belong to the check in progress.
 	checks int
+	seen   int64
 	// runs and sends are those of the request once the send in progress has ended.
 	runs, sends int
 }
@@ -396,6 +404,7 @@
 func patience(d time.Duration) time.Duration { return max(leastPatience, d) }
 
 func (w *watcher) progress() {
+	w.events.Add(1)
 	w.timer.Reset(patience(w.relay.request.route.MaxGap * gapPatience))
 }
 
@@ -403,17 +412,26 @@
 
 // check asks the first engine which part of the path it waits for.
 func (w *watcher) check() {
-	if w.ctx.Err() != nil {
+	if w.ctx.Err() != nil || !w.checking.CompareAndSwap(false, true) {
 		return
 	}
+	defer w.checking.Store(false)
 	s := w.relay
 	s.metrics.stalled()
+	if n := w.events.Load(); n != w.seen {
+		w.seen, w.checks = n, 0
+	}
 	w.checks++
 	first := w.route.target.Address
 	r, err := s.stalls.ask(w.ctx, w.route.target)
 	if w.ctx.Err() != nil {
 		return
 	}
+	if w.events.Load() != w.seen {
+		// The engines went on in the meantime.
+		w.timer.Reset(patience(s.request.route.MaxGap * gapPatience))
+		return
+	}
 	if err != nil {
 		s.blame(first)
 		if w.mayMove() {
