Enforce the configuration's limits on heads, idle time and connections

The limits max-header-bytes, header-timeout-ms, idle-timeout-ms and max-connections were decoded and not used. Heads beyond the limit get 431, connections whose head takes too long or that stay unused are closed (bytes that came in time to a paused process are still read), and gateways keep their share of half of a service's connections unused. Connections in use stay without a limit; docs/platform.md says why. Bodies and other listeners are as before.

--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -100,7 +100,7 @@
 	if _, err := servers.start("readiness", server(readiness(handler.Ready)), s.Ready); err != nil {
 		return err
 	}
-	clients, err := servers.start("clients", front, s.Clients, listener.Identify(requestID))
+	clients, err := servers.start("clients", front, s.Clients, listener.Identify(requestID), listener.Limit(clientLimits(st)))
 	if err != nil {
 		return err
 	}
@@ -218,6 +218,17 @@
 	return err
 }
 
+// clientLimits returns those of the release in force.
+func clientLimits(s *state.State) func() listener.Limits {
+	return func() listener.Limits {
+		t := s.Table()
+		if t == nil {
+			return listener.Limits{}
+		}
+		return listener.Limits{Head: t.Release.Limits.HeaderTimeout, Idle: t.Release.Limits.IdleTimeout}
+	}
+}
+
 // requestID names a request of a client in the log.
 func requestID(r *http.Request) string {
 	call, err := platform.Headers{}.ReadCall(r.Header)
--- a/internal/entry/listener/conn.go
+++ b/internal/entry/listener/conn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -77,6 +78,42 @@
 	received bool
 	// ended tells that nothing is read any more.
 	ended bool
+	// resting tells that no part of the next head is awaited yet, and limited that the
+	// deadline in force is that of a limit.
+	resting, limited bool
+}
+
+// SetReadDeadline implements net.Conn. net/http sets a deadline for the time between
+// two requests, none once a request begins, and one for its head; handlers set those
+// for bodies. The limits in force shorten the first two.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limited = false
+	switch {
+	case c.active:
+	case t.IsZero():
+		c.resting = false
+	default:
+		t = c.limit(t)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *conn) limit(t time.Time) time.Time {
+	l := c.server.limits()
+	d := l.Head
+	if c.resting {
+		d = l.Idle
+	}
+	now := time.Now()
+	if d > 0 {
+		if end := now.Add(d); end.Before(t) {
+			t = end
+		}
+	}
+	c.limited = t.After(now)
+	return t
 }
 
 // Read implements net.Conn.
@@ -88,6 +125,9 @@
 		return 0, io.EOF
 	}
 	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extend() {
+		n, err = c.Conn.Read(b)
+	}
 	if n == 0 {
 		return n, err
 	}
@@ -101,6 +141,14 @@
 	return n, err
 }
 
+// extend reports whether to read once more after a deadline, since the bytes may have
+// come in time to a process that was paused.
+func (c *conn) extend() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limited && !c.ended && c.Conn.SetReadDeadline(time.Now().Add(lateRead)) == nil
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
@@ -137,7 +185,7 @@
 func (c *conn) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.active, c.received = false, false
+	c.active, c.received, c.resting = false, false, true
 }
 
 // end ends the reading on a connection without a request, after which net/http
@@ -150,5 +198,5 @@
 		return
 	}
 	c.ended = true
-	_ = c.SetReadDeadline(time.Now()) // fails if the client has closed the connection
+	_ = c.Conn.SetReadDeadline(time.Now()) // fails if the client has closed the connection
 }
--- a/internal/entry/listener/listener.go
+++ b/internal/entry/listener/listener.go
@@ -38,6 +38,8 @@
 	// queue counts as empty, and acceptTime bounds the time until then.
 	acceptPause = 5 * time.Millisecond
 	acceptTime  = 100 * time.Millisecond
+	// lateRead is the time for bytes that have come to be read after a deadline.
+	lateRead = time.Millisecond
 	// maxNamed bounds the requests that the log names when they are cut off.
 	maxNamed = 100
 )
@@ -55,6 +57,7 @@
 	certificate, key string
 
 	identify func(*http.Request) string
+	limits   func() Limits
 
 	draining atomic.Bool
 	stopping atomic.Bool
@@ -84,6 +87,18 @@
 // method and path.
 func Identify(f func(*http.Request) string) Option { return func(s *Server) { s.identify = f } }
 
+// Limits bound the time that a client takes. A limit of 0 leaves that of the
+// http.Server, which is the longest in any case.
+type Limits struct {
+	// Head is the time for the head of a request, from the first look for it on.
+	Head time.Duration
+	// Idle is the time between two requests.
+	Idle time.Duration
+}
+
+// Limit sets a function that returns the limits in force, which may change.
+func Limit(f func() Limits) Option { return func(s *Server) { s.limits = f } }
+
 // Failed sets a function that gets the error after which no further connection is
 // accepted, unless that was asked for.
 func Failed(f func(error)) Option { return func(s *Server) { s.failed = f } }
@@ -102,6 +117,7 @@
 	s := &Server{
 		name: name, http: v, clock: c, log: log, listener: &queue{TCPListener: l},
 		wrap: func(l net.Listener) net.Listener { return l }, failed: func(error) {},
+		limits:   func() Limits { return Limits{} },
 		identify: func(r *http.Request) string { return r.Method + " " + r.URL.Path },
 		served:   make(chan struct{}), changed: make(chan struct{}, 1), conns: make(map[*conn]struct{}),
 		requests: make(map[*http.Request]struct{}),
--- a/internal/fleet/refusal/refusal.go
+++ b/internal/fleet/refusal/refusal.go
@@ -44,6 +44,7 @@
 	UpstreamFailed
 	StreamBroken
 	NotReady
+	HeadTooLarge
 	kindCount
 )
 
@@ -81,6 +82,7 @@
 	UpstreamFailed:    {http.StatusBadGateway, "upstreamFailed", false, true},
 	StreamBroken:      {http.StatusBadGateway, "streamBroken", false, true},
 	NotReady:          {http.StatusServiceUnavailable, "notReady", true, true},
+	HeadTooLarge:      {http.StatusRequestHeaderFieldsTooLarge, "headTooLarge", true, false},
 }
 
 // Answer returns the row of the table for k. A Kind outside of the list has the
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -18,6 +18,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -145,6 +146,7 @@
 
 	mu   sync.Mutex
 	idle map[Target][]*conn
+	most func(Target) int // connections to keep
 }
 
 type conn struct {
@@ -185,7 +187,10 @@
 
 // New returns a Client without connections.
 func New(clock fleet.Clock, options ...Option) *Client {
-	c := &Client{clock: clock, dial: DialTCP, idle: make(map[Target][]*conn)}
+	c := &Client{
+		clock: clock, dial: DialTCP, idle: make(map[Target][]*conn),
+		most: func(Target) int { return math.MaxInt },
+	}
 	for _, o := range options {
 		o(c)
 	}
@@ -401,6 +406,10 @@
 	c := x.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.idle[x.target]) >= c.most(x.target) {
+		_ = x.conn.Close()
+		return
+	}
 	c.idle[x.target] = append(c.idle[x.target], x.conn)
 }
 
@@ -425,16 +434,18 @@
 	}
 }
 
-// Forget closes the kept connections to all targets but those in use.
-func (c *Client) Forget(use func(Target) bool) {
+// Limit bounds the connections that are kept to each target, and closes those beyond.
+// The connections in use have no bound here.
+func (c *Client) Limit(most func(Target) int) {
 	now := c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.most = most
 	for t, ks := range c.idle {
-		gone := !use(t)
+		n := most(t)
 		var rest []*conn
 		for _, k := range ks {
-			if gone || !now.Before(k.until) {
+			if len(rest) >= n || !now.Before(k.until) {
 				_ = k.Close()
 				continue
 			}
--- a/internal/gateway/exchange/exchange_test.go
+++ b/internal/gateway/exchange/exchange_test.go
@@ -206,7 +206,7 @@
 	c := exchange.New(systemclock.Clock{})
 	_, err := send(t, c, p, "1")
 	is.NoErr(err)
-	c.Forget(func(exchange.Target) bool { return false })
+	c.Limit(func(exchange.Target) int { return 0 })
 	_, err = send(t, c, p, "2")
 	is.NoErr(err)
 	_, conns := p.counts()
@@ -281,3 +281,27 @@
 	_, conns := p.counts()
 	is.Equal(conns, 2) // the third request uses the connection of the first
 }
+
+// Guards against unused connections beyond the limit, which upstreams answer with
+// resets of those in use.
+func TestKeptConnectionsAreLimited(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, text("1", "one"), text("1", "two"), text("1", "three"), text("1", "four"))
+	c := exchange.New(systemclock.Clock{})
+	c.Limit(func(exchange.Target) int { return 1 })
+	for _, most := range []int{2, 3} {
+		var xs []*exchange.Exchange
+		for range 2 {
+			x, err := c.Send(context.Background(), p.target(), request("1"))
+			is.NoErr(err)
+			_, err = x.ReadBody(10)
+			is.NoErr(err)
+			xs = append(xs, x)
+		}
+		for _, x := range xs {
+			x.Keep()
+		}
+		_, conns := p.counts()
+		is.Equal(conns, most)
+	}
+}
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -205,6 +205,9 @@
 		return refusal.New(refusal.NotReady, "no configuration is known yet")
 	}
 	q.table = t
+	if n, most := headBytes(q.r), t.Release.Limits.HeaderBytes; most > 0 && n > most {
+		return refusal.New(refusal.HeadTooLarge, "the head of the request has %d bytes, more than %d", n, most)
+	}
 	if len(t.Release.Accounts) > 0 && !q.state.Leased() {
 		return refusal.New(refusal.NotReady, "the configuration was last confirmed %s ago", q.state.Age().Round(time.Millisecond))
 	}
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -492,3 +492,31 @@
 	is.True(errors.Is(err, context.Canceled))
 	<-left
 }
+
+// Guards against heads beyond the operator's limit, and against a limit that proper
+// ones meet.
+func TestHeadIsTooLarge(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, func(_ int, rw http.ResponseWriter, _ *http.Request) { ok(rw, "done") })
+	r := sample()
+	r.Version, r.Limits.HeaderBytes = 2, 400
+	w.put(t, r)
+	status, _, _, _ := w.call(t, "/once/", "k1")
+	is.Equal(status, http.StatusOK)
+	status, _, body, _ := w.call(t, "/once/"+strings.Repeat("x", 400), "k1")
+	is.Equal(status, http.StatusRequestHeaderFieldsTooLarge)
+	is.Equal(body, `{"error":"headTooLarge"}`)
+	is.Equal(len(w.headers()), 1)
+}
+
+// put puts a release in force.
+func (w *world) put(t *testing.T, r *release.Release) {
+	is := is.New(t)
+	w.decoded.Store(r)
+	command, err := store.Command(r.Version, nil)
+	is.NoErr(err)
+	log := store.New()
+	log.Apply(1, command)
+	held, _ := log.Current()
+	w.receive(feed.Update{Held: held, Confirmed: w.clock.Boot(), ConfirmedVersion: r.Version})
+}
--- a/internal/gateway/forward/headers.go
+++ b/internal/gateway/forward/headers.go
@@ -33,3 +33,15 @@
 		to["Content-Type"] = nil // net/http would guess one
 	}
 }
+
+// headBytes returns the size of the head of a request, without the spaces that
+// net/http has dropped.
+func headBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n") + len("Host: \r\n") + len(r.Host) + len("\r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(": \r\n") + len(v)
+		}
+	}
+	return n
+}
--- a/internal/gateway/forward/pause_test.go
+++ b/internal/gateway/forward/pause_test.go
@@ -6,9 +6,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/bilberryrock/bilberryrock/internal/registry/feed"
-	"github.com/bilberryrock/bilberryrock/internal/release/store"
 )
 
 // Guards against a request that reaches an upstream after its time, because the process
@@ -39,7 +36,11 @@
 func TestKeyIsTakenAwayDuringPause(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1, func(_ int, rw http.ResponseWriter, _ *http.Request) { ok(rw, "done") })
-	w.pauseOnce(sendWithin/2, func() { w.receive(w.withoutKeys(t)) })
+	w.pauseOnce(sendWithin/2, func() {
+		r := sample()
+		r.Version, r.Accounts[0].Keys = 2, []string{"k2"}
+		w.put(t, r)
+	})
 	status, _, _, _ := w.call(t, "/once/", "k1")
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.Equal(len(w.headers()), 0)
@@ -60,17 +61,3 @@
 
 // sendWithin is the age of a choice up to which it is acted on.
 const sendWithin = time.Second
-
-// withoutKeys is an update with a release that holds another key.
-func (w *world) withoutKeys(t *testing.T) feed.Update {
-	is := is.New(t)
-	r := sample()
-	r.Version, r.Accounts[0].Keys = 2, []string{"k2"}
-	w.decoded.Store(r)
-	command, err := store.Command(2, nil)
-	is.NoErr(err)
-	log := store.New()
-	log.Apply(1, command)
-	held, _ := log.Current()
-	return feed.Update{Held: held, Confirmed: w.clock.Boot(), ConfirmedVersion: 2}
-}
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -6,6 +6,7 @@
 package state
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,9 @@
 	// servingFactor times Limits.Alive is how long an engine without heartbeats may
 	// be used while it serves requests.
 	servingFactor = 4
+	// keptPart is the part of the connections that an upstream takes which unused ones
+	// may hold. The rest is for those in use.
+	keptPart = 2
 	// remoteLink is the one-way delay that an upstream of another data centre
 	// counts with. It is more than the real one, because a link between data
 	// centres may be cut and its traffic is paid for.
@@ -176,7 +180,8 @@
 		return
 	}
 	live := make(map[fleet.PoolID][]registry.Entry)
-	targets := make(map[exchange.Target]bool)
+	targets := make(map[exchange.Target]int)
+	kept := keptShares(t.Release, gateways)
 	now := s.clock.Now()
 	for _, e := range s.catalog.All(servingFactor * s.limits.Alive) {
 		// The planner of paths leaves out silent engines that don't serve.
@@ -184,7 +189,7 @@
 			continue
 		}
 		live[e.Pool] = append(live[e.Pool], e)
-		targets[exchange.Target{ID: e.ID, Address: e.Address}] = true
+		targets[exchange.Target{ID: e.ID, Address: e.Address}] = kept[e.Pool]
 	}
 	s.mu.Lock()
 	for i := range t.Release.Services {
@@ -192,7 +197,20 @@
 		s.refreshPool(v, live[v.Pool], gateways)
 	}
 	s.mu.Unlock()
-	s.client.Forget(func(g exchange.Target) bool { return targets[g] })
+	s.client.Limit(func(g exchange.Target) int { return targets[g] })
+}
+
+// keptShares returns the unused connections that this gateway may keep to each upstream
+// of a service, so that all gateways together stay within the service's limit.
+func keptShares(r *release.Release, gateways int) map[fleet.PoolID]int {
+	kept := make(map[fleet.PoolID]int, len(r.Services))
+	for _, v := range r.Services {
+		kept[v.Pool] = math.MaxInt
+		if v.MaxConnections > 0 {
+			kept[v.Pool] = max(1, v.MaxConnections/keptPart/gateways)
+		}
+	}
+	return kept
 }
 
 // refreshPool replaces the pool of a service, since requests may use the old one.
