Send sums once an interval and signs of life in place of entries

The work of a controller grew with followers times engines times messages: each change of the roster woke all followers, and each message, every 40 ms to a gateway without a confirmation, had the sums of all engines, encoded anew for each follower, and the whole entries of all engines that had sent a heartbeat. Sums now come once in each interval and are encoded once for all followers within 50 ms; heartbeats that tell nothing new are signs of life with a digest of the entry (about a third of the bytes). A follower that holds another content of the entry ends the stream and gets all entries anew, so that it never goes on with a mixture.

Daemons of before and after should not run side by side: the old fields of the sums are gone.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -403,12 +403,13 @@
 func (p *peer) Report() usage.Report { return usage.Report{} }
 
 // Receive implements feed.Receiver.
-func (p *peer) Receive(u feed.Update) {
+func (p *peer) Receive(u feed.Update) error {
 	for _, e := range u.Entries {
 		p.controller.catalog.Put(e, false)
 	}
 	p.controller.feed.NotePeer(u)
 	p.controller.notePlace(u)
+	return u.Renew(p.controller.catalog)
 }
 
 // Collector returns the metrics of the replicated log.
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -182,24 +182,25 @@
 	log := store.New()
 	log.Apply(1, command)
 	held, _ := log.Current()
-	u := feed.Update{Held: held, Entries: entries, Report: usage.Report{Gateways: 1}}
+	u := feed.Update{Held: held, Entries: entries, Sums: &usage.Report{Gateways: 1}}
 	if upstreams > 0 {
 		u.Confirmed, u.ConfirmedVersion = clock.Boot(), 1
 	}
-	st.Receive(u)
+	w.receive = func(u feed.Update) { is.NoErr(st.Receive(u)) }
+	w.receive(u)
 	clock.age.Store(int64(4 * time.Second))
 	w.renew = func() {
 		for i := range u.Entries {
 			u.Entries[i].Sequence++
 			u.Entries[i].Heard = clock.Now()
 		}
-		st.Receive(u)
+		w.receive(u)
 	}
 	w.renew()
 	h := forward.New(clock, st, client, dialect{}, prober{&w.asked}, forward.NewMetrics(prometheus.NewRegistry()), zap.New(core))
-	w.handler, w.receive = h, st.Receive
+	w.handler = h
 	w.tell = func(c budget.Count) {
-		st.Receive(feed.Update{Report: usage.Report{Gateways: 1, Sends: map[fleet.PoolID]budget.Count{"model": c}}})
+		w.receive(feed.Update{Sums: &usage.Report{Gateways: 1, Sends: map[fleet.PoolID]budget.Count{"model": c}}})
 	}
 	w.gateway = httptest.NewServer(h)
 	t.Cleanup(w.gateway.Close)
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -86,6 +86,7 @@
 	table     atomic.Pointer[table.Table]
 	confirmed atomic.Int64 // the reading of Boot
 	refreshed time.Time
+	gateways  int // by the newest sums
 
 	mu    sync.RWMutex
 	pools map[fleet.PoolID]*Pool
@@ -128,21 +129,28 @@
 func (s *State) Table() *table.Table { return s.table.Load() }
 
 // Receive implements feed.Receiver.
-func (s *State) Receive(u feed.Update) {
+func (s *State) Receive(u feed.Update) error {
 	taken := s.take(u)
 	changed := false
+	if u.Sums != nil {
+		s.gateways = u.Sums.Gateways
+	}
 	for _, e := range u.Entries {
 		changed = s.catalog.Put(e, false) || changed
 	}
+	fit := u.Renew(s.catalog)
 	if u.ConfirmedVersion <= s.Version() && int64(u.Confirmed) > s.confirmed.Load() {
 		s.confirmed.Store(int64(u.Confirmed))
 	}
 	now := s.clock.Now()
 	if taken || changed || now.Sub(s.refreshed) >= refreshEvery {
 		s.refreshed = now
-		s.refresh(max(1, u.Report.Gateways))
+		s.refresh(max(1, s.gateways))
+	}
+	if u.Sums != nil {
+		s.shareSums(*u.Sums)
 	}
-	s.shareSums(u.Report)
+	return fit
 }
 
 // shareSums tells the choosers and the retry budgets what all gateways use and send.
--- a/internal/gateway/state/state_test.go
+++ b/internal/gateway/state/state_test.go
@@ -43,16 +43,17 @@
 	log := store.New()
 	log.Apply(1, command)
 	held, _ := log.Current()
+	receive := func(u feed.Update) { is.NoErr(s.Receive(u)) }
 	sent := func(n budget.Count) map[fleet.PoolID]budget.Count {
 		return map[fleet.PoolID]budget.Count{"desk": n}
 	}
-	s.Receive(feed.Update{Held: held, Report: usage.Report{Gateways: 10, Sends: sent(budget.Count{Attempts: 50, Retries: 2})}})
+	receive(feed.Update{Held: held, Sums: &usage.Report{Gateways: 10, Sends: sent(budget.Count{Attempts: 50, Retries: 2})}})
 	p, ok := s.Pool("desk")
 	is.True(ok)
 	p.Budget.Deposit()
 	is.True(p.Budget.Withdraw())
 	is.Equal(s.Report().Sends, sent(budget.Count{Attempts: 1, Retries: 1}))
-	s.Receive(feed.Update{Held: held, Report: usage.Report{Gateways: 10, Sends: sent(budget.Count{Attempts: 50, Retries: 110})}})
+	receive(feed.Update{Held: held, Sums: &usage.Report{Gateways: 10, Sends: sent(budget.Count{Attempts: 50, Retries: 110})}})
 	c.Advance(time.Second)
 	is.True(!p.Budget.Withdraw())
 }
--- a/internal/registry/catalog/catalog.go
+++ b/internal/registry/catalog/catalog.go
@@ -24,9 +24,34 @@
 }
 
 type item struct {
-	entry registry.Entry
-	// stamp grows with each heartbeat, and own with each that was heard here.
-	stamp, own uint64
+	entry  registry.Entry
+	digest uint64
+	// heard is the stamp of the newest heartbeat from any source, and own that of the
+	// newest one that was heard here.
+	heard, own stamps
+}
+
+// stamps are those of the newest heartbeat, and of the first one with the present content
+// of the entry. Followers with an older stamp than that lack the entry, the others only a
+// sign of life. The second is 0 where the content was not heard from the source yet.
+type stamps struct{ sign, entry uint64 }
+
+// next returns the stamps after a heartbeat.
+func (s stamps) next(stamp uint64, same bool) stamps {
+	if !same || s.entry == 0 {
+		s.entry = stamp
+	}
+	s.sign = stamp
+	return s
+}
+
+// News is what a follower lacks.
+type News struct {
+	// Entries told something new, and Signs belong to entries that the follower has.
+	Entries []registry.Entry
+	Signs   []registry.Sign
+	// Stamp is the newest stamp.
+	Stamp uint64
 }
 
 // New returns an empty Catalog.
@@ -54,15 +79,23 @@
 		return false
 	}
 	c.stamp++
-	it := &item{entry: e, stamp: c.stamp}
+	same := ok && e.Same(old.entry)
+	it := &item{entry: e}
 	if ok {
-		it.own = old.own
+		it.heard, it.own, it.digest = old.heard, old.own, old.digest
+	}
+	if !same {
+		it.digest = e.Digest()
+	}
+	it.heard = it.heard.next(c.stamp, same)
+	if !same {
+		it.own.entry = 0
 	}
 	if own {
-		it.own = c.stamp
+		it.own = it.own.next(c.stamp, same)
 	}
 	c.items[e.ID] = it
-	if ok && e.Same(old.entry) {
+	if same {
 		return false
 	}
 	close(c.changed)
@@ -97,7 +130,8 @@
 		}
 		c.stamp++
 		it.entry.State = registry.Gone
-		it.stamp = c.stamp
+		it.digest = it.entry.Digest()
+		it.heard = it.heard.next(c.stamp, false)
 	}
 	return false
 }
@@ -126,27 +160,59 @@
 	return c.changed
 }
 
-// Since returns the entries with a stamp above after, and the newest stamp. With
-// own it returns only what this instance heard itself.
-func (c *Catalog) Since(after uint64, own bool) ([]registry.Entry, uint64) {
+// Since returns what is newer than a stamp. With own it returns only what this
+// instance heard itself.
+func (c *Catalog) Since(after uint64, own bool) News {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	var es []registry.Entry
+	n := News{Stamp: c.stamp}
 	for id, it := range c.items {
 		if now.Sub(it.entry.Heard) > forgetAfter {
 			delete(c.items, id)
 			continue
 		}
-		n := it.stamp
+		s := it.heard
 		if own {
-			n = it.own
+			s = it.own
 		}
-		if n > after {
-			es = append(es, it.entry)
+		switch {
+		case s.sign <= after:
+		case s.entry > after || s.entry == 0:
+			n.Entries = append(n.Entries, it.entry)
+		default:
+			n.Signs = append(n.Signs, it.sign())
 		}
 	}
-	return es, c.stamp
+	return n
+}
+
+func (i *item) sign() registry.Sign {
+	return registry.Sign{ID: i.entry.ID, Born: i.entry.Born, Sequence: i.entry.Sequence, Digest: i.digest, Heard: i.entry.Heard}
+}
+
+// Renew merges a sign of life. It reports whether the sign is old or belongs to the
+// entry that is known; another source may have told of a content that the sign's one
+// never heard of.
+func (c *Catalog) Renew(s registry.Sign) bool {
+	c.mu.Lock()
+	it, ok := c.items[s.ID]
+	if !ok {
+		c.mu.Unlock()
+		return false
+	}
+	e, digest := it.entry, it.digest
+	c.mu.Unlock()
+	known := e
+	e.Born, e.Sequence, e.Heard = s.Born, s.Sequence, s.Heard
+	if !e.Newer(known) {
+		return true
+	}
+	if s.Digest != digest {
+		return false
+	}
+	c.Put(e, false)
+	return true
 }
 
 // Get returns the entry of one upstream.
--- a/internal/registry/catalog/catalog_test.go
+++ b/internal/registry/catalog/catalog_test.go
@@ -43,8 +43,26 @@
 				clock.Advance(n)
 				return show(c, clock)
 			case "own":
-				es, _ := c.Since(0, true)
-				return list(es, clock)
+				return list(c.Since(0, true).Entries, clock)
+			case "since":
+				var stamp int
+				d.ScanArgs(t, "stamp", &stamp)
+				return news(c.Since(uint64(stamp), d.HasArg("own")), clock)
+			case "sign":
+				var id string
+				var born, sequence int
+				d.ScanArgs(t, "id", &id)
+				d.ScanArgs(t, "born", &born)
+				d.ScanArgs(t, "sequence", &sequence)
+				e, _ := c.Get(fleet.UpstreamID(id))
+				digest := e.Digest()
+				if d.HasArg("other") {
+					digest++
+				}
+				return fmt.Sprintf("fits %t\n%s", c.Renew(registry.Sign{
+					ID: fleet.UpstreamID(id), Born: fleet.Incarnation(born), Sequence: uint64(sequence),
+					Digest: digest, Heard: clock.Now(),
+				}), show(c, clock))
 			}
 			d.Fatalf(t, "unknown command %q", d.Cmd)
 			return ""
@@ -70,6 +88,15 @@
 	}
 }
 
+func news(n catalog.News, clock *fakeclock.Clock) string {
+	slices.SortFunc(n.Signs, func(a, b registry.Sign) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	b := list(n.Entries, clock)
+	for _, s := range n.Signs {
+		b += fmt.Sprintf("sign of %s born %d sequence %d\n", s.ID, s.Born, s.Sequence)
+	}
+	return b + fmt.Sprintf("stamp %d\n", n.Stamp)
+}
+
 func show(c *catalog.Catalog, clock *fakeclock.Clock) string { return list(c.All(time.Hour), clock) }
 
 func list(es []registry.Entry, clock *fakeclock.Clock) string {
--- a/internal/registry/feed/client.go
+++ b/internal/registry/feed/client.go
@@ -10,6 +10,7 @@
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/registry"
+	"github.com/bilberryrock/bilberryrock/internal/registry/catalog"
 	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
 	"github.com/bilberryrock/bilberryrock/internal/release"
 	"github.com/bilberryrock/bilberryrock/internal/release/store"
@@ -39,20 +40,37 @@
 	From    string // peer address of the controller
 	Held    store.Held
 	Entries []registry.Entry
+	// Signs belong to entries that came before.
+	Signs []registry.Sign
 	// Confirmed is the own clock at a time after which a majority confirmed that
 	// ConfirmedVersion was the newest release, or 0.
 	Confirmed        time.Duration
 	ConfirmedVersion release.Version
 	Controllers      []Controller
-	// Report adds up what all gateways say, or those of one controller.
-	Report usage.Report
+	// Sums add up what all gateways say, or those of one controller. They are nil in
+	// messages between two intervals.
+	Sums *usage.Report
+}
+
+// Renew merges the signs of life into a catalog that has the entries of the stream. An
+// error tells that it has another content of one.
+func (u *Update) Renew(c *catalog.Catalog) error {
+	var failed error
+	for _, s := range u.Signs {
+		if !c.Renew(s) {
+			failed = errors.Errorf("a sign of life of upstream %s is not that of the entry known", s.ID)
+		}
+	}
+	return failed
 }
 
 // Receiver gets the updates of a Client from one goroutine.
 type Receiver interface {
 	// Stamp reads a clock that goes on while the machine is suspended.
 	Stamp() time.Duration
-	Receive(u Update)
+	// Receive takes an update. An error ends the stream, and all entries come anew with
+	// the next one.
+	Receive(u Update) error
 	// Report returns the own requests in progress and the sends.
 	Report() usage.Report
 	// Version returns the newest release that the receiver has.
@@ -224,9 +242,14 @@
 			c.logger.Info("Following a controller.", zap.String("controller", address))
 			first = false
 		}
-		u := c.decode(address, p)
+		u, err := c.decode(address, p)
+		if err != nil {
+			return errors.Wrapf(err, "follow %s", address)
+		}
 		c.Learn(u.Controllers)
-		c.receiver.Receive(u)
+		if err := c.receiver.Receive(u); err != nil {
+			return errors.Wrapf(err, "follow %s", address)
+		}
 		if u.Confirmed > confirmed {
 			progress, confirmed = c.clock.Now(), u.Confirmed
 		}
@@ -236,9 +259,10 @@
 		if c.fixed == "" && c.clock.Now().Sub(progress) > unconfirmed {
 			return errors.Errorf("controller %s is cut off from the majority", address)
 		}
-		report := c.receiver.Report()
-		ask := &peerv1.FollowRequest{
-			Stamp: uint64(c.receiver.Stamp().Microseconds()), Uses: usesToProto(report.Uses), Sends: sendsToProto(report.Sends),
+		ask := &peerv1.FollowRequest{Stamp: uint64(c.receiver.Stamp().Microseconds()), Bare: u.Sums == nil}
+		if u.Sums != nil {
+			report := c.receiver.Report()
+			ask.Uses, ask.Sends = usesToProto(report.Uses), sendsToProto(report.Sends)
 		}
 		if err := s.Send(ask); err != nil {
 			return errors.Wrapf(err, "follow %s", address)
@@ -246,15 +270,17 @@
 	}
 }
 
-func (c *Client) decode(address string, p *peerv1.FeedUpdate) Update {
+func (c *Client) decode(address string, p *peerv1.FeedUpdate) (Update, error) {
+	sums, err := decodeSums(p.GetSums())
+	if err != nil {
+		return Update{}, err
+	}
 	u := Update{
 		From:             address,
 		Held:             store.Held{Version: release.Version(p.GetVersion()), Packed: p.GetRelease()},
 		Confirmed:        time.Duration(p.GetConfirmedStamp()) * time.Microsecond,
 		ConfirmedVersion: release.Version(p.GetConfirmedVersion()),
-		Report: usage.Report{
-			Gateways: int(p.GetGateways()), Uses: usesFromProto(p.GetUses()), Sends: sendsFromProto(p.GetSends()),
-		},
+		Sums:             sums,
 	}
 	for _, k := range p.GetControllers() {
 		u.Controllers = append(u.Controllers, Controller{Address: k.GetAddress(), DataCentre: fleet.DataCentreID(k.GetDataCentre())})
@@ -263,5 +289,8 @@
 	for _, e := range p.GetEntries() {
 		u.Entries = append(u.Entries, fromProto(e, now))
 	}
-	return u
+	for _, g := range p.GetSigns() {
+		u.Signs = append(u.Signs, signFromProto(g, now))
+	}
+	return u, nil
 }
--- /dev/null
+++ b/internal/registry/feed/feed_test.go
@@ -0,0 +1,182 @@
+package feed_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
+	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/fakeclock"
+	"github.com/bilberryrock/bilberryrock/internal/registry"
+	"github.com/bilberryrock/bilberryrock/internal/registry/catalog"
+	"github.com/bilberryrock/bilberryrock/internal/registry/feed"
+	"github.com/bilberryrock/bilberryrock/internal/release/store"
+)
+
+// source has a confirmation from the start.
+type source struct{ clock *fakeclock.Clock }
+
+func (s source) Confirmation() feed.Confirmation { return feed.Confirmation{Start: s.clock.Now()} }
+func (s source) Controllers() []feed.Controller  { return nil }
+
+// follower is the stream of one gateway.
+type follower struct {
+	grpc.ServerStream
+	ctx      context.Context
+	asks     chan *peerv1.FollowRequest
+	messages chan *peerv1.FeedUpdate
+}
+
+func (f *follower) Context() context.Context { return f.ctx }
+
+func (f *follower) Recv() (*peerv1.FollowRequest, error) {
+	select {
+	case q := <-f.asks:
+		return q, nil
+	case <-f.ctx.Done():
+		return nil, io.EOF
+	}
+}
+
+func (f *follower) Send(u *peerv1.FeedUpdate) error {
+	f.messages <- u
+	return nil
+}
+
+// rig is a controller under a fake clock.
+type rig struct {
+	clock   *fakeclock.Clock
+	catalog *catalog.Catalog
+	server  *feed.Server
+}
+
+func newRig() *rig {
+	c := fakeclock.New(fakeclock.Start)
+	roster := catalog.New(c)
+	return &rig{clock: c, catalog: roster, server: feed.NewServer(c, roster, store.New(), source{c}, zap.NewNop())}
+}
+
+func (r *rig) follow(t *testing.T, instance string) *follower {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &follower{ctx: ctx, asks: make(chan *peerv1.FollowRequest, 10), messages: make(chan *peerv1.FeedUpdate)}
+	f.asks <- &peerv1.FollowRequest{Instance: instance, Stamp: 1}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = r.server.Follow(f) // ends with the test
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return f
+}
+
+// next returns the next message, for which the clock moves on.
+func (r *rig) next(f *follower) *peerv1.FeedUpdate {
+	for {
+		select {
+		case u := <-f.messages:
+			return u
+		case <-time.After(time.Millisecond):
+			r.clock.Advance(5 * time.Millisecond)
+		}
+	}
+}
+
+func decode(t *testing.T, u *peerv1.FeedUpdate) *peerv1.Sums {
+	var s peerv1.Sums
+	is.New(t).NoErr(proto.Unmarshal(u.GetSums(), &s))
+	return &s
+}
+
+func (r *rig) put(id string, sequence uint64) {
+	r.catalog.Put(registry.Entry{
+		ID: fleet.UpstreamID(id), Born: 1, Sequence: sequence, Address: id, State: registry.Ready, Heard: r.clock.Now(),
+	}, true)
+}
+
+// Guards against sums of all engines in each message: a burst of heartbeats wakes all
+// followers many times a second, and so does a gateway that waits for its first
+// confirmation.
+func TestSumsComeOnceInEachInterval(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	f := r.follow(t, "g1")
+	is.Equal(decode(t, r.next(f)).GetGateways(), uint32(1))
+	start, between := r.clock.Now(), 0
+	for i := uint64(1); ; i++ {
+		r.put("e"+string(rune('a'+i%20)), i)
+		u := r.next(f)
+		if len(u.GetSums()) > 0 {
+			break
+		}
+		between++
+	}
+	is.True(r.clock.Now().Sub(start) >= feed.Interval)
+	is.True(between > 1)
+}
+
+// Guards against the uses of a gateway that are forgotten with a message that tells
+// only its stamp.
+func TestBareMessageKeepsUses(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	f := r.follow(t, "g1")
+	r.next(f)
+	f.asks <- &peerv1.FollowRequest{Stamp: 2, Uses: []*peerv1.UpstreamUse{{Id: "e1", Active: 3}}}
+	f.asks <- &peerv1.FollowRequest{Stamp: 3, Bare: true}
+	for {
+		if us := decode(t, r.next(f)).GetUses(); len(us) > 0 {
+			is.Equal(us[0].GetActive(), uint32(3))
+			break
+		}
+	}
+	start := r.clock.Now()
+	for r.clock.Now().Sub(start) < 4*feed.Interval {
+		if u := r.next(f); len(u.GetSums()) > 0 {
+			is.Equal(decode(t, u).GetUses()[0].GetActive(), uint32(3))
+		}
+	}
+}
+
+// Guards against a follower that renews an entry by a sign of life of another content,
+// which it would then keep for good.
+func TestSignOfOtherContent(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	e := registry.Entry{ID: "e1", Born: 1, Sequence: 1, Address: "a", State: registry.Ready, Heard: r.clock.Now()}
+	r.catalog.Put(e, false)
+	s := registry.Sign{ID: "e1", Born: 1, Sequence: 2, Digest: e.Digest(), Heard: r.clock.Now()}
+	u := feed.Update{Signs: []registry.Sign{s}}
+	is.NoErr(u.Renew(r.catalog))
+	u.Signs[0].Sequence, u.Signs[0].Digest = 3, e.Digest()+1
+	is.True(u.Renew(r.catalog) != nil)
+	kept, _ := r.catalog.Get("e1")
+	is.Equal(kept.Sequence, uint64(2))
+}
+
+// Guards against whole entries in each message, and against signs of life of entries
+// that a follower never got.
+func TestSignsFollowEntries(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.put("e1", 1)
+	f := r.follow(t, "g1")
+	is.Equal(len(r.next(f).GetEntries()), 1)
+	r.put("e1", 2)
+	u := r.next(f)
+	is.Equal(len(u.GetEntries()), 0)
+	is.Equal(u.GetSigns()[0].GetSequence(), uint64(2))
+	late := r.follow(t, "g2")
+	u = r.next(late)
+	is.Equal(len(u.GetEntries()), 1)
+	is.Equal(len(u.GetSigns()), 0)
+}
--- a/internal/registry/feed/server.go
+++ b/internal/registry/feed/server.go
@@ -10,14 +10,11 @@
 	"time"
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
-	"github.com/bilberryrock/bilberryrock/internal/admission/budget"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
-	"github.com/bilberryrock/bilberryrock/internal/registry"
 	"github.com/bilberryrock/bilberryrock/internal/registry/catalog"
 	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
 	"github.com/bilberryrock/bilberryrock/internal/release"
 	"github.com/bilberryrock/bilberryrock/internal/release/store"
-	"github.com/bilberryrock/bilberryrock/internal/upstream"
 	"go.uber.org/zap"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -63,6 +60,7 @@
 	store   *store.Store
 	source  Source
 	usage   *usage.Table
+	sums    *sums
 	logger  *zap.Logger
 	stop    chan struct{}
 }
@@ -70,9 +68,10 @@
 // NewServer returns a Server that streams what the catalog, the store and the
 // source hold.
 func NewServer(clock fleet.Clock, c *catalog.Catalog, s *store.Store, o Source, l *zap.Logger) *Server {
+	table := usage.New(clock)
 	return &Server{
-		clock: clock, catalog: c, store: s, source: o, usage: usage.New(clock), logger: l.Named("feed"),
-		stop: make(chan struct{}),
+		clock: clock, catalog: c, store: s, source: o, usage: table, sums: &sums{clock: clock, table: table},
+		logger: l.Named("feed"), stop: make(chan struct{}),
 	}
 }
 
@@ -103,7 +102,9 @@
 
 // NotePeer records the gateways of another controller and what they use.
 func (s *Server) NotePeer(u Update) {
-	s.usage.SetPeer(u.From, u.Report)
+	if u.Sums != nil {
+		s.usage.SetPeer(u.From, *u.Sums)
+	}
 }
 
 // DropPeer forgets a controller that is no member any more.
@@ -127,7 +128,7 @@
 				return // the context of the stream ends as well
 			}
 			seen.add(q.GetStamp(), s.clock.Now())
-			if !r.GetController() {
+			if !r.GetController() && !q.GetBare() {
 				s.usage.Set(instance, usage.Report{Uses: usesFromProto(q.GetUses()), Sends: sendsFromProto(q.GetSends())})
 			}
 		}
@@ -143,10 +144,17 @@
 	defer s.logger.Info("A follower left.", zap.String("instance", r.GetInstance()))
 	sent := release.Version(r.GetVersion())
 	stamp := uint64(0)
+	var summed time.Time // when the newest sums were sent
 	for {
 		changed := s.catalog.Changed()
 		held, newer := s.store.Current()
 		u := s.update(r.GetController(), &stamp)
+		if now := s.clock.Now(); now.Sub(summed) >= Interval {
+			if u.Sums, err = s.sums.encode(!r.GetController()); err != nil {
+				return status.Errorf(codes.Internal, "encode the sums: %v", err)
+			}
+			summed = now
+		}
 		c := s.source.Confirmation()
 		u.ConfirmedVersion, u.ConfirmedStamp = uint64(c.Version), seen.before(c.Start)
 		if held.Version > sent && !r.GetController() {
@@ -223,72 +231,18 @@
 }
 
 func (s *Server) update(controller bool, stamp *uint64) *peerv1.FeedUpdate {
-	sums := s.usage.Sums(!controller)
-	u := &peerv1.FeedUpdate{
-		Gateways: uint32(sums.Gateways), Uses: usesToProto(sums.Uses), Sends: sendsToProto(sums.Sends),
-	}
+	u := &peerv1.FeedUpdate{}
 	for _, k := range s.source.Controllers() {
 		u.Controllers = append(u.Controllers, &peerv1.Controller{Address: k.Address, DataCentre: string(k.DataCentre)})
 	}
-	es, newest := s.catalog.Since(*stamp, controller)
-	*stamp = newest
+	n := s.catalog.Since(*stamp, controller)
+	*stamp = n.Stamp
 	now := s.clock.Now()
-	for _, e := range es {
+	for _, e := range n.Entries {
 		u.Entries = append(u.Entries, toProto(e, now))
 	}
-	return u
-}
-
-func usesToProto(us []usage.Use) []*peerv1.UpstreamUse {
-	ps := make([]*peerv1.UpstreamUse, len(us))
-	for i, u := range us {
-		ps[i] = &peerv1.UpstreamUse{Id: string(u.ID), Active: uint32(u.Active), Failed: u.Failed, Served: u.Served, Full: u.Full, Pace: float32(u.Pace)}
-	}
-	return ps
-}
-
-func usesFromProto(ps []*peerv1.UpstreamUse) []usage.Use {
-	us := make([]usage.Use, len(ps))
-	for i, p := range ps {
-		us[i] = usage.Use{ID: fleet.UpstreamID(p.GetId()), Active: int(p.GetActive()), Failed: p.GetFailed(), Served: p.GetServed(), Full: p.GetFull(), Pace: float64(p.GetPace())}
-	}
-	return us
-}
-
-func sendsToProto(sends map[fleet.PoolID]budget.Count) []*peerv1.PoolSends {
-	var ps []*peerv1.PoolSends
-	for id, c := range sends {
-		ps = append(ps, &peerv1.PoolSends{Pool: string(id), Attempts: uint32(c.Attempts), Retries: uint32(c.Retries)})
-	}
-	return ps
-}
-
-func sendsFromProto(ps []*peerv1.PoolSends) map[fleet.PoolID]budget.Count {
-	sends := make(map[fleet.PoolID]budget.Count, len(ps))
-	for _, p := range ps {
-		sends[fleet.PoolID(p.GetPool())] = budget.Count{Attempts: int(p.GetAttempts()), Retries: int(p.GetRetries())}
-	}
-	return sends
-}
-
-func toProto(e registry.Entry, now time.Time) *peerv1.UpstreamEntry {
-	return &peerv1.UpstreamEntry{
-		Id: string(e.ID), Born: uint64(e.Born), Sequence: e.Sequence, Pool: string(e.Pool),
-		Address: e.Address, DataCentre: string(e.DataCentre), Slots: uint32(e.Slots),
-		State: peerv1.UpstreamState(e.State), Card: e.Card,
-		FromLayer: uint32(e.Layers.From), ToLayer: uint32(e.Layers.To),
-		AgeUs:  uint64(max(0, now.Sub(e.Heard)).Microseconds()),
-		ColdMs: uint64(e.Cold.Milliseconds()),
-	}
-}
-
-func fromProto(p *peerv1.UpstreamEntry, now time.Time) registry.Entry {
-	return registry.Entry{
-		ID: fleet.UpstreamID(p.GetId()), Born: fleet.Incarnation(p.GetBorn()), Sequence: p.GetSequence(),
-		Pool: fleet.PoolID(p.GetPool()), Address: p.GetAddress(), DataCentre: fleet.DataCentreID(p.GetDataCentre()),
-		Slots: int(p.GetSlots()), State: registry.State(p.GetState()), Card: p.GetCard(),
-		Layers: upstream.LayerRange{From: fleet.Layer(p.GetFromLayer()), To: fleet.Layer(p.GetToLayer())},
-		Cold:   time.Duration(p.GetColdMs()) * time.Millisecond,
-		Heard:  now.Add(-time.Duration(p.GetAgeUs()) * time.Microsecond),
+	for _, g := range n.Signs {
+		u.Signs = append(u.Signs, signToProto(g, now))
 	}
+	return u
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -6,8 +6,11 @@
 package registry
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 )
@@ -48,6 +51,22 @@
 	Heard time.Time
 }
 
+// Sign is a heartbeat that tells nothing but that an upstream is alive.
+type Sign struct {
+	ID       fleet.UpstreamID
+	Born     fleet.Incarnation
+	Sequence uint64
+	// Digest is that of the entry that the sign belongs to.
+	Digest uint64
+	Heard  time.Time // by the own clock
+}
+
+// Digest returns a hash of what Same compares.
+func (e Entry) Digest() uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%d %d %q %q %d %d %d %q %q",
+		e.Born, e.State, e.Address, e.Pool, e.Layers.From, e.Layers.To, e.Slots, e.Card, e.DataCentre))
+}
+
 // Newer reports whether e replaces o, which has the same id.
 func (e Entry) Newer(o Entry) bool {
 	if e.Born != o.Born {
