--- a/internal/registry/catalog/catalog.go
+++ b/internal/registry/catalog/catalog.go
@@ -37,8 +37,8 @@
 type stamps struct{ sign, entry uint64 }
 
 // next returns the stamps after a heartbeat.
-func (s stamps) next(stamp uint64, same bool) stamps {
-	if !same || s.entry == 0 {
+func (s stamps) next(stamp uint64) stamps {
+	if s.entry == 0 {
 		s.entry = stamp
 	}
 	s.sign = stamp
@@ -85,14 +85,11 @@
 		it.heard, it.own, it.digest = old.heard, old.own, old.digest
 	}
 	if !same {
-		it.digest = e.Digest()
-	}
-	it.heard = it.heard.next(c.stamp, same)
-	if !same {
-		it.own.entry = 0
+		it.change()
 	}
+	it.heard = it.heard.next(c.stamp)
 	if own {
-		it.own = it.own.next(c.stamp, same)
+		it.own = it.own.next(c.stamp)
 	}
 	c.items[e.ID] = it
 	if same {
@@ -130,8 +127,8 @@
 		}
 		c.stamp++
 		it.entry.State = registry.Gone
-		it.digest = it.entry.Digest()
-		it.heard = it.heard.next(c.stamp, false)
+		it.change()
+		it.heard = it.heard.next(c.stamp)
 	}
 	return false
 }
@@ -187,6 +184,12 @@
 	return n
 }
 
+// change notes that the entry has another content, which followers do not have.
+func (i *item) change() {
+	i.digest = i.entry.Digest()
+	i.heard.entry, i.own.entry = 0, 0
+}
+
 func (i *item) sign() registry.Sign {
 	return registry.Sign{ID: i.entry.ID, Born: i.entry.Born, Sequence: i.entry.Sequence, Digest: i.digest, Heard: i.entry.Heard}
 }
