Derive the age of the leadership and of encoded sums

A leadership always has the start of the newest confirmation, so tenure kept it twice. Encoded sums had an age of their own beside that of the sums, with a constant and a check that stood in package usage already, and could be twice as old; they are now those of the newest sums. A comment claimed what no profile had shown. No change of behaviour is meant.

--- a/internal/controller/tenure/tenure.go
+++ b/internal/controller/tenure/tenure.go
@@ -43,8 +43,8 @@
 
 	mu        sync.Mutex
 	confirmed feed.Confirmation
-	fence     fleet.Fence // of the own leadership, or 0
-	led       time.Time   // start of the confirmation of the own leadership
+	// fence is that of the own leadership if confirmed is of it, or 0.
+	fence fleet.Fence
 }
 
 // New returns a Tenure without a confirmation. The clock must go on while the machine
@@ -70,7 +70,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.confirmed = feed.Confirmation{Version: v, Start: start}
-	t.fence, t.led = fence, start
+	t.fence = fence
 	return nil
 }
 
@@ -91,12 +91,14 @@
 func (t *Tenure) Age() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.clock.Now().Sub(t.confirmed.Start)
+	return t.age()
 }
 
+func (t *Tenure) age() time.Duration { return t.clock.Now().Sub(t.confirmed.Start) }
+
 // Leading returns the fence of the own leadership, and whether it holds now.
 func (t *Tenure) Leading() (fleet.Fence, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.fence, t.fence > 0 && t.clock.Now().Sub(t.led) < Limit
+	return t.fence, t.fence > 0 && t.age() < Limit
 }
--- a/internal/registry/feed/server.go
+++ b/internal/registry/feed/server.go
@@ -70,7 +70,7 @@
 func NewServer(clock fleet.Clock, c *catalog.Catalog, s *store.Store, o Source, l *zap.Logger) *Server {
 	table := usage.New(clock)
 	return &Server{
-		clock: clock, catalog: c, store: s, source: o, usage: table, sums: &sums{clock: clock, table: table},
+		clock: clock, catalog: c, store: s, source: o, usage: table, sums: &sums{table: table},
 		logger: l.Named("feed"), stop: make(chan struct{}),
 	}
 }
--- a/internal/registry/feed/sums.go
+++ b/internal/registry/feed/sums.go
@@ -5,21 +5,15 @@
 	"time"
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
-	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 )
 
-// sumsAge is the time for which encoded sums are sent again. Each of many followers gets
-// them four times a second.
-const sumsAge = 50 * time.Millisecond
-
-// sums encodes the sums of a table once for all followers that ask within sumsAge. With
-// 60 followers and 220 engines, sums that each follower had encoded for itself were most
-// of the garbage of a controller.
+// sums encodes the sums of a table once for all followers that ask before they are added
+// up anew. Otherwise each of 60 followers would have those of 220 engines encoded for
+// itself four times a second.
 type sums struct {
-	clock fleet.Clock
 	table *usage.Table
 
 	mu sync.Mutex
@@ -34,24 +28,23 @@
 
 // encode returns the sums of the own gateways, or of all. They must not be changed.
 func (s *sums) encode(all bool) ([]byte, error) {
-	now := s.clock.Now()
+	r := s.table.Sums(all)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := &s.newest[0]
 	if all {
 		n = &s.newest[1]
 	}
-	if !n.at.IsZero() && now.Sub(n.at) < sumsAge {
+	if n.at.Equal(r.At) {
 		return n.bytes, nil
 	}
-	r := s.table.Sums(all)
 	b, err := proto.Marshal(&peerv1.Sums{
 		Gateways: uint32(r.Gateways), Uses: usesToProto(r.Uses), Sends: sendsToProto(r.Sends),
 	})
 	if err != nil {
 		return nil, err
 	}
-	*n = encoded{bytes: b, at: now}
+	*n = encoded{bytes: b, at: r.At}
 	return b, nil
 }
 
--- a/internal/registry/usage/usage.go
+++ b/internal/registry/usage/usage.go
@@ -46,6 +46,8 @@
 	Uses     []Use
 	// Sends are the first attempts and the retries of each pool lately.
 	Sends map[fleet.PoolID]budget.Count
+	// At is when sums were added up. It is zero in the report of one gateway.
+	At time.Time
 }
 
 // Table adds up the reports of gateways. It is safe for concurrent use.
@@ -57,10 +59,10 @@
 	failures  map[fleet.UpstreamID]map[fleet.InstanceID]time.Time
 	confirmed map[fleet.UpstreamID]time.Time // told by another controller
 	// newest are the last sums, without and with other controllers.
-	newest [2]told
+	newest [2]Report
 }
 
-// told is a report or a sum with its time.
+// told is a report with the time of its arrival.
 type told struct {
 	report Report
 	at     time.Time
@@ -132,14 +134,14 @@
 	if all {
 		n = &t.newest[1]
 	}
-	if n.at.IsZero() || now.Sub(n.at) >= sumsAge {
-		*n = told{report: t.add(all, now), at: now}
+	if n.At.IsZero() || now.Sub(n.At) >= sumsAge {
+		*n = t.add(all, now)
 	}
-	return n.report
+	return *n
 }
 
 func (t *Table) add(all bool, now time.Time) Report {
-	sum := Report{Sends: make(map[fleet.PoolID]budget.Count)}
+	sum := Report{Sends: make(map[fleet.PoolID]budget.Count), At: now}
 	uses := make(map[fleet.UpstreamID]Use)
 	for g, k := range t.gateways {
 		if now.Sub(k.at) > reportAge {
