Log the prompt parts and the events of a stream that breaks

The logs named the engine only, so a request that crashes engines could not be told from one that lost its engine.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -50,6 +50,9 @@
 // RequestID identifies one request of a caller. It is unique across all instances.
 type RequestID string
 
+// PromptPartID identifies a part of a prompt. Requests that share the part share its ID.
+type PromptPartID string
+
 // ChangeID identifies one submission of an operator. A resent submission carries the
 // same ChangeID.
 type ChangeID string
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -237,7 +237,8 @@
 	}
 	s.lastErr = err
 	s.logger.Info("A stream broke.", zap.String("request", string(s.headers.ID)), zap.String("upstream", string(t.target.ID)),
-		zap.Uint64("lastEvent", s.lastEvent), zap.Int("result", int(res)), zap.Any("path", t.hops), zap.Error(err))
+		zap.Uint64("lastEvent", s.lastEvent), zap.Int64("events", w.events.Load()), zap.Any("sharedParts", s.headers.SharedParts),
+		zap.Int("result", int(res)), zap.Any("path", t.hops), zap.Error(err))
 	return finished
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,9 @@
 	// HasLastEvent is false for a new stream.
 	LastEvent    uint64
 	HasLastEvent bool
+	// SharedParts lists the parts of the prompt that other requests may have too, in
+	// order. It lacks the last part, which belongs to the request or to its session.
+	SharedParts []fleet.PromptPartID
 }
 
 // UpstreamHeaders holds the values of the headers that the gateway sets in a request
