--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -43,6 +43,9 @@
 	c := gateway.ClientHeaders{ID: fleet.RequestID(h.Get("Id")), Key: h.Get("Key")}
 	ms, _ := strconv.Atoi(h.Get("Budget"))
 	c.Budget = time.Duration(ms) * time.Millisecond
+	for _, part := range strings.Fields(h.Get("Parts")) {
+		c.SharedParts = append(c.SharedParts, fleet.PromptPartID(part))
+	}
 	return c, nil
 }
 
@@ -232,12 +235,19 @@
 // post sends a request and returns the status, header and body of the response, and
 // whether the body is complete.
 func (w *testGateway) post(t *testing.T, path, key string) (int, http.Header, string, bool) {
+	t.Helper()
+	return w.postPrompt(t, path, key, "")
+}
+
+// postPrompt sends a request whose prompt has the given parts, separated by blanks.
+func (w *testGateway) postPrompt(t *testing.T, path, key, parts string) (int, http.Header, string, bool) {
 	t.Helper()
 	r, err := http.NewRequest(http.MethodPost, w.server.URL+path, strings.NewReader("order"))
 	is.New(t).NoErr(err)
 	r.Host = "h"
 	r.Header.Set("Id", "1")
 	r.Header.Set("Key", key)
+	r.Header.Set("Parts", parts)
 	r.Header.Set("Budget", "200")
 	if key != "" {
 		r.Header.Set("Budget", "20000")
--- /dev/null
+++ b/internal/gateway/forward/quarantine_test.go
@@ -0,0 +1,58 @@
+package forward_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// maxCrashes is the number of engines that may crash before a part of a prompt must
+	// be recognized as the cause, reactionTime the time for that, and maxLateAttempts the
+	// number of requests that may still reach an engine afterwards.
+	maxCrashes      = 5
+	reactionTime    = 3 * time.Second
+	maxLateAttempts = 3
+)
+
+// crashOnPart aborts the connection of each request whose prompt has the part "bad", as
+// an engine does that crashes when it begins to respond, and streams three events to all
+// other requests.
+func crashOnPart(_ int, rw http.ResponseWriter, r *http.Request) {
+	if strings.Contains(r.Header.Get("Parts"), "bad") {
+		abort()
+	}
+	respond(rw, "id: 1\n\nid: 2\n\nid: 3\n\n")
+}
+
+// Guards against prompts that crash one engine after the other, by retries of one request
+// and by new requests with the same part.
+func TestPromptThatCrashesEnginesIsRefused(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, 10, crashOnPart)
+	status, _, _, _ := w.postPrompt(t, "/stream/", "k1", "shared")
+	is.Equal(status, http.StatusOK)
+	before := len(w.receivedHeaders())
+	for len(w.receivedHeaders()) < before+maxCrashes {
+		w.postPrompt(t, "/stream/", "k1", "shared bad")
+		if t.Failed() || w.clock.offset.Load() > int64(time.Minute) {
+			break
+		}
+		w.clock.offset.Add(int64(reactionTime / maxCrashes))
+		w.heartbeat()
+	}
+	w.clock.offset.Add(int64(reactionTime))
+	w.heartbeat()
+	before = len(w.receivedHeaders())
+	for range 20 {
+		status, _, _, _ = w.postPrompt(t, "/stream/", "k1", "shared bad")
+	}
+	is.True(len(w.receivedHeaders())-before <= maxLateAttempts)
+	is.Equal(status, http.StatusServiceUnavailable) // it did not run
+	status, _, _, complete := w.postPrompt(t, "/stream/", "k1", "shared")
+	is.Equal(status, http.StatusOK)
+	is.True(complete)
+}
