Quarantine parts of prompts that crash engines

Cause: a gateway takes each engine that breaks off for a fault of the engine. It sends the request to the next one, up to five times, and remembers the engine but not the prompt, so that each request with the part crashes further engines at any gateway.

Change: gateways record the shared parts of a prompt whose engine crashed before it responded, and the parts that are in responses. An engine counts as crashed if it refuses a new connection at once after it broke off. Gateways and controllers merge these records through the feed. Three crashes without a response to the part within 30 s quarantine it, unless another part explains them; requests with it are refused with 503 before they are sent, also right before the write. A request that met a crash waits up to a second once two engines have crashed under its prompt.

All is bounded (256 parts, 32 crashes each, 4096 parts with progress) and forgotten 10 minutes after the crash.

TestPromptThatCrashesEnginesIsRefused failed before (all 20 late requests reached engines).

--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -90,10 +90,11 @@
 		Retries: budget.Limit{Share: s.RetryRatio * retryBudgetShare, Extra: s.RetryExtra * retryBudgetShare, Window: s.RetryWindow},
 	}, client, log)
 	registry := newRegistry(out)
+	registry.MustRegister(gatewayState.Prompts().Collector())
 	handler := forward.New(clock, gatewayState, client, platform.Headers{}, platform.Engines{Client: client},
 		forward.NewMetrics(registry), log)
 	follower := feed.NewClient(s.Instance, clock, gatewayState, log, feed.WithSeeds(s.PeerSeeds...), feed.WithDataCentre(s.DataCentre),
-		feed.WithDialOptions(dialOptions()...))
+		feed.WithDialOptions(dialOptions()...), feed.WithPrompts(gatewayState.Prompts()))
 	defer follower.Stop()
 	group := &serverGroup{clock: clock, log: log, failed: make(chan error, 4)}
 	clientServer := newServer(handler)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -384,7 +384,7 @@
 	for _, a := range members {
 		if a != c.settings.Address && c.peers[a] == nil {
 			c.peers[a] = feed.NewClient(c.settings.Instance, c.clock, &peerReceiver{c}, c.logger,
-				feed.WithOnlyController(a), feed.WithDialOptions(c.settings.DialOptions...))
+				feed.WithOnlyController(a), feed.WithPrompts(c.feed.Prompts()), feed.WithDialOptions(c.settings.DialOptions...))
 		}
 	}
 	for a, p := range c.peers {
--- a/internal/fleet/refusal/refusal.go
+++ b/internal/fleet/refusal/refusal.go
@@ -45,6 +45,8 @@
 	StreamBroken
 	NotReady
 	HeadTooLarge
+	// Quarantined is the kind of requests whose prompt has a part that crashes engines.
+	Quarantined
 	kindCount
 )
 
@@ -84,6 +86,7 @@
 	StreamBroken:      {http.StatusBadGateway, "streamBroken", false, true},
 	NotReady:          {http.StatusServiceUnavailable, "notReady", true, true},
 	HeadTooLarge:      {http.StatusRequestHeaderFieldsTooLarge, "headTooLarge", true, false},
+	Quarantined:       {http.StatusServiceUnavailable, "quarantined", true, true},
 }
 
 // Response returns the response for k. A Kind that is not in the list has the response of
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -141,6 +141,13 @@
 	return errors.As(err, &x) && x.ConnectFailed
 }
 
+// ConnectionLost reports whether an attempt failed because the upstream closed or reset
+// the connection.
+func ConnectionLost(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // Client sends requests and keeps idle connections to all upstreams for reuse. It is
 // safe for concurrent use.
 type Client struct {
@@ -276,6 +283,16 @@
 	return k, true, nil
 }
 
+// RefusesConnections reports whether an upstream refuses a new connection, as it does
+// after its process has crashed.
+func (c *Client) RefusesConnections(ctx context.Context, t Target) bool {
+	n, err := c.dial(ctx, t.Address)
+	if err == nil {
+		_ = n.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // popIdle removes and returns the idle connection to t that was used last, or nil. It
 // closes those past their deadline.
 func (c *Client) popIdle(t Target) *conn {
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -58,6 +58,8 @@
 	// extraAttempts is the number of attempts beyond the limit of the route that are
 	// allowed for attempts which did not run the request.
 	extraAttempts = 2
+	// quarantineRetryAfter is the Retry-After of a request whose prompt is quarantined.
+	quarantineRetryAfter = time.Minute
 	// maxStreamRuns is the number of runs that each resumable stream is allowed. A
 	// higher MaxAttempts of the route takes precedence.
 	maxStreamRuns = 5
@@ -130,6 +132,9 @@
 	status        int
 	outcome       string
 	lastErr       error
+	// crashes is the number of engines that crashed before they responded to the prompt,
+	// while it may have been the cause.
+	crashes int
 	// waited is the time spent waiting for a usable path.
 	waited time.Duration
 	// timing records when the events of a stream were written to the client.
@@ -237,7 +242,7 @@
 	if q.pool, ok = q.state.Pool(q.poolID); !ok {
 		return refusal.New(refusal.NoUpstream, "no upstream of service %q is known", q.poolID)
 	}
-	return nil
+	return q.checkPrompt()
 }
 
 // readBody reads the whole body until the deadline of the request. A request whose
@@ -308,6 +313,9 @@
 	if sinceSelection > maxSelectionAge {
 		return refusal.New(refusal.NoUpstream, "upstream was selected %s ago", sinceSelection.Round(time.Millisecond))
 	}
+	if err := q.checkPrompt(); err != nil {
+		return err
+	}
 	if q.account == nil || q.possibleRuns > 0 {
 		return nil
 	}
@@ -353,6 +361,10 @@
 	if q.attempts == 0 {
 		return true
 	}
+	if err := q.checkPrompt(); err != nil {
+		q.lastErr = err
+		return false
+	}
 	if !q.withinRouteLimits(q.possibleRuns, q.attempts) {
 		return false
 	}
@@ -423,6 +435,8 @@
 		q.outcome = "clientGone"
 	case q.possibleRuns == 0 && ctx.Err() != nil:
 		q.refuse(refusal.WithCause(refusal.NoUpstream, q.lastErr, "no upstream accepted the request before the deadline"))
+	case q.possibleRuns == 0 && refusal.KindOf(q.lastErr) == refusal.Quarantined:
+		q.refuse(q.lastErr)
 	case q.possibleRuns == 0:
 		q.refuse(refusal.WithCause(refusal.NoUpstream, q.lastErr, "no upstream accepted the request"))
 	case ctx.Err() != nil:
@@ -453,8 +467,11 @@
 
 // retryAfter returns a random time after which a refused client may retry.
 func retryAfter(k refusal.Kind) time.Duration {
-	if k == refusal.Stopping {
+	switch k {
+	case refusal.Stopping:
 		return time.Duration(rand.Int64N(int64(maxStoppingRetryAfter)))
+	case refusal.Quarantined:
+		return quarantineRetryAfter
 	}
 	return minRetryAfter + time.Duration(rand.Int64N(int64(retryAfterJitter)))
 }
--- a/internal/gateway/forward/metrics.go
+++ b/internal/gateway/forward/metrics.go
@@ -13,6 +13,7 @@
 	latency       *prometheus.HistogramVec
 	stalls        prometheus.Counter
 	retriesDenied prometheus.Counter
+	crashes       prometheus.Counter
 }
 
 // NewMetrics registers the metrics of a gateway.
@@ -35,7 +36,10 @@
 			Name: "bilberryrock_gateway_retries_denied_total", Help: "Requests that the retry budget of all gateways did not allow a further send.",
 		}),
 	}
-	r.MustRegister(m.requests, m.refusals, m.latency, m.stalls, m.retriesDenied)
+	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "bilberryrock_gateway_prompt_crashes_total", Help: "Attempts whose engine crashed before it responded to a prompt that may be the cause.",
+	})
+	r.MustRegister(m.requests, m.refusals, m.latency, m.stalls, m.retriesDenied, m.crashes)
 	return m
 }
 
@@ -49,3 +53,5 @@
 func (m *Metrics) stalled() { m.stalls.Inc() }
 
 func (m *Metrics) retryDenied() { m.retriesDenied.Inc() }
+
+func (m *Metrics) crashed() { m.crashes.Inc() }
--- a/internal/gateway/forward/plain.go
+++ b/internal/gateway/forward/plain.go
@@ -8,6 +8,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/gateway"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
+	"github.com/bilberryrock/bilberryrock/internal/registry/quarantine"
 	"github.com/bilberryrock/bilberryrock/internal/release"
 	"github.com/bilberryrock/bilberryrock/internal/routing/pool"
 	"github.com/pkg/errors"
@@ -71,6 +72,11 @@
 		}
 		if res == answered || res == upstreamError {
 			buffered = a
+			q.state.Prompts().RecordProgress(q.poolID, q.headers.SharedParts)
+		}
+		if res == unknownOutcome && ctx.Err() == nil {
+			q.recordCrash(ctx, exchange.Target{ID: u.ID, Address: u.Address}, quarantine.HashEngine(u.ID, u.Incarnation), err)
+			q.awaitVerdict(ctx)
 		}
 		if res == answered || res == upstreamError && !q.mayRepeat() {
 			break
--- /dev/null
+++ b/internal/gateway/forward/prompt.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
+	"github.com/bilberryrock/bilberryrock/internal/registry/quarantine"
+)
+
+const (
+	// minProgressEvents is the number of events after which an engine has responded to a
+	// prompt. An engine that crashes may send one event before.
+	minProgressEvents = 2
+	// suspectCrashes is the number of crashes under a part of a prompt after which a
+	// request that has met one of them waits up to verdictTimeout before its next attempt,
+	// checking every verdictPollInterval. In that time the gateways agree on the cause.
+	suspectCrashes      = 2
+	verdictTimeout      = time.Second
+	verdictPollInterval = 40 * time.Millisecond
+)
+
+// checkPrompt returns an error of kind refusal.Quarantined if a part of the prompt
+// crashes engines.
+func (q *request) checkPrompt() error {
+	part, ok := q.state.Prompts().Find(q.poolID, q.headers.SharedParts)
+	if !ok {
+		return nil
+	}
+	return refusal.New(refusal.Quarantined, "part %q of the prompt crashes engines", part)
+}
+
+// recordCrash records that the engine of an attempt crashed before it responded to the
+// prompt, if that is why the attempt failed with err.
+func (q *request) recordCrash(ctx context.Context, t exchange.Target, e quarantine.Engine, err error) {
+	if len(q.headers.SharedParts) == 0 || !exchange.ConnectionLost(err) || !q.client.RefusesConnections(ctx, t) {
+		return
+	}
+	blamed := q.state.Prompts().RecordCrash(q.poolID, q.headers.SharedParts, e)
+	if len(blamed) == 0 {
+		return
+	}
+	q.crashes++
+	q.metrics.crashed()
+	q.logger.Warn("An engine crashed before it responded.", zap.String("request", string(q.headers.ID)), zap.String("upstream", string(t.ID)), zap.Any("suspectedParts", blamed))
+}
+
+// awaitVerdict waits while the prompt of a request that has met a crash is suspected of
+// several crashes.
+func (q *request) awaitVerdict(ctx context.Context) {
+	if q.crashes == 0 {
+		return
+	}
+	parts := q.headers.SharedParts
+	for start := q.clock.Now(); q.clock.Now().Sub(start) < verdictTimeout; {
+		if q.state.Prompts().Crashes(q.poolID, parts) < suspectCrashes || q.checkPrompt() != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-q.clock.After(verdictPollInterval):
+		}
+	}
+}
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -14,6 +14,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/gateway"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/path"
+	"github.com/bilberryrock/bilberryrock/internal/registry/quarantine"
 	"github.com/bilberryrock/bilberryrock/internal/routing/pool"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -58,6 +59,7 @@
 		if s.runAttempt(ctx) {
 			return
 		}
+		s.awaitVerdict(ctx)
 	}
 	s.giveUp(ctx)
 }
@@ -111,6 +113,8 @@
 	// refusals is the number of consecutive attempts that an engine without free
 	// memory refused.
 	refusals     int
+	// received is the number of events that the engines have sent for this request.
+	received     int
 	lastProgress time.Time // when progress was last reported to the planner
 }
 
@@ -118,6 +122,7 @@
 type destination struct {
 	hops   []path.Hop
 	target exchange.Target
+	engine quarantine.Engine
 	done   func(ok bool, refused bool)
 }
 
@@ -151,6 +156,7 @@
 		}
 		return destination{
 			hops: hops, target: exchange.Target{ID: hops[0].ID, Address: hops[0].Address},
+			engine: quarantine.HashEngine(hops[0].ID, hops[0].Incarnation),
 			done: func(ok, _ bool) { p.Done(hops, ok) },
 		}, nil
 	}
@@ -162,6 +168,7 @@
 	s.avoid = append(s.avoid, u.ID)
 	return destination{
 		target: exchange.Target{ID: u.ID, Address: u.Address},
+		engine: quarantine.HashEngine(u.ID, u.Incarnation),
 		done: func(ok, refused bool) {
 			switch {
 			case ok:
@@ -235,6 +242,9 @@
 	if refused {
 		s.markFailed(t.target.Address)
 	}
+	if res == unknownOutcome && s.received < minProgressEvents && ctx.Err() == nil {
+		s.recordCrash(ctx, t.target, t.engine, err)
+	}
 	s.lastErr = err
 	s.logger.Info("A stream broke.", zap.String("request", string(s.headers.ID)), zap.String("upstream", string(t.target.ID)),
 		zap.Uint64("lastEvent", s.lastEvent), zap.Int64("events", w.events.Load()), zap.Any("sharedParts", s.headers.SharedParts),
@@ -312,6 +322,7 @@
 			s.sendHead(x.Response)
 			s.outcome = "answered"
 			x.Keep()
+			s.state.Prompts().RecordProgress(s.poolID, s.headers.SharedParts)
 			return true, answered, nil
 		}
 		if err != nil {
@@ -324,6 +335,10 @@
 		if !e.comment {
 			w.progress()
 			s.reportProgress(w.dest)
+			s.received++
+			if s.received == minProgressEvents {
+				s.state.Prompts().RecordProgress(s.poolID, s.headers.SharedParts)
+			}
 		}
 		s.sendHead(x.Response)
 		if e.id > 0 {
--- a/internal/gateway/path/path.go
+++ b/internal/gateway/path/path.go
@@ -90,9 +90,10 @@
 
 // Hop is the range of layers that one engine runs in a path.
 type Hop struct {
-	ID      fleet.UpstreamID
-	Address string
-	Layers  upstream.LayerRange
+	ID          fleet.UpstreamID
+	Incarnation fleet.Incarnation
+	Address     string
+	Layers      upstream.LayerRange
 }
 
 // Planner chooses paths for one pool. It is safe for concurrent use.
@@ -443,7 +444,7 @@
 		best[j][d] = &partialPath{
 			cost: c, prev: s, length: s.length + 1, dataCentre: d,
 			hop: Hop{
-				ID: e.entry.ID, Address: e.entry.Address,
+				ID: e.entry.ID, Incarnation: e.entry.Incarnation, Address: e.entry.Address,
 				Layers: upstream.LayerRange{From: fleet.Layer(from), To: fleet.Layer(p.layerBounds[j])},
 			},
 		}
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -19,6 +19,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/registry"
 	"github.com/bilberryrock/bilberryrock/internal/registry/catalog"
 	"github.com/bilberryrock/bilberryrock/internal/registry/feed"
+	"github.com/bilberryrock/bilberryrock/internal/registry/quarantine"
 	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
 	"github.com/bilberryrock/bilberryrock/internal/release"
 	"github.com/bilberryrock/bilberryrock/internal/release/table"
@@ -82,6 +83,7 @@
 	client     *exchange.Client
 	logger     *zap.Logger
 	catalog    *catalog.Catalog
+	prompts    *quarantine.Table
 
 	table       atomic.Pointer[table.Table]
 	confirmedAt atomic.Int64 // Clock.Boot in nanoseconds, or 0
@@ -96,10 +98,13 @@
 func New(clock Clock, dataCentre fleet.DataCentreID, d release.Decoder, l Limits, c *exchange.Client, log *zap.Logger) *State {
 	return &State{
 		clock: clock, dataCentre: dataCentre, decoder: d, limits: l, client: c, logger: log.Named("state"),
-		catalog: catalog.New(clock), pools: make(map[fleet.PoolID]*Pool),
+		catalog: catalog.New(clock), prompts: quarantine.New(clock, log), pools: make(map[fleet.PoolID]*Pool),
 	}
 }
 
+// Prompts returns the prompt records of this gateway.
+func (s *State) Prompts() *quarantine.Table { return s.prompts }
+
 // ClockReading implements feed.Receiver.
 func (s *State) ClockReading() time.Duration { return s.clock.Boot() }
 
--- a/internal/registry/feed/client.go
+++ b/internal/registry/feed/client.go
@@ -11,6 +11,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/registry"
 	"github.com/bilberryrock/bilberryrock/internal/registry/catalog"
+	"github.com/bilberryrock/bilberryrock/internal/registry/quarantine"
 	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
 	"github.com/bilberryrock/bilberryrock/internal/release"
 	"github.com/bilberryrock/bilberryrock/internal/release/store"
@@ -50,6 +51,8 @@
 	// Sums are the sums of all gateways, or of those of the sending controller if a
 	// controller follows it. They are nil in messages between two intervals.
 	Sums *usage.Report
+	// Prompts holds the changed prompt records.
+	Prompts []quarantine.Record
 }
 
 // Renew merges the renewals into a catalog that has the entries of the stream. It fails
@@ -87,6 +90,7 @@
 	dialOptions []grpc.DialOption
 	// onlyController is the only controller to follow, or empty.
 	onlyController string
+	prompts        *quarantine.Table
 	cancel         context.CancelFunc
 	wg             sync.WaitGroup
 
@@ -124,9 +128,12 @@
 	return func(c *Client) { c.dialOptions = append(c.dialOptions, os...) }
 }
 
+// WithPrompts sets the table whose prompt records are exchanged with the controller.
+func WithPrompts(t *quarantine.Table) ClientOption { return func(c *Client) { c.prompts = t } }
+
 // NewClient starts a client that follows controllers until Stop is called.
 func NewClient(id fleet.InstanceID, clock fleet.Clock, r Receiver, l *zap.Logger, os ...ClientOption) *Client {
-	c := &Client{instance: id, clock: clock, receiver: r, logger: l.Named("feed")}
+	c := &Client{instance: id, clock: clock, receiver: r, logger: l.Named("feed"), prompts: quarantine.New(clock, l)}
 	for _, o := range os {
 		o(c)
 	}
@@ -236,6 +243,7 @@
 	if err := s.Send(request); err != nil {
 		return errors.Wrapf(err, "follow %s", address)
 	}
+	promptRevision := uint64(0)
 	firstUpdate := true
 	for {
 		p, err := s.Recv()
@@ -252,6 +260,7 @@
 			return errors.Wrapf(err, "follow %s", address)
 		}
 		c.AddControllers(u.Controllers)
+		c.prompts.Merge(u.Prompts)
 		if err := c.receiver.Receive(u); err != nil {
 			return errors.Wrapf(err, "follow %s", address)
 		}
@@ -269,6 +278,9 @@
 			report := c.receiver.Report()
 			request.Uses, request.Sends = statsToProto(report.Upstreams), attemptsToProto(report.Attempts)
 		}
+		var prompts []quarantine.Record
+		prompts, promptRevision = c.prompts.Delta(promptRevision)
+		request.Prompts = promptsToProto(prompts, c.clock.Now())
 		if err := s.Send(request); err != nil {
 			return errors.Wrapf(err, "follow %s", address)
 		}
@@ -297,5 +309,6 @@
 	for _, r := range p.GetSigns() {
 		u.Renewals = append(u.Renewals, renewalFromProto(r, now))
 	}
+	u.Prompts = promptsFromProto(p.GetPrompts(), now)
 	return u, nil
 }
--- a/internal/registry/feed/codec.go
+++ b/internal/registry/feed/codec.go
@@ -7,6 +7,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/admission/budget"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/registry"
+	"github.com/bilberryrock/bilberryrock/internal/registry/quarantine"
 	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 )
@@ -86,3 +87,44 @@
 func lastHeartbeatFromProto(ageUs uint64, now time.Time) time.Time {
 	return now.Add(-time.Duration(ageUs) * time.Microsecond)
 }
+
+func promptsToProto(rs []quarantine.Record, now time.Time) []*peerv1.PromptRecord {
+	ps := make([]*peerv1.PromptRecord, len(rs))
+	for i, r := range rs {
+		p := &peerv1.PromptRecord{Pool: string(r.Pool), Part: string(r.Part), Depth: uint32(r.Depth)}
+		for e, at := range r.Crashes {
+			p.Crashes = append(p.Crashes, &peerv1.EngineCrash{Engine: uint32(e), AgeMs: ageMs(at, now)})
+		}
+		if !r.LastProgress.IsZero() {
+			age := ageMs(r.LastProgress, now)
+			p.ProgressAgeMs = &age
+		}
+		ps[i] = p
+	}
+	return ps
+}
+
+func promptsFromProto(ps []*peerv1.PromptRecord, now time.Time) []quarantine.Record {
+	rs := make([]quarantine.Record, len(ps))
+	for i, p := range ps {
+		r := quarantine.Record{
+			Key:   quarantine.Key{Pool: fleet.PoolID(p.GetPool()), Part: fleet.PromptPartID(p.GetPart())},
+			Depth: int(p.GetDepth()), Crashes: make(map[quarantine.Engine]time.Time, len(p.GetCrashes())),
+		}
+		for _, c := range p.GetCrashes() {
+			r.Crashes[quarantine.Engine(c.GetEngine())] = timeOfAgeMs(c.GetAgeMs(), now)
+		}
+		if p.ProgressAgeMs != nil {
+			r.LastProgress = timeOfAgeMs(p.GetProgressAgeMs(), now)
+		}
+		rs[i] = r
+	}
+	return rs
+}
+
+// ageMs returns the time since at in milliseconds, and at least 0.
+func ageMs(at, now time.Time) uint64 { return uint64(max(0, now.Sub(at)).Milliseconds()) }
+
+func timeOfAgeMs(age uint64, now time.Time) time.Time {
+	return now.Add(-time.Duration(age) * time.Millisecond)
+}
--- a/internal/registry/feed/server.go
+++ b/internal/registry/feed/server.go
@@ -12,6 +12,7 @@
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/registry/catalog"
+	"github.com/bilberryrock/bilberryrock/internal/registry/quarantine"
 	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
 	"github.com/bilberryrock/bilberryrock/internal/release"
 	"github.com/bilberryrock/bilberryrock/internal/release/store"
@@ -25,6 +26,9 @@
 	Interval = 250 * time.Millisecond
 	// batchDelay is the pause after a change in which further changes join its message.
 	batchDelay = 5 * time.Millisecond
+	// promptBatchDelay replaces batchDelay after a change of the prompt records, since
+	// many gateways report the same crash.
+	promptBatchDelay = 40 * time.Millisecond
 	// unconfirmedInterval replaces Interval for a gateway without a confirmation, since it
 	// accepts no requests until it has one.
 	unconfirmedInterval = 40 * time.Millisecond
@@ -61,6 +65,7 @@
 	source  Source
 	usage   *usage.Table
 	sums    *sumsCache
+	prompts *quarantine.Table
 	logger  *zap.Logger
 	stop    chan struct{}
 }
@@ -70,7 +75,7 @@
 func NewServer(clock fleet.Clock, c *catalog.Catalog, s *store.Store, o Source, l *zap.Logger) *Server {
 	table := usage.New(clock)
 	return &Server{
-		clock: clock, catalog: c, store: s, source: o, usage: table, sums: &sumsCache{table: table},
+		clock: clock, catalog: c, store: s, source: o, usage: table, sums: &sumsCache{table: table}, prompts: quarantine.New(clock, l),
 		logger: l.Named("feed"), stop: make(chan struct{}),
 	}
 }
@@ -97,6 +102,10 @@
 	return ids
 }
 
+// Prompts returns the table of prompt records that the server exchanges with its
+// followers.
+func (s *Server) Prompts() *quarantine.Table { return s.prompts }
+
 // Stop ends all streams, so that the followers switch to other controllers.
 func (s *Server) Stop() { close(s.stop) }
 
@@ -128,6 +137,7 @@
 				return // the context of the stream is done as well
 			}
 			readings.add(q.GetStamp(), s.clock.Now())
+			s.prompts.Merge(promptsFromProto(q.GetPrompts(), s.clock.Now()))
 			if !r.GetController() && !q.GetBare() {
 				s.usage.SetGateway(instance, usage.Report{Upstreams: statsFromProto(q.GetUses()), Attempts: attemptsFromProto(q.GetSends())})
 			}
@@ -143,10 +153,10 @@
 	s.logger.Info("Follower connected.", zap.String("instance", r.GetInstance()), zap.Bool("controller", r.GetController()))
 	defer s.logger.Info("Follower disconnected.", zap.String("instance", r.GetInstance()))
 	sentVersion := release.Version(r.GetVersion())
-	revision := uint64(0)
+	revision, promptRevision := uint64(0), uint64(0)
 	var sumsSent time.Time // when the newest sums were sent
 	for {
-		changed := s.catalog.Changed()
+		changed, promptsChanged := s.catalog.Changed(), s.prompts.Changed()
 		current, replaced := s.store.Current()
 		u := s.update(r.GetController(), &revision)
 		if now := s.clock.Now(); now.Sub(sumsSent) >= Interval {
@@ -155,6 +165,9 @@
 			}
 			sumsSent = now
 		}
+		var prompts []quarantine.Record
+		prompts, promptRevision = s.prompts.Delta(promptRevision)
+		u.Prompts = promptsToProto(prompts, s.clock.Now())
 		c := s.source.Confirmation()
 		u.ConfirmedVersion, u.ConfirmedStamp = uint64(c.Version), readings.before(c.Start)
 		if current.Version > sentVersion && !r.GetController() {
@@ -164,7 +177,7 @@
 		if err := stream.Send(u); err != nil {
 			return err
 		}
-		interval := Interval
+		interval, delay := Interval, batchDelay
 		if u.GetConfirmedStamp() == 0 && !r.GetController() {
 			interval = unconfirmedInterval
 		}
@@ -175,13 +188,15 @@
 			return nil
 		case <-changed:
 		case <-replaced:
+		case <-promptsChanged:
+			delay = promptBatchDelay
 		case <-s.clock.After(interval):
 			continue
 		}
 		select {
 		case <-stream.Context().Done():
 			return nil
-		case <-s.clock.After(batchDelay):
+		case <-s.clock.After(delay):
 		}
 	}
 }
