--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -112,7 +112,7 @@
 	failedOver bool
 	// refusals is the number of consecutive attempts that an engine without free
 	// memory refused.
-	refusals     int
+	refusals int
 	// received is the number of events that the engines have sent for this request.
 	received     int
 	lastProgress time.Time // when progress was last reported to the planner
@@ -157,7 +157,7 @@
 		return destination{
 			hops: hops, target: exchange.Target{ID: hops[0].ID, Address: hops[0].Address},
 			engine: quarantine.HashEngine(hops[0].ID, hops[0].Incarnation),
-			done: func(ok, _ bool) { p.Done(hops, ok) },
+			done:   func(ok, _ bool) { p.Done(hops, ok) },
 		}, nil
 	}
 	lease, err := s.pickUpstream()
