Plan around engines that report layers of another model

Cause: bestSurplus slices the coverage of the model by the range that an engine reports. A range that begins at or beyond the end of the model is out of bounds, or empty, where slices.Min panics. A negative one is out of range in coverage.

Change: a plan treats an engine whose range is not in the model as empty. It gets an order like any empty engine, so it is used again; the gateways skip such engines already.

--- a/internal/placement/cover/cover.go
+++ b/internal/placement/cover/cover.go
@@ -30,6 +30,12 @@
 		return nil
 	}
 	es := slices.Clone(engines)
+	for i := range es {
+		if r := es[i].Layers; r.From < 0 || r.From > r.To || int(r.To) > layers {
+			// These layers are of another model, so the engine counts as empty.
+			es[i].Layers = upstream.LayerRange{}
+		}
+	}
 	slices.SortFunc(es, func(a, b placement.Engine) int { return cmp.Compare(a.ID, b.ID) })
 	var assignments []placement.Assignment
 	for _, g := range groups(layers, es) {
