--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -78,6 +78,14 @@
 	Engine *Engine
 }
 
+const (
+	// MaxLayers is the largest number of layers of a model. Controllers plan with a counter
+	// for each layer.
+	MaxLayers = 1 << 14
+	// maxWeight is the largest weight of a Share. The sum over a route must not overflow.
+	maxWeight = 1 << 40
+)
+
 // Engine describes the engines of one pool and the model that they run together.
 type Engine struct {
 	Layers int
@@ -143,6 +151,9 @@
 	pools := make(map[fleet.PoolID]bool)
 	for _, s := range r.Services {
 		pools[s.Pool] = true
+		if s.Engine != nil && s.Engine.Layers > MaxLayers {
+			return refusal.New(refusal.BadRequest, "the model of service %q has %d layers, the limit is %d", s.Pool, s.Engine.Layers, MaxLayers)
+		}
 	}
 	if err := r.checkRoutes(pools); err != nil {
 		return err
@@ -176,8 +187,8 @@
 			if !pools[s.Pool] {
 				return refusal.New(refusal.BadRequest, "route %q names the unknown service %q", t.Name, s.Pool)
 			}
-			if s.Weight < 0 {
-				return refusal.New(refusal.BadRequest, "route %q has a negative weight", t.Name)
+			if s.Weight < 0 || s.Weight > maxWeight {
+				return refusal.New(refusal.BadRequest, "route %q has the weight %d, it must be from 0 to %d", t.Name, s.Weight, maxWeight)
 			}
 			total += s.Weight
 		}
