End a generation request under which three engines crash

What would be seen: bilberryrockd recovers a request up to 16 times between two tokens, so a prompt that ends the engine which runs its step ends up to 17 engines by itself.

A lost engine was always the engine's fault.

Change: an engine that loses the connection during a step and then refuses a new one has crashed in that step. After three in the same step the request ends with upstreamFailed. Engines that were gone before the step, such as those of a lost rack, don't count.

Open: the daemon remembers nothing of such a prompt for the next request.

--- a/internal/pipeline/courier/courier.go
+++ b/internal/pipeline/courier/courier.go
@@ -44,6 +44,9 @@
 	releaseTimeout = time.Second
 	// maxRecoveries is the maximum number of recoveries without a new token.
 	maxRecoveries = 16
+	// maxCrashes is the number of engines that may crash while they run the same step. The
+	// request, and not the engines, is then assumed to be the cause.
+	maxCrashes = 3
 	// leaveReplanInterval is the minimum time between two replannings of a chain
 	// because of leaving engines.
 	leaveReplanInterval = time.Second
--- a/internal/pipeline/courier/local_test.go
+++ b/internal/pipeline/courier/local_test.go
@@ -219,6 +219,9 @@
 	switch fault {
 	case "die":
 		e.dead, e.absent = true, true
+	case "crash":
+		e.dead, e.absent = true, true
+		return upstream.StepResult{}, refusal.New(refusal.UpstreamFailed, "connection closed")
 	case "thaw":
 		// The frozen engines resume and run the steps that they received.
 		for _, f := range e.simulation.frozenSteps {
--- a/internal/pipeline/courier/recovery.go
+++ b/internal/pipeline/courier/recovery.go
@@ -22,6 +22,9 @@
 	if ctx.Err() != nil {
 		return cause
 	}
+	if r.crashes >= maxCrashes {
+		return refusal.WithCause(refusal.UpstreamFailed, cause, "%d engines crashed in the same step", r.crashes)
+	}
 	r.recoveries++
 	if r.recoveries > maxRecoveries {
 		return refusal.WithCause(refusal.KindOf(cause), cause, "request %s was recovered %d times in vain", r.request.RequestID, maxRecoveries)
--- a/internal/pipeline/courier/run.go
+++ b/internal/pipeline/courier/run.go
@@ -31,6 +31,8 @@
 	excluded []fleet.UpstreamID
 	// recoveries counts the recoveries since the last token.
 	recoveries int
+	// crashes counts the engines that crashed in a step since the last token.
+	crashes int
 	// mayHaveRun tells whether a layer may have run for this request.
 	mayHaveRun bool
 	// lastLeaveReplan is the time of the last replanning because of a leaving engine.
@@ -76,7 +78,7 @@
 	if err := ctx.Err(); err != nil {
 		return upstream.StepResult{}, err
 	}
-	r.recoveries = 0
+	r.recoveries, r.crashes = 0, 0
 	r.migrateFromLeaving(ctx, index)
 	r.layerInputs[0] = append(r.layerInputs[0], input...)
 	var result upstream.StepResult
@@ -115,6 +117,10 @@
 	case err == nil || ctx.Err() != nil:
 	case refusal.KindOf(err) == refusal.UpstreamFailed:
 		result, err = r.sendStep(ctx, i, step)
+		if err != nil && refusal.KindOf(err) == refusal.NoUpstream {
+			// The engine lost the connection during the step and refuses a new one.
+			r.crashes++
+		}
 	case refusal.KindOf(err) == refusal.Overloaded:
 		select {
 		case <-r.executor.clock.After(r.executor.overloadBackoff):
