Treat a stream without length, chunks or events as broken off

What callers saw: an upstream that lost its connection right after the head of a stream without a length and without chunks. The client got an empty stream that looked complete, and the parts of its prompt counted as answered, which would end a quarantine.

Cause: the end of such a connection was taken as that of the stream wherever it came.

Change: with no event at all it counts as broken off and goes on elsewhere, unless the client resumes a stream that it may have whole. A stream that ends within an event, or with a reset, went on elsewhere already.

TestStreamWithoutLengthIsCutAtAnyByte cuts such a stream at each byte; the case 35/false (after the head) failed before.

--- a/internal/gateway/forward/lost_test.go
+++ b/internal/gateway/forward/lost_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -48,3 +50,35 @@
 	}
 	_ = c.Close()
 }
+
+// Guards against streams without a length or chunks that end within an event, or with a
+// reset, and are forwarded as complete, and against events that are missing or come twice
+// after the stream has failed over.
+func TestStreamWithoutLengthIsCutAtAnyByte(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n\r\n"
+	events := []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}
+	whole := head + events[0] + events[1]
+	for _, reset := range []bool{false, true} {
+		for cut := range len(whole) + 1 {
+			t.Run(fmt.Sprintf("%d/%t", cut, reset), func(t *testing.T) {
+				is := is.New(t)
+				w := newTestGateway(t, 2, func(n int, rw http.ResponseWriter, r *http.Request) {
+					if n == 1 {
+						writePartAndClose(rw, r, whole[:cut], reset)
+						return
+					}
+					last, _ := strconv.Atoi(r.Header.Get("After"))
+					respond(rw, strings.Join(events[last:], ""))
+				})
+				status, _, body, complete := w.post(t, "/stream/", "k1")
+				is.Equal(status, http.StatusOK)
+				is.True(complete)
+				if !reset && cut == len(head)+len(events[0]) {
+					is.Equal(body, events[0]) // it ended between events
+					return
+				}
+				is.Equal(body, events[0]+events[1])
+			})
+		}
+	}
+}
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -318,11 +318,17 @@
 	controller := http.NewResponseController(s.w)
 	for {
 		e, err := reader.next()
+		if errors.Is(err, io.EOF) && s.received == 0 && !s.resume && endsWithConnection(x.Response) {
+			// Any end of the connection would pass for that of the stream.
+			return false, unknownOutcome, errors.Wrap(io.ErrUnexpectedEOF, "stream has no event")
+		}
 		if errors.Is(err, io.EOF) {
 			s.sendHead(x.Response)
 			s.outcome = "answered"
 			x.Keep()
-			s.state.Prompts().RecordProgress(s.poolID, s.headers.SharedParts)
+			if !endsWithConnection(x.Response) {
+				s.state.Prompts().RecordProgress(s.poolID, s.headers.SharedParts)
+			}
 			return true, answered, nil
 		}
 		if err != nil {
@@ -356,6 +362,11 @@
 	}
 }
 
+// endsWithConnection reports whether a response has neither a length nor chunks.
+func endsWithConnection(p *http.Response) bool {
+	return p.ContentLength < 0 && len(p.TransferEncoding) == 0
+}
+
 // reportProgress reports to the planner, at most once per progressInterval, that the
 // engines of a path make progress.
 func (s *relay) reportProgress(t destination) {
