Bound what a prompt keeps in memory and how long a crash check takes

A part of a prompt was a substring of its header, so a table with 4096 parts could keep as many headers of up to 64 KiB. The keys of the tables are copies now. The check whether an engine refuses connections waits 100 ms at most instead of 400 ms, as it delays the next attempt of the request.

--- a/internal/gateway/forward/prompt.go
+++ b/internal/gateway/forward/prompt.go
@@ -15,6 +15,9 @@
 	// minProgressEvents is the number of events after which an engine has responded to a
 	// prompt. An engine that crashes may send one event before.
 	minProgressEvents = 2
+	// crashProbeTimeout limits the check whether an engine has crashed. A host refuses a
+	// connection to a closed port within one round trip.
+	crashProbeTimeout = 100 * time.Millisecond
 	// suspectCrashes is the number of crashes under a part of a prompt after which a
 	// request that has met one of them waits up to verdictTimeout before its next attempt,
 	// checking every verdictPollInterval. In that time the gateways agree on the cause.
@@ -36,7 +39,12 @@
 // recordCrash records that the engine of an attempt crashed before it responded to the
 // prompt, if that is why the attempt failed with err.
 func (q *request) recordCrash(ctx context.Context, t exchange.Target, e quarantine.Engine, err error) {
-	if len(q.headers.SharedParts) == 0 || !exchange.ConnectionLost(err) || !q.client.RefusesConnections(ctx, t) {
+	if len(q.headers.SharedParts) == 0 || !exchange.ConnectionLost(err) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
+	defer cancel()
+	if !q.client.RefusesConnections(ctx, t) {
 		return
 	}
 	blamed := q.state.Prompts().RecordCrash(q.poolID, q.headers.SharedParts, e)
--- a/internal/registry/quarantine/quarantine.go
+++ b/internal/registry/quarantine/quarantine.go
@@ -17,6 +17,7 @@
 
 import (
 	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -54,6 +55,11 @@
 	Part fleet.PromptPartID
 }
 
+// clone returns a copy that does not keep the headers of the request in memory.
+func (k Key) clone() Key {
+	return Key{k.Pool, fleet.PromptPartID(strings.Clone(string(k.Part)))}
+}
+
 // Engine identifies one incarnation of an engine by a hash.
 type Engine uint32
 
@@ -136,6 +142,9 @@
 	}
 	for _, p := range parts {
 		k := Key{pool, p}
+		if _, ok := t.progress[k]; !ok {
+			k = k.clone()
+		}
 		t.progress[k] = now
 		if r := t.records[k]; r != nil && now.Sub(r.LastProgress) > progressReportInterval {
 			t.merge(Record{Key: k, LastProgress: now}, now)
@@ -176,6 +185,7 @@
 			return
 		}
 		t.makeRoom()
+		o.Key = o.clone()
 		r = &record{Record: Record{Key: o.Key, Crashes: make(map[Engine]time.Time)}, firstKnown: now}
 		r.LastProgress = t.lastProgress(o.Key)
 		t.records[o.Key] = r
