Do not wait for a verdict on a request without a further attempt

What callers would see: a request that may run once and met a crash was answered with 502 up to a second late, while the gateway waited for a verdict on its prompt.

Cause: the wait did not ask whether another attempt is allowed.

TestRequestWithoutFurtherAttemptFailsAtOnce failed before (waited 1s).

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -135,7 +135,7 @@
 	// crashes is the number of engines that crashed before they responded to the prompt,
 	// while it may have been the cause.
 	crashes int
-	// waited is the time spent waiting for a usable path.
+	// waited is the time spent waiting for a usable path, or for a verdict on the prompt.
 	waited time.Duration
 	// timing records when the events of a stream were written to the client.
 	timing eventTiming
--- a/internal/gateway/forward/prompt.go
+++ b/internal/gateway/forward/prompt.go
@@ -57,20 +57,21 @@
 }
 
 // awaitVerdict waits while the prompt of a request that has met a crash is suspected of
-// several crashes.
+// several crashes. It doesn't wait if the request has no further attempt.
 func (q *request) awaitVerdict(ctx context.Context) {
-	if q.crashes == 0 {
+	if q.crashes == 0 || !q.withinRouteLimits(q.possibleRuns, q.attempts) {
 		return
 	}
 	parts := q.headers.SharedParts
 	for start := q.clock.Now(); q.clock.Now().Sub(start) < verdictTimeout; {
-		if q.state.Prompts().Crashes(q.poolID, parts) < suspectCrashes || q.checkPrompt() != nil {
+		if q.state.Prompts().Crashes(q.poolID, parts) < suspectCrashes || q.checkPrompt() != nil || !q.reserveRetry() {
 			return
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-q.clock.After(verdictPollInterval):
+			q.waited += verdictPollInterval
 		}
 	}
 }
--- a/internal/gateway/forward/quarantine_test.go
+++ b/internal/gateway/forward/quarantine_test.go
@@ -56,3 +56,20 @@
 	is.Equal(status, http.StatusOK)
 	is.True(complete)
 }
+
+// Guards against a client that waits for a verdict on its prompt although its request
+// cannot be sent again.
+func TestRequestWithoutFurtherAttemptFailsAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, 8, crashOnPart)
+	for range 2 {
+		status, _, _, _ := w.postPrompt(t, "/once/", "k1", "bad")
+		is.Equal(status, http.StatusBadGateway)
+	}
+	ended := w.logs.FilterMessage("A request ended.").All()
+	is.Equal(len(ended), 2)
+	for _, l := range ended {
+		is.Equal(l.ContextMap()["waited"], time.Duration(0))
+	}
+	is.Equal(w.logs.FilterMessage("An engine crashed before it responded.").Len(), 2)
+}
