Check only suspected prompts for a crash of their engine

Change: the parts that may be blamed are determined first; without one there is no check.

TestSoundPromptIsNotProbedAfterCrash failed before (three connections instead of two).

--- a/internal/gateway/forward/prompt.go
+++ b/internal/gateway/forward/prompt.go
@@ -42,18 +42,21 @@
 	if len(q.headers.SharedParts) == 0 || !exchange.ConnectionLost(err) {
 		return
 	}
+	prompts := q.state.Prompts()
+	suspects := prompts.Suspects(q.poolID, q.headers.SharedParts)
+	if len(suspects) == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
 	defer cancel()
 	if !q.client.RefusesConnections(ctx, t) {
 		return
 	}
-	blamed := q.state.Prompts().RecordCrash(q.poolID, q.headers.SharedParts, e)
-	if len(blamed) == 0 {
-		return
-	}
+	prompts.RecordCrash(q.poolID, q.headers.SharedParts, e)
 	q.crashes++
 	q.metrics.crashed()
-	q.logger.Warn("An engine crashed before it responded.", zap.String("request", string(q.headers.ID)), zap.String("upstream", string(t.ID)), zap.Any("suspectedParts", blamed))
+	q.logger.Warn("An engine crashed before it responded.", zap.String("request", string(q.headers.ID)),
+		zap.String("upstream", string(t.ID)), zap.Any("suspectedParts", suspects))
 }
 
 // awaitVerdict waits while the prompt of a request that has met a crash is suspected of
--- a/internal/gateway/forward/quarantine_test.go
+++ b/internal/gateway/forward/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,3 +74,26 @@
 	}
 	is.Equal(w.logs.FilterMessage("An engine crashed before it responded.").Len(), 2)
 }
+
+// Guards against a further connection for each stream that loses its engine although its
+// prompt cannot be the cause, on days on which many engines are lost.
+func TestSoundPromptIsNotProbedAfterCrash(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, 8, func(n int, rw http.ResponseWriter, r *http.Request) {
+		if n == 2 {
+			_ = r.Context().Value(http.ServerContextKey).(*http.Server).Close()
+			abort()
+		}
+		crashOnPart(n, rw, r)
+	})
+	status, _, _, _ := w.postPrompt(t, "/stream/", "k1", "sound")
+	is.Equal(status, http.StatusOK)
+	w.clock.offset.Add(int64(10 * time.Second)) // idle connections expire
+	var dials atomic.Int64
+	count := func() { dials.Add(1) }
+	w.beforeDial.Store(&count)
+	status, _, _, _ = w.postPrompt(t, "/stream/", "k1", "sound")
+	is.Equal(status, http.StatusOK)
+	is.Equal(len(w.receivedHeaders()), 3)
+	is.Equal(dials.Load(), int64(2)) // one for each attempt
+}
--- a/internal/registry/quarantine/quarantine.go
+++ b/internal/registry/quarantine/quarantine.go
@@ -114,22 +114,36 @@
 	}
 }
 
+// Suspects returns the parts that would be blamed for a crash now, which are those without
+// recent progress.
+func (t *Table) Suspects(pool fleet.PoolID, parts []fleet.PromptPartID) []fleet.PromptPartID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	var suspects []fleet.PromptPartID
+	for _, p := range parts {
+		if t.suspect(Key{pool, p}, now) {
+			suspects = append(suspects, p)
+		}
+	}
+	return suspects
+}
+
+func (t *Table) suspect(k Key, now time.Time) bool {
+	return now.Sub(t.lastProgress(k)) >= progressProtection
+}
+
 // RecordCrash records that an engine crashed before it responded to a request with the
-// given parts. It returns the parts that may be the cause.
-func (t *Table) RecordCrash(pool fleet.PoolID, parts []fleet.PromptPartID, e Engine) []fleet.PromptPartID {
+// given parts.
+func (t *Table) RecordCrash(pool fleet.PoolID, parts []fleet.PromptPartID, e Engine) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	var blamed []fleet.PromptPartID
 	for i, p := range parts {
-		k := Key{pool, p}
-		if now.Sub(t.lastProgress(k)) < progressProtection {
-			continue
+		if k := (Key{pool, p}); t.suspect(k, now) {
+			t.merge(Record{Key: k, Depth: i, Crashes: map[Engine]time.Time{e: now}}, now)
 		}
-		blamed = append(blamed, p)
-		t.merge(Record{Key: k, Depth: i, Crashes: map[Engine]time.Time{e: now}}, now)
 	}
-	return blamed
 }
 
 // RecordProgress records that an engine responded to a request with the given parts.
