Forget crashes of prompts in tables that only pass them on

What would be seen: a controller keeps the crashes of a prompt for as long as it runs, since only the check of a request removed them. Once a part has 32 of them, later crashes are not taken up and do not reach the other gateways. Found by reading.

TestCrashesExpire failed before (32 crashes were left instead of 1).

--- a/internal/registry/quarantine/quarantine.go
+++ b/internal/registry/quarantine/quarantine.go
@@ -257,6 +257,7 @@
 func (t *Table) Delta(after uint64) ([]Record, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.updateVerdicts()
 	if t.revision == after {
 		return nil, after
 	}
@@ -346,7 +347,8 @@
 	t.nextVerdict = now.Add(verdictDelay)
 	candidates := make(map[*record]map[Engine]bool)
 	for k, r := range t.records {
-		if !hasRecentCrash(r.Crashes, now) {
+		maps.DeleteFunc(r.Crashes, func(_ Engine, at time.Time) bool { return now.Sub(at) >= crashRetention })
+		if len(r.Crashes) == 0 {
 			t.setVerdict(r, false)
 			delete(t.records, k)
 			continue
--- a/internal/registry/quarantine/quarantine_test.go
+++ b/internal/registry/quarantine/quarantine_test.go
@@ -122,6 +122,30 @@
 	is.Equal(len(records), 0)
 }
 
+// Guards against crashes that are never forgotten by a table that only passes records on,
+// and against forgotten ones that leave no room for those of today.
+func TestCrashesExpire(t *testing.T) {
+	is := is.New(t)
+	clock := fakeclock.New(fakeclock.Start)
+	table := quarantine.New(clock, zap.NewNop())
+	bad := partIDs("bad")
+	for i := range 31 {
+		table.RecordCrash("pool", bad, quarantine.Engine(i))
+	}
+	clock.Advance(9 * time.Minute)
+	table.RecordCrash("pool", bad, 31)
+	clock.Advance(2 * time.Minute)
+	records, revision := table.Delta(0)
+	is.Equal(len(records[0].Crashes), 1)
+	table.RecordCrash("pool", bad, 32)
+	table.RecordCrash("pool", bad, 33)
+	records, _ = table.Delta(revision)
+	is.Equal(len(records[0].Crashes), 3)
+	clock.Advance(time.Hour)
+	records, _ = table.Delta(0)
+	is.Equal(len(records), 0)
+}
+
 // BenchmarkRequest measures what a sound request costs while the table is full: two
 // checks of its parts, and the record of its progress.
 func BenchmarkRequest(b *testing.B) {
