--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -47,6 +48,10 @@
 	gateways    []*machine
 	record      *record
 	stop        chan struct{}
+	starts      chan func() // run by the thread that starts processes
+	ended       sync.Once
+	mu          sync.Mutex
+	listed      []*machine // controllers in the operator's list, or nil for the first three
 	wg          sync.WaitGroup
 }
 
@@ -59,8 +64,8 @@
 	cmd     *exec.Cmd
 	ended   chan struct{}
 	started int
-	gone    bool // not restarted
-	wipe    bool // restarted with an empty data folder
+	gone    bool          // not restarted
+	wipe    bool          // restarted with an empty data folder
 	pause   time.Duration // before the restart
 }
 
@@ -76,7 +81,14 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, binary: binary, record: r, stop: make(chan struct{})}
+	f := &fleet{dir: dir, binary: binary, record: r, stop: make(chan struct{}), starts: make(chan func())}
+	go func() {
+		// The kernel ends the processes together with the thread that started them.
+		runtime.LockOSThread()
+		for start := range f.starts {
+			start()
+		}
+	}()
 	f.network = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
 	if err := f.pickPorts(controllers + gateways + 10); err != nil {
 		return nil, err
@@ -125,7 +137,7 @@
 func (m *machine) settings(bootstrap bool) string {
 	f := m.fleet
 	var seeds []string
-	for _, c := range f.controllers[:min(3, len(f.controllers))] {
+	for _, c := range f.seeds() {
 		seeds = append(seeds, strconv.Quote(c.address(controlPort)))
 	}
 	class, serves, listen, data := "front", `["front"]`, fmt.Sprintf("front = %q\nready = %q", m.address(frontPort), m.address(readyPort)), ""
@@ -187,6 +199,23 @@
 		strings.Join(seeds, ","), bootstrap, m.role == "controller", data, listen, limits)
 }
 
+// seeds returns the controllers that a settings file names when it is written.
+func (f *fleet) seeds() []*machine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listed == nil {
+		return f.controllers[:3]
+	}
+	return f.listed
+}
+
+// list sets the controllers that later settings files name.
+func (f *fleet) list(ms ...*machine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = ms
+}
+
 // launch starts the process and keeps it running: one that ends is started again.
 func (m *machine) launch(bootstrap bool) error {
 	if m.role == "controller" {
@@ -256,7 +285,9 @@
 	m.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	m.ended = make(chan struct{})
 	m.started++
-	return m.cmd.Start()
+	failed := make(chan error)
+	m.fleet.starts <- func() { failed <- m.cmd.Start() }
+	return <-failed
 }
 
 func (m *machine) signal(s syscall.Signal) {
@@ -323,7 +354,9 @@
 }
 
 // end kills all processes and removes the folder, unless KEEP is set.
-func (f *fleet) end() {
+func (f *fleet) end() { f.ended.Do(f.killAll) }
+
+func (f *fleet) killAll() {
 	close(f.stop)
 	for _, m := range append(append([]*machine(nil), f.controllers...), f.gateways...) {
 		m.mu.Lock()
--- a/review/standin/learner.go
+++ b/review/standin/learner.go
@@ -61,6 +61,7 @@
 	time.Sleep(catchUp + contact)
 	r.note("%s gets SIGTERM and is removed for good", leaver.name)
 	leaver.removeForGood()
+	f.list(f.controllers[leader], frozen, successor)
 	time.Sleep(10 * time.Second)
 	if n := f.lookups(r, 20, "replaced"); n < 20 {
 		return nil, fmt.Errorf("only %d of 20 requests were served after the replacement", n)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -8,7 +8,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 )
 
 // cases maps names to cases. A case returns what broke the rule, or nothing.
@@ -42,6 +44,13 @@
 		return 2
 	}
 	defer f.end()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		f.end()
+		os.Exit(2)
+	}()
 	if err := f.begin(sparesOf[name]); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/review/standin/replace.go
+++ b/review/standin/replace.go
@@ -50,6 +50,7 @@
 	time.Sleep(catchUp + 2*time.Second)
 	r.note("%s gets SIGTERM and is removed for good", leaver.name)
 	leaver.removeForGood()
+	f.list(f.controllers[1:]...)
 	time.Sleep(2 * time.Second)
 	if _, err := f.control("PUT", "/config", configuration(8, lookup), 10*time.Second); err != nil {
 		return nil, err
--- a/review/standin/shrink.go
+++ b/review/standin/shrink.go
@@ -47,6 +47,7 @@
 		m.removeForGood()
 		time.Sleep(2 * catchUp)
 	}
+	f.list(f.controllers[2:]...)
 	time.Sleep(2 * catchUp)
 	if n := f.lookups(r, 20, "replaced"); n < 20 {
 		return nil, fmt.Errorf("only %d of 20 requests were served after the replacement", n)
