--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -21,11 +21,14 @@
 
 // Bounds of the deployment, as in the settings that DEPLOY.md shows.
 const (
-	heartbeat   = 1200 * time.Millisecond
-	contact     = 3 * time.Second
-	configApply = 2 * time.Second
-	grace       = 8 * time.Second
-	lossSlack   = 200 * time.Millisecond
+	heartbeat = 1200 * time.Millisecond
+	contact   = 3 * time.Second
+	grace     = 8 * time.Second
+	catchUp   = 4 * time.Second
+	recovery  = 12 * time.Second
+	// settled is longer than the grace time and the time to catch up together: after it,
+	// a machine that got SIGTERM and left for good has stopped counting in any case.
+	settled = grace + catchUp + 2*time.Second
 )
 
 // Ports relative to the first one. They are the same on all machines.
--- a/review/standin/learner.go
+++ b/review/standin/learner.go
@@ -62,7 +62,7 @@
 	r.note("%s gets SIGTERM and is removed for good", leaver.name)
 	leaver.removeForGood()
 	f.list(f.controllers[leader], frozen, successor)
-	time.Sleep(10 * time.Second)
+	time.Sleep(settled)
 	if n := f.lookups(r, 20, "replaced"); n < 20 {
 		return nil, fmt.Errorf("only %d of 20 requests were served after the replacement", n)
 	}
--- a/review/standin/shrink.go
+++ b/review/standin/shrink.go
@@ -40,15 +40,14 @@
 		if err := m.launch(false); err != nil {
 			return nil, err
 		}
-		time.Sleep(2 * catchUp)
+		time.Sleep(catchUp + time.Second)
 	}
 	for _, m := range f.controllers[:2] {
 		r.note("%s gets SIGTERM and is removed for good", m.name)
 		m.removeForGood()
-		time.Sleep(2 * catchUp)
+		time.Sleep(settled)
 	}
 	f.list(f.controllers[2:]...)
-	time.Sleep(2 * catchUp)
 	if n := f.lookups(r, 20, "replaced"); n < 20 {
 		return nil, fmt.Errorf("only %d of 20 requests were served after the replacement", n)
 	}
