--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,9 +19,6 @@
 // sparesOf is the number of controllers beyond three that a case starts itself.
 var sparesOf = map[string]int{}
 
-// gatewaysOf is the number of gateways of a case, 1 if it is not listed.
-var gatewaysOf = map[string]int{}
-
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
@@ -38,7 +35,7 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.note("case %s, trouble %t", name, trouble)
-	f, err := newFleet(r, 3+sparesOf[name], max(1, gatewaysOf[name]))
+	f, err := newFleet(r, 3+sparesOf[name], 1)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
