Remove departed voters while the group keeps its fault tolerance

Long after that one controller lost its disk. All requests were refused with 503 and GET /config answered 503 for good.

Cause: an absent voter was removed only from an even number of voters. Five voters of which two had left stayed five, with a majority of three, so that no further loss was survived.

Refuted: that the voter with the empty disk does not find the group (replace.txt covers it).

Change: an absent voter is removed if the rest survives as many losses as before, or as many as the deployment asks for ([fault-tolerance] machines, 1 by default). Removing an absent voter never raises the majority that is needed, and the remaining 2f+1 voters survive f lost disks. Groups with an even number behave as before. Membership changes are logged.

--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -146,7 +146,7 @@
 func runController(s platform.Settings, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
 	clock := systemclock.NewBootClock()
 	c, err := controller.New(controller.Settings{
-		Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerAddress, Folder: s.DataDir, Bootstrap: s.Bootstrap, Seeds: s.PeerSeeds,
+		Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerAddress, Folder: s.DataDir, Bootstrap: s.Bootstrap, Seeds: s.PeerSeeds, FaultTolerance: s.FaultTolerance,
 		HeartbeatTimeout: maxMissedHeartbeats * s.HeartbeatInterval, DialOptions: dialOptions(),
 	}, platform.Configuration{}, platform.Engines{Client: exchange.New(clock)}, clock, log)
 	if err != nil {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -64,6 +64,9 @@
 	// Seeds are then the initial voters.
 	Bootstrap bool
 	Seeds     []string
+	// FaultTolerance is the number of controllers whose simultaneous loss the control
+	// plane must survive. The default is voter.DefaultFaultTolerance.
+	FaultTolerance int
 	// HeartbeatTimeout is the age of the last heartbeat up to which an upstream is used.
 	HeartbeatTimeout time.Duration
 	// DialOptions are the options for connections to other daemons.
@@ -161,6 +164,9 @@
 		voter.Group(quorum.ConfigGroup, c.store), voter.DialOptions(s.DialOptions...), voter.Logger(l),
 		voter.Contacts(contacts(s.Seeds)...), voter.AllowJoin(),
 	}
+	if s.FaultTolerance > 0 {
+		os = append(os, voter.FaultTolerance(s.FaultTolerance))
+	}
 	if s.Bootstrap {
 		os = append(os, voter.InitialVoters(initialVoters(s.Seeds)...))
 	}
--- a/internal/quorum/voter/member.go
+++ b/internal/quorum/voter/member.go
@@ -9,6 +9,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/quorum/journal"
 	"github.com/bilberryrock/bilberryrock/internal/quorum/replica"
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 )
 
 // outcomeTimeout is how long a proposal waits for its outcome after the replica
@@ -56,6 +57,10 @@
 	retainedEntries int
 	// allowJoin lets instances without a voter join.
 	allowJoin bool
+	// faultTolerance is the number of voters whose simultaneous loss the group must
+	// survive.
+	faultTolerance int
+	logger         *zap.Logger
 }
 
 // member connects the replica of one group with its journal and state machine. It
@@ -376,10 +381,18 @@
 	if !ok && m.allowJoin {
 		c, ok = m.nextRemoval(s.Progress)
 	}
-	if ok {
-		// A rejected change is proposed again in the next round.
-		_, _, _ = m.replica.ProposeChange(c)
+	if !ok {
+		return
 	}
+	fields := []zap.Field{
+		zap.String("group", string(m.group)), zap.Stringer("change", c.Kind), zap.Uint64("voter", uint64(c.Voter.ID)),
+		zap.String("instance", string(c.Voter.Instance)),
+	}
+	if _, _, err := m.replica.ProposeChange(c); err != nil {
+		m.logger.Info("A membership change was rejected; it will be proposed again.", append(fields, zap.Error(err))...)
+		return
+	}
+	m.logger.Info("A membership change was proposed.", fields...)
 }
 
 // nextReplacementStep returns the next membership change of a replacement. Once the
@@ -420,7 +433,7 @@
 }
 
 // maxAbsentRounds is the number of rounds of maintainMembers, one per election
-// timeout, after which an absent voter is removed if that lowers the majority.
+// timeout, after which an absent voter may be removed.
 const maxAbsentRounds = 8
 
 func (m *member) countAbsent(ps []replica.Progress) {
@@ -433,11 +446,10 @@
 	m.absentRounds = rounds
 }
 
-// nextRemoval returns the removal of a voter that has been absent for
-// maxAbsentRounds, if the number of voters is even: with one voter less, a smaller
-// majority suffices. Without the removal, an instance that left for good after the
-// new instance that replaces it had joined would count towards the majority for
-// ever. A removed voter that returns joins again.
+// nextRemoval returns the removal of the voter that has been absent for longest, and
+// for maxAbsentRounds at least. Without the removal, an instance that left for good
+// after its successor had joined would count towards the majority for ever. A removed
+// voter that returns joins again.
 func (m *member) nextRemoval(ps []replica.Progress) (replica.Change, bool) {
 	voters := 0
 	var absent replica.Voter
@@ -446,16 +458,24 @@
 			continue
 		}
 		voters++
-		if m.absentRounds[p.Voter.ID] >= maxAbsentRounds {
+		n := m.absentRounds[p.Voter.ID]
+		if n >= maxAbsentRounds && n > m.absentRounds[absent.ID] {
 			absent = p.Voter
 		}
 	}
-	if absent.ID == 0 || voters <= 2 || voters%2 != 0 {
+	if absent.ID == 0 || !canShrink(voters, m.faultTolerance) {
 		return replica.Change{}, false
 	}
 	return replica.Change{Kind: replica.Remove, Voter: absent}, true
 }
 
+// canShrink reports whether a group survives the loss of as many voters without one of
+// its voters as with it, or of faultTolerance voters. It keeps at least two voters.
+func canShrink(voters, faultTolerance int) bool {
+	before, after := (voters-1)/2, (voters-2)/2
+	return voters > 2 && after >= min(before, faultTolerance)
+}
+
 // hasSuccessor reports whether a member in later runs on the instance of v.
 func hasSuccessor(later []replica.Progress, v replica.Voter) bool {
 	return slices.ContainsFunc(later, func(p replica.Progress) bool { return p.Voter.Instance == v.Instance })
--- a/internal/quorum/voter/options.go
+++ b/internal/quorum/voter/options.go
@@ -21,6 +21,7 @@
 	DefaultTickInterval    = 50 * time.Millisecond
 	DefaultSnapshotEntries = 10000
 	DefaultRetainedEntries = 1000
+	DefaultFaultTolerance  = 1
 	// DefaultAttemptTimeout limits one attempt to propose or read. It is longer than
 	// an election, so that a caller does not give up on a leader that is running.
 	DefaultAttemptTimeout = 1500 * time.Millisecond
@@ -60,6 +61,7 @@
 	initial          []Peer
 	contacts         []Peer
 	allowJoin        bool
+	faultTolerance   int
 	stateMachines    map[quorum.GroupID]quorum.QueryableStateMachine
 	groupOrder       []quorum.GroupID
 	tickInterval     time.Duration
@@ -99,6 +101,11 @@
 // a voter that is unavailable, or becomes an additional voter.
 func AllowJoin() Option { return func(c *config) { c.allowJoin = true } }
 
+// FaultTolerance sets the number of voters whose simultaneous loss a group must
+// survive. With AllowJoin, the leader removes voters that stay unreachable while more
+// remain than this takes. The default is DefaultFaultTolerance.
+func FaultTolerance(n int) Option { return func(c *config) { c.faultTolerance = n } }
+
 // Group adds a group and its state machine.
 func Group(id quorum.GroupID, m quorum.QueryableStateMachine) Option {
 	return func(c *config) {
@@ -155,6 +162,7 @@
 		disk: journal.OS{}, clock: systemclock.Clock{}, tickInterval: DefaultTickInterval,
 		stateMachines:   make(map[quorum.GroupID]quorum.QueryableStateMachine),
 		snapshotEntries: DefaultSnapshotEntries, retainedEntries: DefaultRetainedEntries,
+		faultTolerance: DefaultFaultTolerance,
 		attemptTimeout: DefaultAttemptTimeout,
 		cut:            func(_, _ fleet.InstanceID) bool { return false },
 		logger:         zap.NewNop(),
--- a/internal/quorum/voter/script_test.go
+++ b/internal/quorum/voter/script_test.go
@@ -38,9 +38,10 @@
 		s.simulation = newSimulation(1, n)
 		if d.HasArg("allowJoin") {
 			s.allowJoin = true
-			for _, p := range s.peers {
-				p.member.allowJoin = true
-			}
+		}
+		d.MaybeScanArgs(t, "faultTolerance", &s.faultTolerance)
+		for _, p := range s.peers {
+			p.member.allowJoin, p.member.faultTolerance = s.allowJoin, s.faultTolerance
 		}
 		s.copies = make(map[fleet.InstanceID]*quorumtest.Disk)
 	}
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -169,7 +169,8 @@
 	m, err := openMember(memberConfig{
 		group: id, options: o, initial: v.initialVoters(), machine: v.config.stateMachines[id],
 		disk: v.config.disk, dir: dir, send: g.send, background: g.background,
-		snapshotEntries: v.config.snapshotEntries, retainedEntries: v.config.retainedEntries, allowJoin: v.config.allowJoin,
+		snapshotEntries: v.config.snapshotEntries, retainedEntries: v.config.retainedEntries,
+		allowJoin: v.config.allowJoin, faultTolerance: v.config.faultTolerance, logger: v.config.logger,
 	})
 	if err != nil {
 		return err
--- a/internal/quorum/voter/world_test.go
+++ b/internal/quorum/voter/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/quorum/replica"
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 )
 
 // electionTicks is small, so that a schedule contains many elections.
@@ -32,10 +33,12 @@
 	cuts                map[[2]fleet.InstanceID]bool
 	nextID              quorum.VoterID
 	// allowJoin lets instances without a voter join.
-	allowJoin    bool
-	faultRate    int   // faults per 1000 steps
-	sentMessages int   // every eighth one is checked by checkDurable
-	violation    error // first violated invariant
+	allowJoin bool
+	// faultTolerance is that of the members.
+	faultTolerance int
+	faultRate      int   // faults per 1000 steps
+	sentMessages   int   // every eighth one is checked by checkDurable
+	violation      error // first violated invariant
 
 	leaders         map[quorum.Term]quorum.VoterID
 	entries         map[entryID]entryDigest
@@ -131,6 +134,7 @@
 		random: rand.New(rand.NewPCG(seed, 1)), cuts: make(map[[2]fleet.InstanceID]bool), nextID: 100,
 		leaders: make(map[quorum.Term]quorum.VoterID), entries: make(map[entryID]entryDigest),
 		stateHashes: make(map[quorum.Index]uint64), appliedCommands: make(map[string]quorum.Index), counts: make(map[string]int),
+		faultTolerance: DefaultFaultTolerance,
 	}
 	for i := range n {
 		p := &simPeer{sim: sim, id: quorum.VoterID(i + 1), instance: fleet.InstanceID(fmt.Sprint(i + 1)), initialMember: true, disk: quorumtest.NewDisk()}
@@ -158,7 +162,7 @@
 		group: "test", machine: &p.machine, disk: p.disk, dir: "data",
 		options: replica.Options{ID: p.id, Seed: p.sim.random.Uint64(), MaxInFlight: 4, MaxAppendBytes: 64},
 		send:    p.send, snapshotEntries: 20, retainedEntries: 5,
-		background: p.background, allowJoin: p.sim.allowJoin,
+		background: p.background, allowJoin: p.sim.allowJoin, faultTolerance: p.sim.faultTolerance, logger: zap.NewNop(),
 	}
 	c.options.ElectionTicks, c.options.HeartbeatTicks = electionTicks, 1
 	if p.initialMember {
