Let a new instance join as an additional voter only

Cause: an instance without a voter was recorded as the successor of any voter that was unreachable at that moment. When that voter came back, the learner was neither a replacement nor an additional voter, and stayed a learner. Same cause: the voter that was only unreachable was removed before the learner was promoted, which left no majority after one more loss; and learners that left stayed members for ever.

Change: only the successor of a lost disk replaces a voter. Absent learners are removed.

--- a/internal/quorum/voter/member.go
+++ b/internal/quorum/voter/member.go
@@ -362,7 +362,7 @@
 // maintainMembers runs once per election timeout. On the leader it proposes the
 // next membership change, if any: a step in the replacement of a voter whose data
 // folder was lost and, with allowJoin, the promotion of an additional voter or the
-// removal of an absent one.
+// removal of an absent member.
 func (m *member) maintainMembers() {
 	m.ticksSinceMaintenance++
 	if m.ticksSinceMaintenance < m.options.ElectionTicks {
@@ -411,7 +411,9 @@
 		if !p.Voter.Learner || p.Voter.Replaces == 0 || !p.Active || p.Match < commit {
 			continue
 		}
-		k := slices.IndexFunc(ps, func(o replica.Progress) bool { return o.Voter.ID == p.Voter.Replaces })
+		k := slices.IndexFunc(ps, func(o replica.Progress) bool {
+			return o.Voter.ID == p.Voter.Replaces && o.Voter.Instance == p.Voter.Instance
+		})
 		if k < 0 {
 			return replica.Change{Kind: replica.Promote, Voter: p.Voter}, true
 		}
@@ -434,7 +436,7 @@
 
 // maxAbsentRounds is the number of rounds of maintainMembers, one per election
 // timeout, after which an absent voter may be removed.
-const maxAbsentRounds = 8
+const maxAbsentRounds = 5
 
 func (m *member) countAbsent(ps []replica.Progress) {
 	rounds := make(map[quorum.VoterID]int)
@@ -446,27 +448,26 @@
 	m.absentRounds = rounds
 }
 
-// nextRemoval returns the removal of the voter that has been absent for longest, and
-// for maxAbsentRounds at least. Without the removal, an instance that left for good
-// after its successor had joined would count towards the majority for ever. A removed
-// voter that returns joins again.
+// nextRemoval returns the removal of the member that has been absent for longest, and
+// for maxAbsentRounds at least. A voter is removed only if the group can do without.
+// Without the removal, an instance that left for good after its successor had joined
+// would count towards the majority for ever. A removed member that returns joins again.
 func (m *member) nextRemoval(ps []replica.Progress) (replica.Change, bool) {
 	voters := 0
-	var absent replica.Voter
 	for _, p := range ps {
-		if p.Voter.Learner {
-			continue
+		if !p.Voter.Learner {
+			voters++
 		}
-		voters++
+	}
+	shrink := canShrink(voters, m.faultTolerance)
+	var absent replica.Voter
+	for _, p := range ps {
 		n := m.absentRounds[p.Voter.ID]
-		if n >= maxAbsentRounds && n > m.absentRounds[absent.ID] {
+		if n >= maxAbsentRounds && n > m.absentRounds[absent.ID] && (p.Voter.Learner || shrink) {
 			absent = p.Voter
 		}
 	}
-	if absent.ID == 0 || !canShrink(voters, m.faultTolerance) {
-		return replica.Change{}, false
-	}
-	return replica.Change{Kind: replica.Remove, Voter: absent}, true
+	return replica.Change{Kind: replica.Remove, Voter: absent}, absent.ID != 0
 }
 
 // canShrink reports whether a group survives the loss of as many voters without one of
@@ -482,8 +483,8 @@
 }
 
 // join adds v as a learner that replaces the lost voter of its instance. With
-// allowJoin, an instance without a voter replaces any inactive voter that has no
-// successor yet, or is added as a further voter.
+// allowJoin, an instance without a voter becomes an additional voter. It replaces none
+// that is only unreachable, since that one may return with its disk.
 func (m *member) join(v replica.Voter, d doneFunc) {
 	if m.failure != nil {
 		d(nil, m.notRunning())
@@ -500,7 +501,7 @@
 	}
 	lost, err := predecessor(s.Progress, v.Instance)
 	if refusal.KindOf(err) == refusal.Forbidden && m.allowJoin {
-		lost, err = voterToReplace(s.Progress), nil
+		lost, err = 0, nil
 	}
 	if err != nil {
 		d(nil, err)
@@ -533,18 +534,6 @@
 	return lost, nil
 }
 
-// voterToReplace returns a voter that is inactive or lost entries and has no
-// successor yet, or 0.
-func voterToReplace(ps []replica.Progress) quorum.VoterID {
-	for _, p := range ps {
-		replaced := slices.ContainsFunc(ps, func(o replica.Progress) bool { return o.Voter.Replaces == p.Voter.ID })
-		if !p.Voter.Learner && (!p.Active || p.Lost) && !replaced {
-			return p.Voter.ID
-		}
-	}
-	return 0
-}
-
 // stop ends all pending proposals and reads and closes the journal.
 func (m *member) stop() error {
 	m.fail(errors.New("voter is stopping"))
--- a/internal/quorum/voter/options.go
+++ b/internal/quorum/voter/options.go
@@ -97,8 +97,8 @@
 // reachable.
 func Contacts(ps ...Peer) Option { return func(c *config) { c.contacts = ps } }
 
-// AllowJoin lets instances without a voter join the groups. A new instance replaces
-// a voter that is unavailable, or becomes an additional voter.
+// AllowJoin lets instances without a voter join the groups as additional voters. The
+// leader removes members that stay unreachable, see FaultTolerance.
 func AllowJoin() Option { return func(c *config) { c.allowJoin = true } }
 
 // FaultTolerance sets the number of voters whose simultaneous loss a group must
--- a/internal/quorum/voter/schedule_test.go
+++ b/internal/quorum/voter/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
@@ -37,6 +38,26 @@
 	is.New(t).True(total["acknowledged"] > 0 && total["read"] > 0)
 }
 
+// TestMembershipSchedules guards against groups that keep members which left for good,
+// or that never accept a new instance as a voter: beside the faults of TestSchedules,
+// instances arrive with empty disks and leave for good. Afterwards the group must
+// consist of the remaining instances.
+func TestMembershipSchedules(t *testing.T) {
+	total := make(map[string]int)
+	for k := range *schedules {
+		seed := *firstSeed + uint64(k)
+		sim := runMembershipSchedule(seed, 3+2*int(seed%2), *steps)
+		if sim.violation != nil {
+			t.Fatalf("seed %d: %v (%v)\n%s", seed, sim.violation, sim.counts, strings.Join((&script{simulation: sim}).describe(), "\n"))
+		}
+		for name, n := range sim.counts {
+			total[name] += n
+		}
+	}
+	t.Log(total)
+	is.New(t).True(total["arrived"] > 0 && total["departed"] > 0)
+}
+
 // TestScheduleRepeats guards against sources of randomness other than the seed: a
 // seed that failed must fail again.
 func TestScheduleRepeats(t *testing.T) {
@@ -85,6 +106,36 @@
 	return sim
 }
 
+func runMembershipSchedule(seed uint64, n, steps int) *simulation {
+	sim := newSimulation(seed, n)
+	sim.allowJoin, sim.faultTolerance = true, (n-1)/2
+	for _, p := range sim.peers {
+		p.member.allowJoin, p.member.faultTolerance = sim.allowJoin, sim.faultTolerance
+	}
+	sim.faultRate = []int{2, 8, 25}[sim.random.IntN(3)]
+	for i := 0; i < steps && sim.violation == nil; i++ {
+		p := sim.peers[sim.random.IntN(len(sim.peers))]
+		switch k := sim.random.IntN(1000); {
+		case k == 0 && len(sim.peers) < n+3:
+			sim.counts["arrived"]++
+			sim.addPeer()
+		case k == 1 && len(sim.peers) > n && sim.canLose(p):
+			sim.counts["departed"]++
+			sim.removePeer(p)
+		case k < 20 && p.needsJoin():
+			if at := sim.leader(); at != nil {
+				p.join(at)
+			}
+		default:
+			sim.step(p, fmt.Sprintf("command %d", i))
+		}
+	}
+	if sim.violation == nil {
+		sim.violation = sim.healAndConverge()
+	}
+	return sim
+}
+
 // step performs one random action, at p if it concerns one peer. Most actions are
 // ticks and deliveries, so that the group makes progress between faults.
 func (sim *simulation) step(p *simPeer, command string) {
@@ -184,7 +235,7 @@
 		p.disk.FailSyncs(1)
 	case k < 87:
 		p.slowClock = !p.slowClock
-	case k < 90 && sim.canLose(p) && p.member != nil:
+	case k < 90 && sim.canLoseSyncs(p) && p.member != nil:
 		p.syncsIgnored = true
 		p.disk.IgnoreSyncs(true)
 	case k < 95 && p.syncsIgnored:
@@ -196,6 +247,13 @@
 	}
 }
 
+// canLoseSyncs reports whether the disk of a peer may start to ignore syncs. With
+// allowJoin the peer must be a voter already: the disk of one that joins later would be
+// lost with it, and canLose does not count that loss.
+func (sim *simulation) canLoseSyncs(p *simPeer) bool {
+	return sim.canLose(p) && (!sim.allowJoin || p.isVoter())
+}
+
 // isolate cuts the links from a peer (direction 0), to it (1) or both (2).
 func (sim *simulation) isolate(p *simPeer, direction int) {
 	for _, o := range sim.peers {
--- a/internal/quorum/voter/world_test.go
+++ b/internal/quorum/voter/world_test.go
@@ -32,6 +32,7 @@
 	unreportedSnapshots []replica.Message
 	cuts                map[[2]fleet.InstanceID]bool
 	nextID              quorum.VoterID
+	instances           int // number of instances that ever started
 	// allowJoin lets instances without a voter join.
 	allowJoin bool
 	// faultTolerance is that of the members.
@@ -134,7 +135,7 @@
 		random: rand.New(rand.NewPCG(seed, 1)), cuts: make(map[[2]fleet.InstanceID]bool), nextID: 100,
 		leaders: make(map[quorum.Term]quorum.VoterID), entries: make(map[entryID]entryDigest),
 		stateHashes: make(map[quorum.Index]uint64), appliedCommands: make(map[string]quorum.Index), counts: make(map[string]int),
-		faultTolerance: DefaultFaultTolerance,
+		faultTolerance: DefaultFaultTolerance, instances: n,
 	}
 	for i := range n {
 		p := &simPeer{sim: sim, id: quorum.VoterID(i + 1), instance: fleet.InstanceID(fmt.Sprint(i + 1)), initialMember: true, disk: quorumtest.NewDisk()}
@@ -440,11 +441,18 @@
 // addPeer starts a new instance with an empty disk.
 func (sim *simulation) addPeer() {
 	sim.nextID++
-	p := &simPeer{sim: sim, id: sim.nextID, instance: fleet.InstanceID(fmt.Sprint(len(sim.peers) + 1)), disk: quorumtest.NewDisk()}
+	sim.instances++
+	p := &simPeer{sim: sim, id: sim.nextID, instance: fleet.InstanceID(fmt.Sprint(sim.instances)), disk: quorumtest.NewDisk()}
 	sim.peers = append(sim.peers, p)
 	p.restart()
 }
 
+// removePeer stops an instance for good.
+func (sim *simulation) removePeer(p *simPeer) {
+	p.kill(false)
+	sim.peers = slices.DeleteFunc(sim.peers, func(o *simPeer) bool { return o == p })
+}
+
 // join asks the member of another peer to add this voter.
 func (p *simPeer) join(at *simPeer) {
 	at.member.join(replica.Voter{ID: p.id, Instance: p.instance}, func([]byte, error) {})
