Continue streams after an event with the ID 0

Cause: the event reader used the ID 0 for events without an ID, so that after event 0 the next worker was not asked to continue and the repeated event was not dropped.

TestStreamFailsOverAfterFirstEvent failed before (IDs from 0) and passes now.

Change: events and the relay state whether there is an ID, as the decoded headers already do.

--- a/internal/gateway/forward/events.go
+++ b/internal/gateway/forward/events.go
@@ -18,8 +18,9 @@
 // event is one event of a text/event-stream, including the blank line that ends it.
 type event struct {
 	raw []byte
-	// id is the event ID, or 0 for events without one.
-	id uint64
+	// id is the event ID if hasID is set. IDs may begin at 0.
+	id    uint64
+	hasID bool
 	// comment reports whether the event consists only of comments and blank lines,
 	// which servers send to keep an idle connection open.
 	comment bool
@@ -60,6 +61,7 @@
 				// The value is cut off, whereas the error of strconv quotes all of it.
 				return event{}, errors.Errorf("invalid event ID %.64q", value)
 			}
+			e.hasID = true
 		}
 		if len(line) > 0 {
 			inEvent = true
--- a/internal/gateway/forward/lost_test.go
+++ b/internal/gateway/forward/lost_test.go
@@ -82,3 +82,27 @@
 		}
 	}
 }
+
+// Guards against an event with the ID 0 that the client gets twice, or that is taken for
+// no event, when the engine is lost after it.
+func TestStreamFailsOverAfterFirstEvent(t *testing.T) {
+	for first := range 3 {
+		is := is.New(t)
+		w := newTestGateway(t, 2, func(n int, rw http.ResponseWriter, _ *http.Request) {
+			if n == 1 {
+				writeEvents(rw, first, first)
+				abort()
+			}
+			writeEvents(rw, first, first+2) // an engine may send more than it was asked for
+		})
+		status, _, body, complete := w.post(t, "/stream/", "k1")
+		is.Equal(status, http.StatusOK)
+		is.True(complete)
+		var want strings.Builder
+		for i := first; i <= first+2; i++ {
+			fmt.Fprintf(&want, "id: %d\ndata: %d\n\n", i, i)
+		}
+		is.Equal(body, want.String())
+		is.Equal(w.receivedHeaders()[1].Get("After"), strconv.Itoa(first))
+	}
+}
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -54,7 +54,7 @@
 
 // serveStream forwards a request whose response is an event stream.
 func (q *request) serveStream(ctx context.Context) {
-	s := &relay{request: q, lastEvent: q.headers.LastEvent, resume: q.headers.HasLastEvent}
+	s := &relay{request: q, lastEvent: q.headers.LastEvent, hasLastEvent: q.headers.HasLastEvent}
 	for s.backOff(ctx); s.awaitAttempt(ctx); s.backOff(ctx) {
 		if s.runAttempt(ctx) {
 			return
@@ -98,10 +98,10 @@
 // relay forwards one stream, possibly from several paths one after another.
 type relay struct {
 	*request
-	// lastEvent is the ID of the latest event that the client has.
-	lastEvent uint64
-	// resume reports whether the next attempt asks for the events after lastEvent.
-	resume bool
+	// lastEvent is the ID of the latest event with an ID that the client has, if
+	// hasLastEvent is set. The next attempt asks for the events after it.
+	lastEvent    uint64
+	hasLastEvent bool
 	// headSent reports whether the status line and headers were sent to the client.
 	headSent bool
 	// failedResponse is the latest error response of an upstream.
@@ -256,7 +256,7 @@
 func (s *relay) forward(ctx context.Context, t destination, w *watcher) (bool, result, error) {
 	sent := s.clock.Now()
 	x, err := s.client.Send(ctx, t.target, s.upstreamRequest(gateway.UpstreamHeaders{
-		Upstream: t.target.ID, Path: t.hops, LastEvent: s.lastEvent, HasLastEvent: s.resume,
+		Upstream: t.target.ID, Path: t.hops, LastEvent: s.lastEvent, HasLastEvent: s.hasLastEvent,
 	}))
 	if err != nil {
 		return false, resultOf(err), err
@@ -318,7 +318,7 @@
 	controller := http.NewResponseController(s.w)
 	for {
 		e, err := reader.next()
-		if errors.Is(err, io.EOF) && s.received == 0 && !s.resume && endsWithConnection(x.Response) {
+		if errors.Is(err, io.EOF) && s.received == 0 && !s.hasLastEvent && endsWithConnection(x.Response) {
 			// Any end of the connection would pass for that of the stream.
 			return false, unknownOutcome, errors.Wrap(io.ErrUnexpectedEOF, "stream has no event")
 		}
@@ -335,7 +335,7 @@
 			return false, unknownOutcome, errors.Wrap(err, "read event stream")
 		}
 		s.refusals = 0
-		if e.id > 0 && e.id <= s.lastEvent {
+		if e.hasID && s.hasLastEvent && e.id <= s.lastEvent {
 			continue // the client has it already, and the engine may repeat it forever
 		}
 		if !e.comment {
@@ -347,8 +347,8 @@
 			}
 		}
 		s.sendHead(x.Response)
-		if e.id > 0 {
-			s.lastEvent, s.resume = e.id, true
+		if e.hasID {
+			s.lastEvent, s.hasLastEvent = e.id, true
 		}
 		_, err = s.w.Write(e.raw)
 		if err == nil {
