End streams that break after an event without an ID

What callers would see: an engine is lost after an event that has no ID. The next engine starts over, or repeats what came after the last ID, and the client gets the event twice in a response that ends as complete.

Cause: the relay continued after the last ID that it knew, even if it had sent events without an ID since.

Change: a stream does not fail over after an event without an ID, neither when it breaks nor when it is silent. Comments do not count.

--- a/internal/gateway/forward/lost_test.go
+++ b/internal/gateway/forward/lost_test.go
@@ -106,3 +106,32 @@
 		is.Equal(w.receivedHeaders()[1].Get("After"), strconv.Itoa(first))
 	}
 }
+
+// Guards against an event without an ID that the client gets twice, because the engine is
+// lost after it and another one starts over.
+func TestStreamWithoutEventIDsIsNotContinued(t *testing.T) {
+	for _, c := range []struct {
+		events    string
+		continued bool
+	}{
+		{events: "data: a\n\n"},
+		{events: "id: 1\ndata: a\n\ndata: b\n\n"},
+		{events: ": comment\n\n", continued: true},
+		{events: "retry: 10\ndata: a\n\nid: 1\ndata: b\n\n", continued: true},
+	} {
+		is := is.New(t)
+		w := newTestGateway(t, 2, func(n int, rw http.ResponseWriter, _ *http.Request) {
+			if n == 1 {
+				respond(rw, c.events)
+				_ = http.NewResponseController(rw).Flush()
+				abort()
+			}
+			writeEvents(rw, 2, 2)
+		})
+		status, _, body, complete := w.post(t, "/stream/", "k1")
+		is.Equal(status, http.StatusOK)
+		is.Equal(complete, c.continued)
+		is.Equal(len(w.receivedHeaders()) > 1, c.continued)
+		is.True(strings.HasPrefix(body, c.events))
+	}
+}
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -81,6 +81,9 @@
 // client cannot start over.
 func (s *relay) awaitAttempt(ctx context.Context) bool {
 	for start := s.clock.Now(); ; {
+		if s.unnumbered.Load() {
+			return false
+		}
 		if s.allowAttempt(ctx) {
 			return true
 		}
@@ -102,6 +105,9 @@
 	// hasLastEvent is set. The next attempt asks for the events after it.
 	lastEvent    uint64
 	hasLastEvent bool
+	// unnumbered reports whether the client has an event without an ID after lastEvent.
+	// No other run can continue after it. A watcher reads it concurrently.
+	unnumbered atomic.Bool
 	// headSent reports whether the status line and headers were sent to the client.
 	headSent bool
 	// failedResponse is the latest error response of an upstream.
@@ -347,9 +353,7 @@
 			}
 		}
 		s.sendHead(x.Response)
-		if e.hasID {
-			s.lastEvent, s.hasLastEvent = e.id, true
-		}
+		s.recordEvent(e)
 		_, err = s.w.Write(e.raw)
 		if err == nil {
 			err = controller.Flush()
@@ -362,6 +366,17 @@
 	}
 }
 
+// recordEvent records an event before it is sent to the client.
+func (s *relay) recordEvent(e event) {
+	switch {
+	case e.hasID:
+		s.lastEvent, s.hasLastEvent = e.id, true
+		s.unnumbered.Store(false)
+	case !e.comment:
+		s.unnumbered.Store(true)
+	}
+}
+
 // endsWithConnection reports whether a response has neither a length nor chunks.
 func endsWithConnection(p *http.Response) bool {
 	return p.ContentLength < 0 && len(p.TransferEncoding) == 0
@@ -503,7 +518,8 @@
 // allowFailover reports whether the stream may fail over, and charges the retry budget
 // for it.
 func (w *watcher) allowFailover() bool {
-	return w.relay.withinRouteLimits(w.possibleRuns, w.attempts) && w.relay.reserveRetry()
+	s := w.relay
+	return !s.unnumbered.Load() && s.withinRouteLimits(w.possibleRuns, w.attempts) && s.reserveRetry()
 }
 
 // probeSlowdowns requests the slowdown of those engines of the path that were not
