Reject submitted configurations that name an unknown service beside a split

Cause: the decoder ignored the service of a route that has a split. Read against the list of PROTOCOL.md in the same function: tenants of the same name could share a key, a body without routes or services dropped all routes, and a timeout beyond the range of a duration was refused on x86-64 and accepted on arm64.

Change: what an operator submits is checked by DecodeSubmission. Decode, which applies the accepted configuration, keeps its rules, so that nothing that an older version accepted is dropped by an upgrade.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,7 +76,7 @@
 // Controller is one member of the control plane. It is safe for concurrent use.
 type Controller struct {
 	settings Settings
-	decoder  release.Decoder
+	decoder  release.SubmissionDecoder
 	clock    fleet.Clock
 	logger   *zap.Logger
 	store    *store.Store
@@ -99,7 +99,7 @@
 }
 
 // New opens the data folder, listens for other daemons and starts the controller.
-func New(s Settings, d release.Decoder, m placement.Commander, clock fleet.Clock, l *zap.Logger) (*Controller, error) {
+func New(s Settings, d release.SubmissionDecoder, m placement.Commander, clock fleet.Clock, l *zap.Logger) (*Controller, error) {
 	c := &Controller{
 		settings: s, decoder: d, clock: clock, logger: l.Named("controller"),
 		store: store.New(), catalog: catalog.New(clock), peers: make(map[string]*feed.Client),
@@ -214,7 +214,7 @@
 // invalid. After any other error it is unknown whether the release was or will be
 // accepted.
 func (c *Controller) Submit(ctx context.Context, content []byte) error {
-	r, err := c.decoder.Decode(content)
+	r, err := c.decoder.DecodeSubmission(content)
 	if err != nil {
 		c.logger.Info("Rejected invalid release.", zap.Error(err))
 		return err
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -137,12 +137,20 @@
 	Priority int
 }
 
-// Decoder decodes a configuration in the format of the operator. Its errors have the
-// kind refusal.BadRequest and say what is invalid.
+// Decoder decodes an accepted configuration in the format of the operator. Its errors
+// have the kind refusal.BadRequest and say what is invalid.
 type Decoder interface {
 	Decode(content []byte) (*Release, error)
 }
 
+// SubmissionDecoder decodes and checks a configuration that an operator submits. Its rules
+// may become stricter from one version of the program to the next, while the Decoder must
+// accept what an older version accepted, because that stays in force after an upgrade.
+type SubmissionDecoder interface {
+	Decoder
+	DecodeSubmission(content []byte) (*Release, error)
+}
+
 // Check returns an error of kind refusal.BadRequest if the release is invalid.
 func (r *Release) Check() error {
 	if r.Version == 0 {
