Reject requests without a key although an account has an empty one

What callers would see: a configuration lists an empty key for a tenant, and each request without a key is served in the name of that tenant.

Cause: a missing key was looked up as the empty one. Found while reading the checks of configurations; not reported.

Evidence: TestAccounts failed with an empty key in its sample and passes now.

--- a/internal/release/table/table.go
+++ b/internal/release/table/table.go
@@ -61,6 +61,9 @@
 
 // Account returns the account that holds a key.
 func (t *Table) Account(key string) (*release.Account, bool) {
+	if key == "" {
+		return nil, false // the request has no key
+	}
 	a, ok := t.accounts[key]
 	return a, ok
 }
--- a/internal/release/table/table_test.go
+++ b/internal/release/table/table_test.go
@@ -19,7 +19,7 @@
 			{Name: "long", Host: "h", Prefix: "/a/b/", Public: true, Split: []release.Share{{Pool: "p", Weight: 0}, {Pool: "q", Weight: 3}}},
 			{Name: "other", Host: "g", Prefix: "/"},
 		},
-		Accounts: []release.Account{{ID: "acme", Keys: []string{"k1", "k2"}}},
+		Accounts: []release.Account{{ID: "acme", Keys: []string{"k1", "k2", ""}}},
 	})
 }
 
@@ -44,7 +44,8 @@
 }
 
 // Guards against keys of one account that are accepted for another, and against public
-// routes that require a key.
+// routes that require a key. An empty key in the configuration must not admit requests
+// without a key.
 func TestAccounts(t *testing.T) {
 	is := is.New(t)
 	s := sample()
