Keep errors of the next engine out of a stream that has begun

What callers would see (an operators' report): a stream broke, the next engine answered with an error, and clients found its text or its head in their stream, or the stream ended as if it were complete.

Cause: the relay took the body of each sealed response with status 200 for the rest of the stream. Any lines before a blank line were an event, and any end of the body ended the stream.

Change: an event needs a field of the event stream format; a response that continues a stream must have its content type, and needs an event if it ends with its connection. Otherwise the stream fails over or is aborted.

--- a/internal/gateway/forward/events.go
+++ b/internal/gateway/forward/events.go
@@ -41,6 +41,7 @@
 	e := event{comment: true}
 	lineStart := 0   // offset of the current line in the buffer
 	inEvent := false // a line of the event that is not blank has been read
+	isEvent := false // a field of the event stream format has been read
 	for {
 		part, err := s.source.ReadSlice('\n')
 		s.buffer = append(s.buffer, part...)
@@ -66,13 +67,29 @@
 		if len(line) > 0 {
 			inEvent = true
 			e.comment = e.comment && line[0] == ':'
+			isEvent = isEvent || isEventField(line)
 		} else if inEvent {
+			if !e.comment && !isEvent {
+				return event{}, errors.Errorf("%.64q is no event", s.buffer)
+			}
 			e.raw = s.buffer
 			return e, nil
 		}
 	}
 }
 
+// isEventField reports whether a line is a field that the event stream format defines
+// (HTML Living Standard, section 9.2.6). An error page or the head of another response has
+// none.
+func isEventField(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "data", "event", "id", "retry":
+		return true
+	}
+	return false
+}
+
 // end returns the rest of the buffer when reading failed with err. partial reports
 // whether the buffer holds a part of an event.
 func (s *eventReader) end(err error, partial bool) (event, error) {
--- a/internal/gateway/forward/lost_test.go
+++ b/internal/gateway/forward/lost_test.go
@@ -135,3 +135,46 @@
 		is.True(strings.HasPrefix(body, c.events))
 	}
 }
+
+// Guards against the error of an engine that reaches the client in the middle of a stream,
+// or ends it as if it were complete: the stream breaks after its first event, and each
+// further engine answers with an error.
+func TestErrorDoesNotContinueStream(t *testing.T) {
+	const sealed = "Id: 1\r\nSeal: s\r\n"
+	const first = "id: 1\ndata: a\n\n"
+	for name, answer := range map[string]string{
+		"status 500":          "HTTP/1.1 500 E\r\n" + sealed + "Content-Length: 16\r\n\r\nid: 2\ndata: e\n\n\n",
+		"status 400":          "HTTP/1.1 400 E\r\n" + sealed + "Content-Length: 7\r\n\r\nerror\n\n",
+		"status 404 no body":  "HTTP/1.1 404 E\r\n" + sealed + "Content-Length: 0\r\n\r\n",
+		"status 204":          "HTTP/1.1 204 N\r\n" + sealed + "\r\n",
+		"status 503 refused":  "HTTP/1.1 503 S\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 7\r\n\r\nerror\n\n",
+		"status 503 sealed":   "HTTP/1.1 503 S\r\n" + sealed + "Content-Length: 7\r\n\r\nerror\n\n",
+		"no seal":             "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/event-stream\r\nContent-Length: 16\r\n\r\nid: 2\ndata: e\n\n\n",
+		"JSON":                "HTTP/1.1 200 OK\r\n" + sealed + "Content-Type: application/json\r\nContent-Length: 14\r\n\r\n{\"error\":\"e\"}",
+		"JSON and blank line": "HTTP/1.1 200 OK\r\n" + sealed + "Content-Type: text/event-stream\r\nContent-Length: 16\r\n\r\n{\"error\":\"e\"}\n\n",
+		"other type":          "HTTP/1.1 200 OK\r\n" + sealed + "Content-Type: text/plain\r\nContent-Length: 15\r\n\r\nid: 2\ndata: e\n\n",
+		"other type, empty":   "HTTP/1.1 200 OK\r\n" + sealed + "Content-Type: text/plain\r\nContent-Length: 0\r\n\r\n",
+		"no type, empty":      "HTTP/1.1 200 OK\r\n" + sealed + "Content-Length: 0\r\n\r\n",
+		"end after head":      "HTTP/1.1 200 OK\r\n" + sealed + "Content-Type: text/event-stream\r\n\r\n",
+		"head as event":       "HTTP/1.1 200 OK\r\n" + sealed + "Content-Type: text/event-stream\r\n\r\nHTTP/1.1 500 E\r\nContent-Length: 5\r\n\r\nerror",
+		"not HTTP":            "error\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newTestGateway(t, 2, func(n int, rw http.ResponseWriter, r *http.Request) {
+				if n == 1 {
+					rw.Header().Set("Content-Type", "text/event-stream")
+					respond(rw, first)
+					_ = http.NewResponseController(rw).Flush()
+					abort()
+				}
+				writePartAndClose(rw, r, answer, false)
+			})
+			status, _, body, complete := w.post(t, "/stream/", "k1")
+			is.Equal(status, http.StatusOK)
+			is.Equal(body, first)
+			is.True(!complete)
+			is.True(len(w.receivedHeaders()) > 1)
+		})
+	}
+}
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -110,6 +111,8 @@
 	unnumbered atomic.Bool
 	// headSent reports whether the status line and headers were sent to the client.
 	headSent bool
+	// mediaType is the content type in the headers that were sent, without parameters.
+	mediaType string
 	// failedResponse is the latest error response of an upstream.
 	failedResponse *response
 	// failedOver reports whether the stream failed over after checks without a
@@ -320,11 +323,15 @@
 // relayEvents forwards only complete events, so that a stream that breaks within an
 // event can fail over.
 func (s *relay) relayEvents(x *exchange.Exchange, w *watcher) (bool, result, error) {
+	if err := s.checkContentType(x.Response); err != nil {
+		return false, unknownOutcome, err
+	}
 	reader := eventReader{source: bufio.NewReaderSize(x.Response.Body, 2<<10)}
 	controller := http.NewResponseController(s.w)
+	receivedBefore := s.received
 	for {
 		e, err := reader.next()
-		if errors.Is(err, io.EOF) && s.received == 0 && !s.hasLastEvent && endsWithConnection(x.Response) {
+		if errors.Is(err, io.EOF) && s.received == receivedBefore && (s.headSent || !s.hasLastEvent) && endsWithConnection(x.Response) {
 			// Any end of the connection would pass for that of the stream.
 			return false, unknownOutcome, errors.Wrap(io.ErrUnexpectedEOF, "stream has no event")
 		}
@@ -377,6 +384,21 @@
 	}
 }
 
+// checkContentType returns an error if a response cannot continue the stream that the
+// client already receives, because it has another content type.
+func (s *relay) checkContentType(p *http.Response) error {
+	if got := mediaType(p); s.headSent && s.mediaType != "" && got != s.mediaType {
+		return refusal.New(refusal.UpstreamFailed, "content type %.64q does not continue a stream of type %.64q", got, s.mediaType)
+	}
+	return nil
+}
+
+// mediaType returns the content type of a response without its parameters.
+func mediaType(p *http.Response) string {
+	t, _, _ := strings.Cut(p.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(t))
+}
+
 // endsWithConnection reports whether a response has neither a length nor chunks.
 func endsWithConnection(p *http.Response) bool {
 	return p.ContentLength < 0 && len(p.TransferEncoding) == 0
@@ -400,6 +422,7 @@
 		return
 	}
 	s.headSent = true
+	s.mediaType = mediaType(p)
 	s.status = p.StatusCode
 	copyHeaders(s.w.Header(), p.Header)
 	s.w.Header().Del("Content-Length")
