Do not forward a status that promises too much to the client of an order

What callers would see (related to an operators' report): a worker answers an order with 503, 429 or 408 without stating that it did not run it. The client is told so by the status and sends the order again.

Cause: the status of each sealed response was forwarded unchanged.

Evidence: TestStatusIsNoPromise failed before (408 in place of 502). The reported case, an earlier refusal that is written once more on a kept connection, does not occur: TestRepeatedRefusalIsNoAnswerToNextOrder passed on the code before this change, in five forms.

Change: for requests that may run only once, such a response is answered with 502. Requests that may be repeated get it unchanged.

--- a/internal/gateway/forward/copies_test.go
+++ b/internal/gateway/forward/copies_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -49,3 +50,68 @@
 	ran.Add(1)
 	_, _ = io.WriteString(c, refused)
 }
+
+// Guards against an order that an upstream runs and that is reported as not run, or sent to
+// another upstream, because the upstream wrote an earlier refusal once more on the
+// connection.
+func TestRepeatedRefusalIsNoAnswerToNextOrder(t *testing.T) {
+	const done = "HTTP/1.1 200 OK\r\nId: 2\r\nSeal: s\r\nContent-Length: 4\r\n\r\ndone"
+	for name, refused := range map[string]string{
+		"with ID":            "HTTP/1.1 503 S\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"with ID and body":   "HTTP/1.1 429 S\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull",
+		"without ID":         "HTTP/1.1 503 S\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"without ID, 400":    "HTTP/1.1 400 S\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"with ID, and close": "HTTP/1.1 503 S\r\nId: 1\r\nNot-Run: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var ran atomic.Int64
+			w := newTestGateway(t, 1, func(_ int, rw http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				c, _, err := http.NewResponseController(rw).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				go func() {
+					defer func() { _ = c.Close() }()
+					_, _ = io.WriteString(c, strings.ReplaceAll(refused, "Connection: close\r\n", ""))
+					if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+						return
+					}
+					ran.Add(1)
+					_, _ = io.WriteString(c, refused+done)
+				}()
+			})
+			status, _, _, _ := w.post(t, "/once/", "k1")
+			is.Equal(status, http.StatusServiceUnavailable)
+			w.requestID = "2"
+			status, _, body, _ := w.post(t, "/once/", "k1")
+			is.Equal(ran.Load(), int64(1))
+			if status == http.StatusOK {
+				is.Equal(body, "done")
+				return
+			}
+			is.Equal(status, http.StatusBadGateway) // leaves open whether the request ran
+		})
+	}
+}
+
+// Guards against an order that is reported as not run because its upstream answered with a
+// status that makes this promise, without stating that it did not run the order. Requests
+// that may be repeated get the answer unchanged.
+func TestStatusIsNoPromise(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for path, want := range map[string]int{"/once/": http.StatusBadGateway, "/single/": http.StatusBadGateway, "/again/": status} {
+			is := is.New(t)
+			w := newTestGateway(t, 2, func(_ int, rw http.ResponseWriter, _ *http.Request) {
+				rw.Header().Set("Id", "1")
+				rw.Header().Set("Seal", "s")
+				rw.WriteHeader(status)
+			})
+			got, header, _, _ := w.post(t, path, "k1")
+			is.Equal(got, want)
+			is.Equal(header.Get("Seal") == "", want == http.StatusBadGateway)
+			is.True(path == "/again/" || len(w.receivedHeaders()) == 1)
+		}
+	}
+}
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -79,6 +79,7 @@
 // testGateway is a gateway whose upstreams all run the same handler.
 type testGateway struct {
 	server           *httptest.Server
+	requestID        string // of the next requests
 	handler          *forward.Handler
 	connectionClosed bool               // whether the last response asked to close its connection
 	upstreams        []*httptest.Server // alternating between the pools
@@ -162,7 +163,7 @@
 func newTestGatewayWithRetries(t *testing.T, upstreams int, b upstreamFunc, retries budget.Limit) *testGateway {
 	is := is.New(t)
 	core, logs := observer.New(zap.InfoLevel)
-	w := &testGateway{logs: logs}
+	w := &testGateway{logs: logs, requestID: "1"}
 	var entries []registry.Entry
 	for i := range upstreams {
 		for _, pool := range []fleet.PoolID{"plain", "model"} {
@@ -245,7 +246,7 @@
 	r, err := http.NewRequest(http.MethodPost, w.server.URL+path, strings.NewReader("order"))
 	is.New(t).NoErr(err)
 	r.Host = "h"
-	r.Header.Set("Id", "1")
+	r.Header.Set("Id", w.requestID)
 	r.Header.Set("Key", key)
 	r.Header.Set("Parts", parts)
 	r.Header.Set("Budget", "200")
--- a/internal/gateway/forward/plain.go
+++ b/internal/gateway/forward/plain.go
@@ -133,6 +133,9 @@
 		return nil, unknownOutcome, err
 	}
 	x.Keep()
+	if err := q.checkPromise(x.Response.StatusCode, t); err != nil {
+		return nil, unknownOutcome, err
+	}
 	a := &response{status: x.Response.StatusCode, header: x.Response.Header, body: body}
 	if a.status >= http.StatusInternalServerError {
 		return a, upstreamError, refusal.New(refusal.UpstreamFailed, "upstream %s responded with status %d", t.ID, a.status)
@@ -149,6 +152,19 @@
 	return refusal.New(refusal.UpstreamFailed, "upstream %s sent a response without a seal, with a content encoding, or for another request", t.ID)
 }
 
+// checkPromise returns an error if the status of a response would tell the client of a
+// request that may run only once that it did not run, although the upstream did not state
+// that. Clients send such a request again.
+func (q *request) checkPromise(status int, t exchange.Target) error {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		if !q.mayRepeat() {
+			return refusal.New(refusal.UpstreamFailed, "upstream %s responded with status %d and may have run the request", t.ID, status)
+		}
+	}
+	return nil
+}
+
 func resultOf(err error) result {
 	if exchange.Unsent(err) {
 		return notRun
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -311,6 +311,9 @@
 		return false, unknownOutcome, errors.Wrapf(err, "read response of upstream %s", t.target.ID)
 	}
 	x.Keep()
+	if err := s.checkPromise(x.Response.StatusCode, t.target); err != nil {
+		return false, unknownOutcome, err
+	}
 	a := &response{status: x.Response.StatusCode, header: x.Response.Header, body: body}
 	if a.status < http.StatusInternalServerError && !s.headSent {
 		s.deliver(a)
