Serve single messages from engines, and services that change their kind

What callers would see: a route that is not a stream, to a service with engines, is never answered: each request ends in a nil pointer and its connection is closed. A release that turns a service of engines into a plain one, or back, leaves its route with the old choice of upstreams.

Cause: only streams chose their destination by the kind of the pool, and a pool kept the planner or the list of upstreams of an earlier release.

Evidence: TestEnginesServeSingleMessages and TestServiceChangesItsKind failed on (no response).

Change: streams and single messages choose their destination in one place, and a refresh drops what belongs to the other kind of pool.

--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -52,6 +52,9 @@
 func (headerCodec) EncodeUpstream(h http.Header, s gateway.UpstreamHeaders) {
 	h.Del("Key")
 	h.Set("Account", string(s.Account))
+	for _, p := range s.Path {
+		h.Add("Path", fmt.Sprintf("%d-%d", p.Layers.From, p.Layers.To))
+	}
 	if s.HasLastEvent {
 		h.Set("After", strconv.FormatUint(s.LastEvent, 10))
 	}
@@ -133,6 +136,7 @@
 		Routes: []release.Route{
 			{Name: "once", Host: "h", Prefix: "/once/", Type: release.AtMostOnce, Timeout: testTimeout, TargetLatency: testTimeout, Split: plain, MaxAttempts: 1},
 			{Name: "again", Host: "h", Prefix: "/again/", Type: release.Idempotent, Timeout: testTimeout, TargetLatency: testTimeout, Split: plain, MaxAttempts: 2},
+			{Name: "unary", Host: "h", Prefix: "/unary/", Type: release.Idempotent, Timeout: testTimeout, TargetLatency: testTimeout, Split: model, MaxAttempts: 2},
 			{Name: "stream", Host: "h", Prefix: "/stream/", Type: release.Stream, Timeout: testTimeout, TargetLatency: testTimeout, TargetGap: testTimeout, Split: model, MaxAttempts: 2, Resumable: true},
 			{Name: "brisk", Host: "h", Prefix: "/brisk/", Type: release.Stream, Timeout: testTimeout, TargetLatency: time.Millisecond, TargetGap: time.Millisecond, Split: model, MaxAttempts: 2, Resumable: true},
 			{Name: "slow", Host: "h", Prefix: "/slow/", Type: release.Stream, Timeout: testTimeout, TargetLatency: time.Millisecond, TargetGap: time.Millisecond, Split: model, MaxAttempts: 2},
@@ -328,6 +332,40 @@
 	is.Equal(body, "found")
 }
 
+// Guards against requests for a single message that get no response because their service
+// has engines.
+func TestEnginesServeSingleMessages(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, 2, func(n int, rw http.ResponseWriter, r *http.Request) {
+		if n == 1 {
+			abort()
+		}
+		respond(rw, "found on "+r.Header.Get("Path"))
+	})
+	status, _, body, complete := w.post(t, "/unary/", "k1")
+	is.Equal(status, http.StatusOK)
+	is.True(complete)
+	is.Equal(body, "found on 0-4")
+	is.Equal(len(w.receivedHeaders()), 2)
+}
+
+// Guards against a service that is not served after a release has turned it from a plain
+// service into one of engines, or back.
+func TestServiceChangesItsKind(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, 2, func(_ int, rw http.ResponseWriter, r *http.Request) { respond(rw, "path "+r.Header.Get("Path")) })
+	engine := testRelease().Services[1].Engine
+	for version, e := range []*release.Engine{engine, nil, engine, nil} {
+		r := testRelease()
+		r.Version, r.Services[1].Engine = release.Version(version+2), e
+		w.applyRelease(t, r)
+		w.heartbeat()
+		status, _, body, _ := w.post(t, "/unary/", "k1")
+		is.Equal(status, http.StatusOK)
+		is.Equal(body == "path 0-4", e != nil)
+	}
+}
+
 // Guards against a response that belongs to another request or bears no seal of an
 // upstream.
 func TestForeignAnswersAreNotForwarded(t *testing.T) {
--- a/internal/gateway/forward/plain.go
+++ b/internal/gateway/forward/plain.go
@@ -8,9 +8,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/gateway"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
-	"github.com/bilberryrock/bilberryrock/internal/registry/quarantine"
 	"github.com/bilberryrock/bilberryrock/internal/release"
-	"github.com/bilberryrock/bilberryrock/internal/routing/pool"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
@@ -50,22 +48,22 @@
 func (q *request) serveUnary(ctx context.Context) {
 	var buffered *response
 	for q.allowAttempt(ctx) {
-		lease, err := q.pool.Upstreams.Pick(pool.Request{Exclude: q.avoid})
+		d, err := q.chooseDestination()
 		if err != nil {
 			q.lastErr = err
 			break
 		}
-		u := lease.Upstream()
 		q.attempts++
-		q.avoid = append(q.avoid, u.ID)
-		q.lastUpstream = string(u.ID)
-		a, res, err := q.attempt(ctx, exchange.Target{ID: u.ID, Address: u.Address}, q.mayTryAnother())
+		q.lastUpstream = string(d.target.ID)
+		a, res, err := q.attempt(ctx, d, q.mayTryAnother())
 		q.reachedUpstream = q.reachedUpstream || !exchange.Unsent(err)
-		lease.Done(leaseResult(res, err, q.r.Context()))
+		d.done(res == answered, exchange.ConnectFailed(err))
 		if err != nil {
 			q.lastErr = err
-			q.logger.Info("A send failed.", zap.String("request", string(q.headers.ID)), zap.String("upstream", q.lastUpstream),
-				zap.Int("result", int(res)), zap.Duration("heardAgo", q.clock.Now().Sub(u.LastHeartbeat)), zap.Error(err))
+			q.logSendFailure(d, res, err)
+		}
+		if res != answered && d.hops != nil {
+			q.avoid = append(q.avoid, d.target.ID)
 		}
 		if res != notRun {
 			q.possibleRuns++
@@ -75,7 +73,7 @@
 			q.state.Prompts().RecordProgress(q.poolID, q.headers.SharedParts)
 		}
 		if res == unknownOutcome && ctx.Err() == nil {
-			q.recordCrash(ctx, exchange.Target{ID: u.ID, Address: u.Address}, quarantine.HashEngine(u.ID, u.Incarnation), err)
+			q.recordCrash(ctx, d.target, d.engine, err)
 			q.awaitVerdict(ctx)
 		}
 		if res == answered || res == upstreamError && !q.mayRepeat() {
@@ -95,27 +93,27 @@
 	return q.route.Type == release.Idempotent && q.possibleRuns+1 < q.route.MaxAttempts
 }
 
-func leaseResult(res result, err error, client context.Context) pool.Result {
-	switch {
-	case res == answered:
-		return pool.Succeeded
-	case client.Err() != nil:
-		return pool.Canceled
-	case exchange.ConnectFailed(err):
-		return pool.Unreachable
+func (q *request) logSendFailure(d destination, res result, err error) {
+	fields := []zap.Field{
+		zap.String("request", string(q.headers.ID)), zap.String("upstream", string(d.target.ID)),
+		zap.Int("result", int(res)), zap.Any("path", d.hops), zap.Error(err),
+	}
+	if !d.lastHeartbeat.IsZero() {
+		fields = append(fields, zap.Duration("heardAgo", q.clock.Now().Sub(d.lastHeartbeat)))
 	}
-	return pool.Failed
+	q.logger.Info("A send failed.", fields...)
 }
 
 // attempt sends the request once and reads the whole response. earlyTimeout limits it to
 // earlyTimeoutNum/earlyTimeoutDen of the route's target.
-func (q *request) attempt(ctx context.Context, t exchange.Target, earlyTimeout bool) (*response, result, error) {
+func (q *request) attempt(ctx context.Context, d destination, earlyTimeout bool) (*response, result, error) {
+	t := d.target
 	if earlyTimeout {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, q.route.TargetLatency*earlyTimeoutNum/earlyTimeoutDen)
 		defer cancel()
 	}
-	x, err := q.client.Send(ctx, t, q.upstreamRequest(gateway.UpstreamHeaders{Upstream: t.ID}))
+	x, err := q.client.Send(ctx, t, q.upstreamRequest(gateway.UpstreamHeaders{Upstream: t.ID, Path: d.hops}))
 	if err != nil {
 		return nil, resultOf(err), err
 	}
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -14,9 +14,6 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/gateway"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
-	"github.com/bilberryrock/bilberryrock/internal/gateway/path"
-	"github.com/bilberryrock/bilberryrock/internal/registry/quarantine"
-	"github.com/bilberryrock/bilberryrock/internal/routing/pool"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
@@ -127,14 +124,6 @@
 	lastProgress time.Time // when progress was last reported to the planner
 }
 
-// destination is the path or the upstream of one attempt.
-type destination struct {
-	hops   []path.Hop
-	target exchange.Target
-	engine quarantine.Engine
-	done   func(ok bool, refused bool)
-}
-
 // awaitDestination waits up to pathTimeout for a destination.
 func (s *relay) awaitDestination(ctx context.Context) (destination, error) {
 	start := s.arrival
@@ -155,68 +144,6 @@
 	}
 }
 
-// chooseDestination selects a path of engines, or an upstream of a service without
-// engines.
-func (s *relay) chooseDestination() (destination, error) {
-	if p := s.pool.Planner; p != nil {
-		hops, err := s.choosePath(p)
-		if err != nil {
-			return destination{}, err
-		}
-		return destination{
-			hops: hops, target: exchange.Target{ID: hops[0].ID, Address: hops[0].Address},
-			engine: quarantine.HashEngine(hops[0].ID, hops[0].Incarnation),
-			done:   func(ok, _ bool) { p.Done(hops, ok) },
-		}, nil
-	}
-	lease, err := s.pickUpstream()
-	if err != nil {
-		return destination{}, err
-	}
-	u := lease.Upstream()
-	s.avoid = append(s.avoid, u.ID)
-	return destination{
-		target: exchange.Target{ID: u.ID, Address: u.Address},
-		engine: quarantine.HashEngine(u.ID, u.Incarnation),
-		done: func(ok, refused bool) {
-			switch {
-			case ok:
-				lease.Done(pool.Succeeded)
-			case s.r.Context().Err() != nil:
-				lease.Done(pool.Canceled)
-			case refused:
-				lease.Done(pool.Unreachable)
-			default:
-				lease.Done(pool.Failed)
-			}
-		},
-	}, nil
-}
-
-// choosePath selects a path that avoids the first engine of the path that broke last.
-// Once the stream may have run at as many first engines as the route allows, the path
-// begins at one of them. If there is no such path, any path is allowed, because those
-// engines may be lost.
-func (s *relay) choosePath(p *path.Planner) ([]path.Hop, error) {
-	l := path.Constraints{Avoid: s.avoid}
-	if s.reachedMaxUpstreams() {
-		l = path.Constraints{First: s.ranAt}
-	}
-	hops, err := p.Choose(l)
-	if err != nil {
-		return p.Choose(path.Constraints{})
-	}
-	return hops, nil
-}
-
-// pickUpstream selects an upstream of a service without engines under the same limits.
-func (s *relay) pickUpstream() (pool.Lease, error) {
-	if s.reachedMaxUpstreams() {
-		return s.pool.Upstreams.Pick(pool.Request{Eligible: s.ranAt})
-	}
-	return s.pool.Upstreams.Pick(pool.Request{Exclude: s.avoid})
-}
-
 // runAttempt makes one attempt and reports whether the request is finished.
 func (s *relay) runAttempt(ctx context.Context) bool {
 	t, err := s.awaitDestination(ctx)
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -65,11 +65,12 @@
 	Retries budget.Limit
 }
 
-// Pool is what a gateway needs to use the upstreams of one service.
+// Pool is what a gateway needs to use the upstreams of one service. A release may turn a
+// plain service into one of engines and back.
 type Pool struct {
 	// Planner selects paths through pools of engines. It is nil for plain services.
 	Planner *path.Planner
-	// Upstreams selects upstreams of plain services.
+	// Upstreams selects upstreams of plain services. It is nil for pools of engines.
 	Upstreams   *pool.Pool
 	RetryBudget *budget.Shared
 }
@@ -240,12 +241,14 @@
 	}
 	s.pools[v.Pool] = p
 	if v.Engine != nil && v.Engine.Layers > 0 {
+		p.Upstreams = nil
 		if p.Planner == nil {
 			p.Planner = path.New(s.clock, s.dataCentre, s.limits.HeartbeatTimeout, rand.Float64)
 		}
 		p.Planner.Refresh(v.Engine, es, gateways)
 		return
 	}
+	p.Planner = nil
 	if p.Upstreams == nil {
 		p.Upstreams = pool.New(s.clock, scoring.Policy{})
 	}
