Keep entries of an unknown pool from replacing upstreams

All requests were refused.

Cause: the catalog ended each entry with the address, or replaced the one with the ID, of an entry with a later start time, whatever service that one names.

Change: an entry of a pool that the current release does not have replaces no entry of another pool, on controllers and gateways. Without a release no pool is known. An upstream takes its ID back from such an entry.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -14,6 +14,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
@@ -94,17 +95,19 @@
 	members     []string
 	dataCentres map[string]fleet.DataCentreID // data centres of the other controllers
 	peers       map[string]*feed.Client
-	current     *release.Release
 	stopping    bool
+
+	current atomic.Pointer[release.Release]
 }
 
 // New opens the data folder, listens for other daemons and starts the controller.
 func New(s Settings, d release.SubmissionDecoder, m placement.Commander, clock fleet.Clock, l *zap.Logger) (*Controller, error) {
 	c := &Controller{
 		settings: s, decoder: d, clock: clock, logger: l.Named("controller"),
-		store: store.New(), catalog: catalog.New(clock), peers: make(map[string]*feed.Client),
+		store: store.New(), peers: make(map[string]*feed.Client),
 		dataCentres: make(map[string]fleet.DataCentreID),
 	}
+	c.catalog = catalog.New(clock, catalog.WithKnownPools(c.knowsPool))
 	v, err := voter.New(c.voterOptions(l)...)
 	if err != nil {
 		return nil, err
@@ -340,10 +343,11 @@
 }
 
 // ActiveRelease implements placer.Releases.
-func (c *Controller) ActiveRelease() *release.Release {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.current
+func (c *Controller) ActiveRelease() *release.Release { return c.current.Load() }
+
+func (c *Controller) knowsPool(id fleet.PoolID) bool {
+	r := c.current.Load()
+	return r != nil && slices.ContainsFunc(r.Services, func(s release.Service) bool { return s.Pool == id })
 }
 
 // followReleases applies the release that the log holds and waits for a newer one.
@@ -364,9 +368,7 @@
 		c.logger.Error("Failed to decode release.", zap.Uint64("version", uint64(h.Version)), zap.Error(err))
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.current = r
+	c.current.Store(r)
 }
 
 // updateMembers updates the members of the group. It starts feed clients for new members
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -97,10 +97,21 @@
 
 // New returns a State without a release.
 func New(clock Clock, dataCentre fleet.DataCentreID, d release.Decoder, l Limits, c *exchange.Client, log *zap.Logger) *State {
-	return &State{
+	s := &State{
 		clock: clock, dataCentre: dataCentre, decoder: d, limits: l, client: c, logger: log.Named("state"),
-		catalog: catalog.New(clock), prompts: quarantine.New(clock, log), pools: make(map[fleet.PoolID]*Pool),
+		prompts: quarantine.New(clock, log), pools: make(map[fleet.PoolID]*Pool),
 	}
+	s.catalog = catalog.New(clock, catalog.WithKnownPools(s.knowsPool))
+	return s
+}
+
+func (s *State) knowsPool(id fleet.PoolID) bool {
+	t := s.table.Load()
+	if t == nil {
+		return false
+	}
+	_, ok := t.Service(id)
+	return ok
 }
 
 // Prompts returns the prompt records of this gateway.
--- a/internal/registry/catalog/catalog.go
+++ b/internal/registry/catalog/catalog.go
@@ -17,11 +17,12 @@
 
 // Catalog is the merged registry. It is safe for concurrent use.
 type Catalog struct {
-	clock    fleet.Clock
-	mu       sync.Mutex
-	records  map[fleet.UpstreamID]*record
-	revision uint64
-	changed  chan struct{}
+	clock     fleet.Clock
+	knowsPool func(fleet.PoolID) bool
+	mu        sync.Mutex
+	records   map[fleet.UpstreamID]*record
+	revision  uint64
+	changed   chan struct{}
 }
 
 // record is the entry of one upstream with the revisions of its changes.
@@ -57,9 +58,27 @@
 	Revision uint64
 }
 
+// Option sets one property of a Catalog.
+type Option func(*Catalog)
+
+// WithKnownPools sets the function that reports whether the current release has a pool. An
+// entry of an unknown pool names no upstream that is used: it replaces no entry of another
+// pool, neither with its ID nor with its address. By default all pools are known. The
+// function is called with the lock of the Catalog held.
+func WithKnownPools(f func(fleet.PoolID) bool) Option {
+	return func(c *Catalog) { c.knowsPool = f }
+}
+
 // New returns an empty Catalog.
-func New(clock fleet.Clock) *Catalog {
-	return &Catalog{clock: clock, records: make(map[fleet.UpstreamID]*record), changed: make(chan struct{})}
+func New(clock fleet.Clock, options ...Option) *Catalog {
+	c := &Catalog{
+		clock: clock, records: make(map[fleet.UpstreamID]*record), changed: make(chan struct{}),
+		knowsPool: func(fleet.PoolID) bool { return true },
+	}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
 // Put merges an entry. direct means that the upstream sent it to this instance. Put
@@ -68,7 +87,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	old, ok := c.records[e.ID]
-	if ok && !e.Newer(old.entry) {
+	if ok && c.isForeign(e, old.entry) {
+		return false
+	}
+	if ok && !e.Newer(old.entry) && !c.isForeign(old.entry, e) {
 		return false
 	}
 	if ok && e.Incarnation == old.entry.Incarnation && old.entry.State == registry.Leaving && e.State == registry.Ready {
@@ -115,6 +137,12 @@
 	return e
 }
 
+// isForeign reports whether e belongs to an unknown pool, so that it must not replace
+// other, an entry of another pool.
+func (c *Catalog) isForeign(e, other registry.Entry) bool {
+	return e.State != registry.Gone && e.Pool != other.Pool && !c.knowsPool(e.Pool)
+}
+
 // superseded reports whether an upstream that started later has the address of e, so
 // that e is a delayed heartbeat. Upstreams at that address that started earlier than e
 // are marked as gone.
@@ -126,6 +154,9 @@
 		if id == e.ID || it.entry.Address != e.Address || it.entry.State == registry.Gone {
 			continue
 		}
+		if c.isForeign(e, it.entry) || c.isForeign(it.entry, e) {
+			continue
+		}
 		if it.entry.Incarnation > e.Incarnation {
 			return true
 		}
--- a/internal/registry/catalog/catalog_test.go
+++ b/internal/registry/catalog/catalog_test.go
@@ -20,11 +20,20 @@
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		clock := fakeclock.New(fakeclock.Start)
-		c := catalog.New(clock)
+		unknown := make(map[fleet.PoolID]bool)
+		c := catalog.New(clock, catalog.WithKnownPools(func(id fleet.PoolID) bool { return !unknown[id] }))
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
 			case "heartbeat":
 				return fmt.Sprintf("changed %t\n%s", c.Put(parseEntry(t, d, clock.Now()), !d.HasArg("relayed")), formatCatalog(c, clock))
+			case "release":
+				clear(unknown)
+				for _, a := range d.CmdArgs {
+					if a.Key == "unknown" {
+						unknown[fleet.PoolID(a.Vals[0])] = true
+					}
+				}
+				return formatCatalog(c, clock)
 			case "leave":
 				var id string
 				var incarnation int
@@ -72,6 +81,8 @@
 
 func parseEntry(t *testing.T, d *datadriven.TestData, now time.Time) registry.Entry {
 	var id, address, state string
+	p := "p"
+	d.MaybeScanArgs(t, "pool", &p)
 	var incarnation, sequence int
 	d.ScanArgs(t, "id", &id)
 	d.ScanArgs(t, "at", &address)
@@ -84,7 +95,7 @@
 	}
 	return registry.Entry{
 		ID: fleet.UpstreamID(id), Address: address, State: s, Incarnation: fleet.Incarnation(incarnation),
-		Sequence: uint64(sequence), Pool: "p", LastHeartbeat: now,
+		Sequence: uint64(sequence), Pool: fleet.PoolID(p), LastHeartbeat: now,
 	}
 }
 
