Abort the connection of a client that has left before its answer

Cause: the handler returned without a response when the context of the request had ended, and net/http then sends an empty response with status 200.

Evidence: TestClientThatEndsItsDirectionGetsNoAnswer failed before for all four kinds of requests.

Change: the connection is aborted, as for streams that have begun.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -433,6 +433,9 @@
 	switch {
 	case q.r.Context().Err() != nil:
 		q.outcome = "clientGone"
+		// Without this, net/http would send an empty response with status 200, which a
+		// client that has closed only its own direction of the connection receives.
+		panic(http.ErrAbortHandler)
 	case q.possibleRuns == 0 && ctx.Err() != nil:
 		q.refuse(refusal.WithCause(refusal.NoUpstream, q.lastErr, "no upstream accepted the request before the deadline"))
 	case q.possibleRuns == 0 && refusal.KindOf(q.lastErr) == refusal.Quarantined:
--- a/internal/gateway/forward/lost_test.go
+++ b/internal/gateway/forward/lost_test.go
@@ -178,3 +178,28 @@
 		})
 	}
 }
+
+// Guards against an empty response with status 200 for a client that leaves by closing its
+// own direction of the connection while an upstream works on its request.
+func TestClientThatEndsItsDirectionGetsNoAnswer(t *testing.T) {
+	for _, path := range []string{"/once/", "/again/", "/stream/", "/single/"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			arrived := make(chan struct{}, 1)
+			w := newTestGateway(t, 1, func(_ int, _ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				arrived <- struct{}{}
+				<-r.Context().Done()
+			})
+			c, err := net.Dial("tcp", w.server.Listener.Addr().String())
+			is.NoErr(err)
+			defer func() { _ = c.Close() }()
+			_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: k1\r\nBudget: 20000\r\nContent-Length: 5\r\n\r\norder", path)
+			is.NoErr(err)
+			<-arrived
+			is.NoErr(c.(*net.TCPConn).CloseWrite())
+			answer, _ := io.ReadAll(c) // may end with a reset
+			is.Equal(string(answer), "")
+		})
+	}
+}
