--- a/internal/quorum/voter/member.go
+++ b/internal/quorum/voter/member.go
@@ -470,8 +470,9 @@
 	return replica.Change{Kind: replica.Remove, Voter: absent}, absent.ID != 0
 }
 
-// canShrink reports whether a group survives the loss of as many voters without one of
-// its voters as with it, or of faultTolerance voters. It keeps at least two voters.
+// canShrink reports whether a group of the given number of voters may lose one of them for
+// good: the others survive either faultTolerance further losses or as many as before. A
+// group keeps at least two voters.
 func canShrink(voters, faultTolerance int) bool {
 	before, after := (voters-1)/2, (voters-2)/2
 	return voters > 2 && after >= min(before, faultTolerance)
--- a/internal/quorum/voter/options.go
+++ b/internal/quorum/voter/options.go
@@ -102,8 +102,8 @@
 func AllowJoin() Option { return func(c *config) { c.allowJoin = true } }
 
 // FaultTolerance sets the number of voters whose simultaneous loss a group must
-// survive. With AllowJoin, the leader removes voters that stay unreachable while more
-// remain than this takes. The default is DefaultFaultTolerance.
+// survive. With AllowJoin, the leader removes a voter that stays unreachable if the
+// group can survive as many losses without it. The default is DefaultFaultTolerance.
 func FaultTolerance(n int) Option { return func(c *config) { c.faultTolerance = n } }
 
 // Group adds a group and its state machine.
