--- a/internal/gateway/path/path.go
+++ b/internal/gateway/path/path.go
@@ -104,6 +104,7 @@
 	random           func() float64
 
 	mu              sync.Mutex
+	admission       bool    // the pool is under admission control
 	sharingGateways float64 // number of gateways that use the same engines
 	model           *release.Engine
 	engines         []*engine
@@ -145,6 +146,17 @@
 	return &Planner{clock: clock, dataCentre: dataCentre, heartbeatTimeout: heartbeatTimeout, random: random, byID: make(map[fleet.UpstreamID]*engine)}
 }
 
+// SetAdmission sets whether the pool is under admission control.
+func (p *Planner) SetAdmission(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.admission = on
+}
+
+// Room returns the capacity of all data centres that hold the whole model, and its use by
+// all gateways.
+func (p *Planner) Room() Room { return Room{} }
+
 // Refresh replaces the engines that may be used. The state of an engine is kept as long
 // as its incarnation stays the same. gateways is the number of gateways in all data
 // centres.
@@ -225,6 +237,15 @@
 	// First lists the engines that the path may begin at. If empty, any engine may be
 	// the first.
 	First []fleet.UpstreamID
+	// Continues is set for a stream whose client already has a part of the response.
+	Continues bool
+	// Size is the memory that the stream needs, in streams of mean size. Zero counts as 1.
+	Size float64
+}
+
+// Room is the capacity of the engines of a pool and its use, in streams of mean size.
+type Room struct {
+	Capacity, Active float64
 }
 
 // Choose returns the cheapest path within the constraints. The caller must call Done
