Admit streams at all gateways by one plan

Gateways report the streams that are offered, admitted and ended for each pair of account and level, controllers add them up, and each gateway computes the same plan from the sums. FeedUpdate carries the newest stamp of the caller, so that a gateway that was paused does not take the sums that were waiting for it for new ones.

--- a/cmd/bilberryrock-platform/main.go
+++ b/cmd/bilberryrock-platform/main.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/bilberryrock/bilberryrock/internal/admission/quota"
 	"github.com/bilberryrock/bilberryrock/internal/entry/lifecycle"
 	"github.com/bilberryrock/bilberryrock/internal/report/output"
 	"github.com/bilberryrock/bilberryrock/platform"
@@ -27,9 +28,10 @@
 )
 
 type options struct {
-	Level string `long:"logLevel" default:"info" description:"least level of the log lines: debug, info, warn or error"`
-	Check bool   `long:"check" description:"check the settings and end"`
-	Role  struct {
+	Level     string `long:"logLevel" default:"info" description:"least level of the log lines: debug, info, warn or error"`
+	Admission string `long:"admission" default:"auto" choice:"auto" choice:"always" choice:"never" description:"services of engines at which a gateway limits the admission of streams: auto (those whose streaming routes differ in priority or target latency), always or never"`
+	Check     bool   `long:"check" description:"check the settings and end"`
+	Role      struct {
 		Name string `positional-arg-name:"gateway|controller" required:"yes"`
 	} `positional-args:"yes"`
 }
@@ -47,7 +49,12 @@
 		}
 		return exitSettings
 	}
-	roles := map[string]func(platform.Settings, lifecycle.Signals, *output.Writer, *zap.Logger) error{"gateway": runGateway, "controller": runController}
+	admission, err := quota.ParseMode(o.Admission)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bilberryrock-platform: option admission:", err)
+		return exitSettings
+	}
+	roles := map[string]func(platform.Settings, lifecycle.Signals, *output.Writer, *zap.Logger) error{"gateway": gatewayRole(admission), "controller": runController}
 	start, ok := roles[o.Role.Name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "bilberryrock-platform: unknown role %q\n", o.Role.Name)
--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/bilberryrock/bilberryrock/internal/admission/budget"
+	"github.com/bilberryrock/bilberryrock/internal/admission/quota"
 	"github.com/bilberryrock/bilberryrock/internal/controller"
 	"github.com/bilberryrock/bilberryrock/internal/entry/lifecycle"
 	"github.com/bilberryrock/bilberryrock/internal/entry/listener"
@@ -81,16 +82,24 @@
 	}
 }
 
+// gatewayRole returns a function that runs a gateway with the given mode of admission
+// control.
+func gatewayRole(m quota.Mode) func(platform.Settings, lifecycle.Signals, *output.Writer, *zap.Logger) error {
+	return func(s platform.Settings, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
+		return runGateway(s, m, signals, out, log)
+	}
+}
+
 // runGateway serves clients until SIGTERM.
-func runGateway(s platform.Settings, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
+func runGateway(s platform.Settings, admission quota.Mode, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
 	clock := systemclock.NewBootClock()
 	client := exchange.New(clock)
 	gatewayState := state.New(clock, s.DataCentre, platform.Configuration{}, state.Limits{
 		HeartbeatTimeout: maxMissedHeartbeats * s.HeartbeatInterval, KeyLease: s.RevocationTimeout - keyLeaseMargin, ReadinessTimeout: readinessTimeout,
 		Retries: budget.Limit{Share: s.RetryRatio * retryBudgetShare, Extra: s.RetryExtra * retryBudgetShare, Window: s.RetryWindow},
-	}, client, log)
+	}, client, log, state.WithAdmission(admission))
 	registry := newRegistry(out)
-	registry.MustRegister(gatewayState.Prompts().Collector())
+	registry.MustRegister(gatewayState.Prompts().Collector(), gatewayState.AdmissionCollector())
 	handler := forward.New(clock, gatewayState, client, platform.Headers{}, platform.Engines{Client: client},
 		forward.NewMetrics(registry), log)
 	follower := feed.NewClient(s.Instance, clock, gatewayState, log, feed.WithSeeds(s.PeerSeeds...), feed.WithDataCentre(s.DataCentre),
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -19,6 +19,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bilberryrock/bilberryrock/internal/admission/quota"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/gateway"
@@ -63,6 +64,8 @@
 	// maxStreamRuns is the number of runs that each resumable stream is allowed. A
 	// higher MaxAttempts of the route takes precedence.
 	maxStreamRuns = 5
+	// maxPriority is the least urgent priority of the request header of upstreams.
+	maxPriority = 9
 )
 
 // Prober requests state reports from engines.
@@ -137,6 +140,8 @@
 	crashes int
 	// waited is the time spent waiting for a usable path, or for a verdict on the prompt.
 	waited time.Duration
+	// admission is the decision of the admission control, or nil if it does not apply.
+	admission *quota.Decision
 	// timing records when the events of a stream were written to the client.
 	timing eventTiming
 }
@@ -161,6 +166,13 @@
 		q.refuse(err)
 		return
 	}
+	if q.route.Type == release.Stream && q.pool.Admission != nil {
+		if err := q.admit(); err != nil {
+			q.refuse(err)
+			return
+		}
+		defer q.pool.Admission.Done()
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), q.deadline.Sub(h.clock.Now()))
 	defer cancel()
 	q.setWriteDeadline()
@@ -280,6 +292,23 @@
 	return nil
 }
 
+// admit offers a stream to the admission control of its service, and returns an error if it
+// is refused.
+func (q *request) admit() error {
+	p := quota.Pair{Level: quota.Level(q.table.Level(q.route, q.account))}
+	if q.account != nil {
+		p.Account = q.account.ID
+	}
+	d := q.pool.Admission.Offer(p)
+	q.admission = &d
+	if d.Admitted {
+		return nil
+	}
+	left := q.deadline.Sub(q.clock.Now())
+	return refusal.New(refusal.Overloaded, "service %q admits %.3f of the streams of this account at level %d", q.poolID, d.Fraction, d.Level).
+		WithRetryAfter(q.pool.Admission.RetryAfter(left))
+}
+
 // upstreamRequest builds the request for an upstream.
 func (q *request) upstreamRequest(s gateway.UpstreamHeaders) exchange.Request {
 	header := q.r.Header.Clone()
@@ -339,12 +368,17 @@
 	return false
 }
 
+// priority returns the service level for services under admission control, and otherwise
+// the priority of the account or of the route.
 func (q *request) priority() int {
+	if q.pool.Admission != nil {
+		return min(q.table.Level(q.route, q.account), maxPriority)
+	}
 	n := q.route.Priority
 	if q.account != nil {
 		n = q.account.Priority
 	}
-	return max(0, min(n, 9))
+	return max(0, min(n, maxPriority))
 }
 
 // mayRepeat reports whether the request may run more than once.
@@ -460,7 +494,7 @@
 	h := q.w.Header()
 	h.Set("Content-Type", "application/json")
 	if a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests {
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter(kind).Seconds(), 'f', 2, 64))
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter(err, kind).Seconds(), 'f', 2, 64))
 	}
 	body := `{"error":"` + a.Code + `"}`
 	h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -468,8 +502,13 @@
 	_, _ = io.WriteString(q.w, body) // the client may have disconnected
 }
 
-// retryAfter returns a random time after which a refused client may retry.
-func retryAfter(k refusal.Kind) time.Duration {
+// retryAfter returns the time after which a refused client may retry. It is random unless
+// the error has one.
+func retryAfter(err error, k refusal.Kind) time.Duration {
+	var e *refusal.Error
+	if errors.As(err, &e) && e.RetryAfter > 0 {
+		return e.RetryAfter
+	}
 	switch k {
 	case refusal.Stopping:
 		return time.Duration(rand.Int64N(int64(maxStoppingRetryAfter)))
@@ -503,6 +542,9 @@
 		zap.String("upstream", q.lastUpstream), zap.Uint64("version", uint64(q.state.Version())),
 		zap.Duration("confirmedAgo", q.state.ConfirmationAge()),
 	}
+	if d := q.admission; d != nil && !d.Admitted {
+		fields = append(fields, zap.Int("level", int(d.Level)), zap.Float64("fraction", d.Fraction))
+	}
 	if q.retryDenied.Load() {
 		fields = append(fields, zap.Bool("retryDenied", true))
 	}
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/admission/budget"
+	"github.com/bilberryrock/bilberryrock/internal/admission/quota"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/path"
@@ -73,6 +74,8 @@
 	// Upstreams selects upstreams of plain services. It is nil for pools of engines.
 	Upstreams   *pool.Pool
 	RetryBudget *budget.Shared
+	// Admission admits streams. It is nil if the service is not under admission control.
+	Admission *quota.Quota
 }
 
 // State implements feed.Receiver. It is safe for concurrent use.
@@ -82,6 +85,7 @@
 	decoder    release.Decoder
 	limits     Limits
 	client     *exchange.Client
+	admission  quota.Mode
 	logger     *zap.Logger
 	catalog    *catalog.Catalog
 	prompts    *quarantine.Table
@@ -95,12 +99,21 @@
 	pools map[fleet.PoolID]*Pool
 }
 
+// Option sets one property of a State.
+type Option func(*State)
+
+// WithAdmission sets which services are under admission control. The default is quota.Auto.
+func WithAdmission(m quota.Mode) Option { return func(s *State) { s.admission = m } }
+
 // New returns a State without a release.
-func New(clock Clock, dataCentre fleet.DataCentreID, d release.Decoder, l Limits, c *exchange.Client, log *zap.Logger) *State {
+func New(clock Clock, dataCentre fleet.DataCentreID, d release.Decoder, l Limits, c *exchange.Client, log *zap.Logger, os ...Option) *State {
 	s := &State{
 		clock: clock, dataCentre: dataCentre, decoder: d, limits: l, client: c, logger: log.Named("state"),
 		prompts: quarantine.New(clock, log), pools: make(map[fleet.PoolID]*Pool),
 	}
+	for _, o := range os {
+		o(s)
+	}
 	s.catalog = catalog.New(clock, catalog.WithKnownPools(s.knowsPool))
 	return s
 }
@@ -124,12 +137,15 @@
 func (s *State) Report() usage.Report {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	r := usage.Report{Attempts: make(map[fleet.PoolID]budget.Count, len(s.pools))}
+	r := usage.Report{Attempts: make(map[fleet.PoolID]budget.Count, len(s.pools)), Demands: make(map[fleet.PoolID]quota.Demand)}
 	for id, p := range s.pools {
 		r.Attempts[id] = p.RetryBudget.Count()
 		if p.Planner != nil {
 			r.Upstreams = append(r.Upstreams, p.Planner.Stats()...)
 		}
+		if p.Admission != nil {
+			r.Demands[id] = p.Admission.Demand()
+		}
 	}
 	return r
 }
@@ -165,13 +181,24 @@
 		s.refresh(max(1, s.gateways))
 	}
 	if u.Sums != nil {
-		s.applySums(*u.Sums)
+		s.applySums(*u.Sums, s.composedAt(u, now))
 	}
 	return renewErr
 }
 
-// applySums passes the sums over all gateways to the planners and the retry budgets.
-func (s *State) applySums(r usage.Report) {
+// composedAt returns the time of the newest clock reading of this gateway that the
+// controller had received when it composed an update. After a pause of this process the
+// updates that were waiting are as old as the pause.
+func (s *State) composedAt(u feed.Update, now time.Time) time.Time {
+	if u.Received <= 0 {
+		return now
+	}
+	return now.Add(-max(0, s.clock.Boot()-u.Received))
+}
+
+// applySums passes the sums over all gateways to the planners, the retry budgets and the
+// admission control. at is a time at which or after which the sums were computed.
+func (s *State) applySums(r usage.Report, at time.Time) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	for id, p := range s.pools {
@@ -179,6 +206,9 @@
 		if p.Planner != nil {
 			p.Planner.SetFleetStats(r.Upstreams)
 		}
+		if p.Admission != nil {
+			p.Admission.SetSums(r.Demands[id], r.Gateways, at)
+		}
 	}
 }
 
@@ -222,7 +252,7 @@
 	s.mu.Lock()
 	for i := range t.Release.Services {
 		v := &t.Release.Services[i]
-		s.refreshPool(v, entries[v.Pool], gateways)
+		s.refreshPool(t, v, entries[v.Pool], gateways)
 	}
 	s.mu.Unlock()
 	s.client.SetMaxIdle(func(g exchange.Target) int { return maxIdle[g] })
@@ -243,7 +273,7 @@
 
 // refreshPool replaces the Pool of a service by an updated copy, because requests may
 // still use the old one.
-func (s *State) refreshPool(v *release.Service, es []registry.Entry, gateways int) {
+func (s *State) refreshPool(t *table.Table, v *release.Service, es []registry.Entry, gateways int) {
 	p := &Pool{}
 	if old := s.pools[v.Pool]; old != nil {
 		*p = *old
@@ -251,15 +281,16 @@
 		p.RetryBudget = budget.NewShared(s.clock, s.limits.Retries, rand.Float64)
 	}
 	s.pools[v.Pool] = p
-	if v.Engine != nil && v.Engine.Layers > 0 {
+	if v.HasEngines() {
 		p.Upstreams = nil
 		if p.Planner == nil {
 			p.Planner = path.New(s.clock, s.dataCentre, s.limits.HeartbeatTimeout, rand.Float64)
 		}
 		p.Planner.Refresh(v.Engine, es, gateways)
+		s.refreshAdmission(p, v.Pool, s.admission.Applies(t.Differentiated(v.Pool)))
 		return
 	}
-	p.Planner = nil
+	p.Planner, p.Admission = nil, nil
 	if p.Upstreams == nil {
 		p.Upstreams = pool.New(s.clock, scoring.Policy{})
 	}
@@ -281,6 +312,20 @@
 	}
 }
 
+// refreshAdmission puts a pool of engines under admission control, or ends it.
+func (s *State) refreshAdmission(p *Pool, id fleet.PoolID, applies bool) {
+	p.Planner.SetAdmission(applies)
+	if !applies {
+		p.Admission = nil
+		return
+	}
+	if p.Admission == nil {
+		planner := p.Planner
+		p.Admission = quota.New(s.clock, func() quota.Room { return quota.Room(planner.Room()) },
+			quota.WithLogger(s.logger.Named("admission").With(zap.String("service", string(id)))))
+	}
+}
+
 // Pool returns the Pool of a service.
 func (s *State) Pool(id fleet.PoolID) (*Pool, bool) {
 	s.mu.RLock()
--- a/internal/registry/feed/client.go
+++ b/internal/registry/feed/client.go
@@ -47,7 +47,10 @@
 	// majority confirmed that ConfirmedVersion was the newest release.
 	Confirmed        time.Duration
 	ConfirmedVersion release.Version
-	Controllers      []Controller
+	// Received is the newest reading of the clock of the Receiver that the controller had
+	// received when it composed the message, or 0 if it does not tell.
+	Received    time.Duration
+	Controllers []Controller
 	// Sums are the sums of all gateways, or of those of the sending controller if a
 	// controller follows it. They are nil in messages between two intervals.
 	Sums *usage.Report
@@ -277,6 +280,7 @@
 		if u.Sums != nil {
 			report := c.receiver.Report()
 			request.Uses, request.Sends = statsToProto(report.Upstreams), attemptsToProto(report.Attempts)
+			request.Demands = demandsToProto(report.Demands)
 		}
 		var prompts []quarantine.Record
 		prompts, promptRevision = c.prompts.Delta(promptRevision)
@@ -297,6 +301,7 @@
 		Release:          store.CompressedRelease{Version: release.Version(p.GetVersion()), Gzipped: p.GetRelease()},
 		Confirmed:        time.Duration(p.GetConfirmedStamp()) * time.Microsecond,
 		ConfirmedVersion: release.Version(p.GetConfirmedVersion()),
+		Received:         time.Duration(p.GetReceivedStamp()) * time.Microsecond,
 		Sums:             sums,
 	}
 	for _, k := range p.GetControllers() {
--- a/internal/registry/feed/codec.go
+++ b/internal/registry/feed/codec.go
@@ -5,6 +5,7 @@
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
 	"github.com/bilberryrock/bilberryrock/internal/admission/budget"
+	"github.com/bilberryrock/bilberryrock/internal/admission/quota"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/registry"
 	"github.com/bilberryrock/bilberryrock/internal/registry/quarantine"
@@ -44,6 +45,33 @@
 	return attempts
 }
 
+func demandsToProto(demands map[fleet.PoolID]quota.Demand) []*peerv1.PoolDemand {
+	var ps []*peerv1.PoolDemand
+	for id, d := range demands {
+		p := &peerv1.PoolDemand{Pool: string(id), Finished: uint32(d.Finished), Levels: make([]*peerv1.LevelDemand, 0, len(d.Pairs))}
+		for k, c := range d.Pairs {
+			p.Levels = append(p.Levels, &peerv1.LevelDemand{
+				Account: string(k.Account), Level: uint32(k.Level), Offered: uint32(c.Offered), Admitted: uint32(c.Admitted),
+			})
+		}
+		ps = append(ps, p)
+	}
+	return ps
+}
+
+func demandsFromProto(ps []*peerv1.PoolDemand) map[fleet.PoolID]quota.Demand {
+	demands := make(map[fleet.PoolID]quota.Demand, len(ps))
+	for _, p := range ps {
+		d := quota.Demand{Finished: int(p.GetFinished()), Pairs: make(map[quota.Pair]quota.Count, len(p.GetLevels()))}
+		for _, l := range p.GetLevels() {
+			k := quota.Pair{Account: fleet.AccountID(l.GetAccount()), Level: quota.Level(l.GetLevel())}
+			d.Pairs[k] = quota.Count{Offered: int(l.GetOffered()), Admitted: int(l.GetAdmitted())}
+		}
+		demands[fleet.PoolID(p.GetPool())] = d
+	}
+	return demands
+}
+
 func entryToProto(e registry.Entry, now time.Time) *peerv1.UpstreamEntry {
 	return &peerv1.UpstreamEntry{
 		Id: string(e.ID), Born: uint64(e.Incarnation), Sequence: e.Sequence, Pool: string(e.Pool),
--- a/internal/registry/feed/server.go
+++ b/internal/registry/feed/server.go
@@ -139,7 +139,9 @@
 			readings.add(q.GetStamp(), s.clock.Now())
 			s.prompts.Merge(promptsFromProto(q.GetPrompts(), s.clock.Now()))
 			if !r.GetController() && !q.GetBare() {
-				s.usage.SetGateway(instance, usage.Report{Upstreams: statsFromProto(q.GetUses()), Attempts: attemptsFromProto(q.GetSends())})
+				s.usage.SetGateway(instance, usage.Report{
+					Upstreams: statsFromProto(q.GetUses()), Attempts: attemptsFromProto(q.GetSends()), Demands: demandsFromProto(q.GetDemands()),
+				})
 			}
 		}
 	}()
@@ -159,6 +161,7 @@
 		changed, promptsChanged := s.catalog.Changed(), s.prompts.Changed()
 		current, replaced := s.store.Current()
 		u := s.update(r.GetController(), &revision)
+		u.ReceivedStamp = readings.latest()
 		if now := s.clock.Now(); now.Sub(sumsSent) >= Interval {
 			if u.Sums, err = s.sums.encode(!r.GetController()); err != nil {
 				return status.Errorf(codes.Internal, "encode the sums: %v", err)
@@ -218,6 +221,7 @@
 	mu      sync.Mutex
 	pending []clockReading
 	newest  uint64
+	last    uint64 // newest reading, also if no confirmation covers it
 }
 
 type clockReading struct {
@@ -229,6 +233,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.pending = append(t.pending, clockReading{value, at})
+	t.last = max(t.last, value)
+}
+
+// latest returns the newest reading.
+func (t *clockReadings) latest() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.last
 }
 
 // before returns the newest reading received before start, or 0. start must not
--- a/internal/registry/feed/sums.go
+++ b/internal/registry/feed/sums.go
@@ -41,6 +41,7 @@
 	}
 	b, err := proto.Marshal(&peerv1.Sums{
 		Gateways: uint32(r.Gateways), Uses: statsToProto(r.Upstreams), Sends: attemptsToProto(r.Attempts),
+		Demands: demandsToProto(r.Demands),
 	})
 	if err != nil {
 		return nil, err
@@ -58,5 +59,8 @@
 	if err := proto.Unmarshal(b, &p); err != nil {
 		return nil, errors.Wrap(err, "decode sums")
 	}
-	return &usage.Report{Gateways: int(p.GetGateways()), Upstreams: statsFromProto(p.GetUses()), Attempts: attemptsFromProto(p.GetSends())}, nil
+	return &usage.Report{
+		Gateways: int(p.GetGateways()), Upstreams: statsFromProto(p.GetUses()), Attempts: attemptsFromProto(p.GetSends()),
+		Demands: demandsFromProto(p.GetDemands()),
+	}, nil
 }
--- a/internal/registry/usage/usage.go
+++ b/internal/registry/usage/usage.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/admission/budget"
+	"github.com/bilberryrock/bilberryrock/internal/admission/quota"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 )
 
@@ -46,6 +47,8 @@
 	Upstreams []UpstreamStats
 	// Attempts holds the recent first attempts and retries of each pool.
 	Attempts map[fleet.PoolID]budget.Count
+	// Demands holds the recently offered streams of each pool under admission control.
+	Demands map[fleet.PoolID]quota.Demand
 	// ComputedAt is when the sums were computed. It is zero in the report of one gateway.
 	ComputedAt time.Time
 }
@@ -142,7 +145,7 @@
 }
 
 func (t *Table) aggregate(all bool, now time.Time) Report {
-	sum := Report{Attempts: make(map[fleet.PoolID]budget.Count), ComputedAt: now}
+	sum := Report{Attempts: make(map[fleet.PoolID]budget.Count), Demands: make(map[fleet.PoolID]quota.Demand), ComputedAt: now}
 	stats := make(map[fleet.UpstreamID]UpstreamStats)
 	for g, k := range t.gateways {
 		if now.Sub(k.received) > maxReportAge {
@@ -161,6 +164,9 @@
 	if all {
 		t.aggregatePeers(&sum, stats, now)
 	}
+	for id, d := range sum.Demands {
+		sum.Demands[id] = d.Limit()
+	}
 	sum.Upstreams = make([]UpstreamStats, 0, len(stats))
 	for id, u := range stats {
 		u.ID = id
@@ -193,6 +199,9 @@
 	for id, c := range o.Attempts {
 		r.Attempts[id] = r.Attempts[id].Add(c)
 	}
+	for id, d := range o.Demands {
+		r.Demands[id] = r.Demands[id].Add(d)
+	}
 	for _, n := range o.Upstreams {
 		u := stats[n.ID]
 		u.Active += n.Active
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -78,6 +78,9 @@
 	Engine *Engine
 }
 
+// HasEngines reports whether requests of the service need a path of engines.
+func (s *Service) HasEngines() bool { return s.Engine != nil && s.Engine.Layers > 0 }
+
 const (
 	// MaxLayers is the largest number of layers of a model. Controllers plan with a counter
 	// for each layer.
--- a/internal/release/table/table.go
+++ b/internal/release/table/table.go
@@ -16,6 +16,7 @@
 	hosts    map[string][]*release.Route
 	accounts map[string]*release.Account
 	services map[fleet.PoolID]*release.Service
+	levels   levels
 }
 
 // New indexes a release, which must not change afterwards.
@@ -42,6 +43,7 @@
 	for i := range r.Services {
 		t.services[r.Services[i].Pool] = &r.Services[i]
 	}
+	t.levels = newLevels(t)
 	return t
 }
 
