--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -52,6 +52,7 @@
 func (headerCodec) EncodeUpstream(h http.Header, s gateway.UpstreamHeaders) {
 	h.Del("Key")
 	h.Set("Account", string(s.Account))
+	h.Set("Priority", strconv.Itoa(s.Priority))
 	for _, p := range s.Path {
 		h.Add("Path", fmt.Sprintf("%d-%d", p.Layers.From, p.Layers.To))
 	}
@@ -94,6 +95,7 @@
 	receive          func(feed.Update)      // delivers an update of a controller
 	heartbeat        func()                 // delivers a heartbeat of each upstream
 	clock            *offsetClock
+	state            *state.State
 	current          atomic.Pointer[release.Release]
 	// beforeDial, if not nil, is called before each connection to an upstream is opened.
 	beforeDial atomic.Pointer[func()]
@@ -191,6 +193,7 @@
 		return exchange.DialTCP(ctx, address)
 	}))
 	st := state.New(clock, "dc1", decoder{&w.current}, state.Limits{HeartbeatTimeout: time.Hour, KeyLease: configLease, ReadinessTimeout: time.Hour, Retries: retries}, client, zap.NewNop())
+	w.state = st
 	command, err := store.Command(1, nil)
 	is.NoErr(err)
 	log := store.New()
--- a/internal/registry/feed/feed_test.go
+++ b/internal/registry/feed/feed_test.go
@@ -212,3 +212,28 @@
 	is.Equal(len(r.next(late).GetPrompts()), 0)
 	is.Equal(len(r.next(other).GetPrompts()), 0)
 }
+
+// Guards against the counts of offered streams that do not reach the other gateways, and
+// against sums of unknown age for a gateway that was paused.
+func TestDemandsReachAllGateways(t *testing.T) {
+	is := is.New(t)
+	r := newHarness()
+	f, other := r.follow(t, "g1"), r.follow(t, "g2")
+	r.next(f)
+	is.Equal(r.next(other).GetReceivedStamp(), uint64(1))
+	f.requests <- &peerv1.FollowRequest{Stamp: 7, Demands: []*peerv1.PoolDemand{
+		{Pool: "p", Finished: 3, Levels: []*peerv1.LevelDemand{{Account: "acme", Level: 2, Offered: 9, Admitted: 4}}},
+	}}
+	var demands []*peerv1.PoolDemand
+	for len(demands) == 0 {
+		demands = decodeSums(t, r.next(other)).GetDemands()
+	}
+	is.Equal(len(demands), 1)
+	is.Equal(demands[0].GetPool(), "p")
+	is.Equal(demands[0].GetFinished(), uint32(3))
+	is.Equal(len(demands[0].GetLevels()), 1)
+	l := demands[0].GetLevels()[0]
+	is.Equal(l.GetAccount(), "acme")
+	is.Equal([]uint32{l.GetLevel(), l.GetOffered(), l.GetAdmitted()}, []uint32{2, 9, 4})
+	is.Equal(r.next(f).GetReceivedStamp(), uint64(7))
+}
--- a/internal/registry/usage/usage_test.go
+++ b/internal/registry/usage/usage_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/bilberryrock/bilberryrock/internal/admission/budget"
+	"github.com/bilberryrock/bilberryrock/internal/admission/quota"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/fakeclock"
 	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
@@ -109,3 +110,35 @@
 	u.SetPeer("c2", usage.Report{Upstreams: []usage.UpstreamStats{{ID: "e3", Failed: true}}})
 	is.Equal(u.upstreams(true), []usage.UpstreamStats{{ID: "e1", Active: 1}, {ID: "e3", Failed: true}})
 }
+
+// Guards against offered streams that are counted twice, or that still count after their
+// gateway has left, and against sums that grow with the number of accounts.
+func TestDemands(t *testing.T) {
+	is := is.New(t)
+	u := newFixture()
+	pair := func(i int) quota.Pair { return quota.Pair{Account: fleet.AccountID(rune('a' + i)), Level: 1} }
+	demands := func(finished int, counts ...int) usage.Report {
+		d := quota.Demand{Finished: finished, Pairs: make(map[quota.Pair]quota.Count)}
+		for i, n := range counts {
+			d.Pairs[pair(i)] = quota.Count{Offered: n, Admitted: n / 2}
+		}
+		return usage.Report{Gateways: 1, Demands: map[fleet.PoolID]quota.Demand{"p": d}}
+	}
+	u.SetGateway("g1", demands(1, 4))
+	u.SetGateway("g2", demands(2, 6, 8))
+	u.SetGateway("g2", demands(3, 2, 8))
+	u.SetPeer("c2", demands(10, 20))
+	sum := func(all bool) quota.Demand { return u.sums(all).Demands["p"] }
+	is.Equal(sum(true), quota.Demand{Finished: 14, Pairs: map[quota.Pair]quota.Count{pair(0): {Offered: 26, Admitted: 13}, pair(1): {Offered: 8, Admitted: 4}}})
+	is.Equal(sum(false).Finished, 4)
+	is.Equal(sum(true).Finished, 14) // the reports are unchanged
+	u.DropGateway("g2")
+	is.Equal(sum(true).Pairs[pair(0)].Offered, 24)
+	many := make([]int, quota.MaxPairs)
+	for i := range many {
+		many[i] = 2
+	}
+	u.SetGateway("g1", demands(0, many...))
+	u.SetPeer("c2", usage.Report{Demands: map[fleet.PoolID]quota.Demand{"p": {Pairs: map[quota.Pair]quota.Count{{Account: "other"}: {Offered: 1}}}}})
+	is.Equal(len(sum(true).Pairs), quota.MaxPairs)
+}
