--- a/internal/admission/quota/fleet_test.go
+++ b/internal/admission/quota/fleet_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -45,6 +47,7 @@
 	finished    int
 	rejected    int // streams that the engines rejected
 	ticks       int
+	lastRun     time.Duration // duration of the last run
 }
 
 type delayed struct {
@@ -250,6 +253,7 @@
 
 // run returns the rates of each level over the time d.
 func (s *simulation) run(d time.Duration) string {
+	s.lastRun = d
 	s.counts, s.peak, s.finished, s.rejected = make(map[quota.Pair]*simCount), 0, 0, 0
 	for end := s.clock.Now().Add(d); s.clock.Now().Before(end); {
 		s.step()
@@ -297,6 +301,41 @@
 	return b.String()
 }
 
+// require fails the test if fewer streams per second finished in the last run, or if the
+// engines rejected a greater part of the admitted ones, in percent. Unlike the expected
+// output, -rewrite does not change these bounds.
+func (s *simulation) require(t *testing.T, d *datadriven.TestData, finished, rejected int) {
+	admitted := 0
+	for _, c := range s.counts {
+		admitted += c.admitted
+	}
+	if n := float64(s.finished) / s.lastRun.Seconds(); n < float64(finished) {
+		t.Errorf("%s: %.0f streams per second finished, at least %d are required", d.Pos, n, finished)
+	}
+	if n := 100 * float64(s.rejected) / math.Max(1, float64(admitted+s.rejected)); n > float64(rejected) {
+		t.Errorf("%s: the engines rejected %.1f%% of the admitted streams, at most %d%% are allowed", d.Pos, n, rejected)
+	}
+}
+
+// thirds returns the served share of the new streams of the smallest third of the accounts
+// and of the largest account.
+func (s *simulation) thirds() string {
+	first, admitted := make(map[fleet.AccountID]int), make(map[fleet.AccountID]int)
+	for p, c := range s.counts {
+		first[p.Account] += c.first
+		admitted[p.Account] += c.admitted
+	}
+	ids := slices.SortedFunc(maps.Keys(first), func(a, b fleet.AccountID) int {
+		return cmp.Or(cmp.Compare(first[a], first[b]), cmp.Compare(a, b))
+	})
+	small, served := 0, 0
+	for _, a := range ids[:len(ids)/3] {
+		small, served = small+first[a], served+admitted[a]
+	}
+	largest := ids[len(ids)-1]
+	return fmt.Sprintf("smallest third served %.2f, largest account served %.2f\n", float64(served)/float64(small), float64(admitted[largest])/float64(first[largest]))
+}
+
 // parseLoad reads lines "account level rate retries". An account "a*24" stands for 24
 // accounts that share the rate in the proportions 1 to 24.
 func parseLoad(t *testing.T, d *datadriven.TestData) []simLoad {
@@ -350,6 +389,10 @@
 				s.capacity = float64(number("streams", 0))
 			case "run":
 				return s.run(time.Duration(number("ms", 0)) * time.Millisecond)
+			case "require":
+				s.require(t, d, number("finished", 0), number("rejected", 100))
+			case "thirds":
+				return s.thirds()
 			case "accounts":
 				return s.accounts()
 			case "gateways":
--- a/internal/admission/quota/plan.go
+++ b/internal/admission/quota/plan.go
@@ -16,8 +16,8 @@
 	// horizon is the time in which the active streams are brought to the target. It is
 	// about the age of the sums plus one interval between two sums.
 	horizon = time.Second
-	// reserveDivisor divides the rate that is left for a level and the less urgent ones to
-	// give the rate that is reserved for the less urgent ones.
+	// reserveDivisor divides the allowed rate to give the rate that each level leaves to all
+	// less urgent ones together.
 	reserveDivisor = 16
 	// MaxPairs is the maximum number of pairs of account and level in a Demand that is
 	// sent to others. It bounds the size of a message.
@@ -202,7 +202,7 @@
 	for i := range p.Levels {
 		n := &p.Levels[i]
 		less := offered - n.Offered
-		reserve := min(left/reserveDivisor, left*less/offered)
+		reserve := min(p.Allowed/reserveDivisor, left*less/offered)
 		n.Admitted = max(0, min(n.Offered*fraction, left-reserve))
 		fraction = n.Fraction()
 		left -= n.Admitted
--- a/internal/registry/feed/feed_test.go
+++ b/internal/registry/feed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
+	"github.com/bilberryrock/bilberryrock/internal/admission/quota"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/fakeclock"
 	"github.com/bilberryrock/bilberryrock/internal/registry"
@@ -237,3 +239,20 @@
 	is.Equal([]uint32{l.GetLevel(), l.GetOffered(), l.GetAdmitted()}, []uint32{2, 9, 4})
 	is.Equal(r.next(f).GetReceivedStamp(), uint64(7))
 }
+
+// Guards against reports and sums of offered streams that burden the links of gateways. A
+// gateway with 3 requests per second reports at most a few pairs, the sums of 24 accounts
+// at 3 levels have 72, and no message has more than quota.MaxPairs.
+func TestDemandsAreSmall(t *testing.T) {
+	for _, c := range []struct{ pairs, limit int }{{3, 100}, {72, 2 << 10}, {quota.MaxPairs, 16 << 10}} {
+		d := &peerv1.PoolDemand{Pool: "service-1234", Finished: 300}
+		for i := range c.pairs {
+			d.Levels = append(d.Levels, &peerv1.LevelDemand{
+				Account: fmt.Sprintf("account-%05d", i), Level: uint32(i % 3), Offered: 300, Admitted: 200,
+			})
+		}
+		n := proto.Size(&peerv1.Sums{Demands: []*peerv1.PoolDemand{d}})
+		t.Logf("%d pairs have %d bytes", c.pairs, n)
+		is.New(t).True(n <= c.limit)
+	}
+}
