--- a/internal/admission/quota/plan_test.go
+++ b/internal/admission/quota/plan_test.go
@@ -138,11 +138,15 @@
 }
 
 func BenchmarkNewPlan(b *testing.B) {
-	d := quota.Demand{Finished: 100, Pairs: make(map[quota.Pair]quota.Count)}
-	for i := range quota.MaxPairs {
-		d.Pairs[quota.Pair{Account: fleet.AccountID(fmt.Sprint(i / 3)), Level: quota.Level(i % 3)}] = quota.Count{Offered: i}
-	}
-	for b.Loop() {
-		quota.NewPlan(quota.Room{Capacity: 500, Active: 300}, d)
+	for _, pairs := range []int{72, quota.MaxPairs} {
+		d := quota.Demand{Finished: 100, Pairs: make(map[quota.Pair]quota.Count)}
+		for i := range pairs {
+			d.Pairs[quota.Pair{Account: fleet.AccountID(fmt.Sprint(i / 3)), Level: quota.Level(i % 3)}] = quota.Count{Offered: i + 1}
+		}
+		b.Run(fmt.Sprint(pairs), func(b *testing.B) {
+			for b.Loop() {
+				quota.NewPlan(quota.Room{Capacity: 500, Active: 300}, d)
+			}
+		})
 	}
 }
--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -54,7 +54,7 @@
 	Totals map[Level]LevelTotals
 	Plan   Plan
 	Room   Room
-	// Age is the age of the newest sums.
+	// Age is the age of the newest sums, or that of the Quota if there are none.
 	Age time.Duration
 	// Stale is set if the sums are too old to be used.
 	Stale bool
@@ -301,7 +301,10 @@
 	defer q.mu.Unlock()
 	now := q.clock.Now()
 	q.updatePlan(now)
-	s := Status{Totals: make(map[Level]LevelTotals, len(q.totals)), Plan: q.plan, Room: q.planRoom, Age: now.Sub(q.sumsAt), Stale: q.stale(now)}
+	s := Status{Totals: make(map[Level]LevelTotals, len(q.totals)), Plan: q.plan, Room: q.planRoom, Age: now.Sub(q.start), Stale: q.stale(now)}
+	if !q.sumsAt.IsZero() {
+		s.Age = now.Sub(q.sumsAt)
+	}
 	for l, t := range q.totals {
 		s.Totals[l] = t
 	}
