--- a/internal/admission/quota/fleet_test.go
+++ b/internal/admission/quota/fleet_test.go
@@ -406,7 +406,7 @@
 					g.frozen, g.frozenAt = true, s.clock.Now()
 				}
 			case "wake":
-				return s.wake(number("offers", 0))
+				return s.wake(t, number("offers", 0), number("atMost", 0))
 			case "disconnect":
 				s.disconnect(number("controller", 0))
 			case "follow":
@@ -424,8 +424,9 @@
 }
 
 // wake lets the frozen gateways go on. Each is offered a number of streams before and after
-// it receives the messages that were waiting for it.
-func (s *simulation) wake(offers int) string {
+// it receives the messages that were waiting for it. Together they must not admit more than
+// atMost.
+func (s *simulation) wake(t *testing.T, offers, atMost int) string {
 	admit := func(g *simGateway) int {
 		n := 0
 		for range offers {
@@ -449,6 +450,9 @@
 		g.waiting = nil
 		after += admit(g)
 	}
+	if before+after > atMost {
+		t.Errorf("%d streams were admitted, at most %d are allowed", before+after, atMost)
+	}
 	return fmt.Sprintf("%d gateways admitted %d of %d streams, and %d of %d after the old sums\n", woken, before, woken*offers, after, woken*offers)
 }
 
