--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -79,7 +79,6 @@
 	plan     Plan
 	planRoom Room
 	forecast forecast
-	planAt   time.Time // zero if the plan must be computed again
 	// checkedAt is the time at which the capacity was last compared with that of the plan.
 	checkedAt time.Time
 	totals    map[Level]LevelTotals
@@ -184,17 +183,41 @@
 }
 
 // SetSums sets the sums over a number of gateways. at is a time at which or after which
-// the sums were computed.
+// the sums were computed. It must not be called concurrently with itself.
 func (q *Quota) SetSums(d Demand, gateways int, at time.Time) {
+	r, ok := q.recordSums(d, gateways, at)
+	if !ok {
+		return
+	}
+	// A plan of many accounts takes longer than a stream may wait for its decision.
+	p := NewPlan(r, d)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.sums, q.gateways, q.sumsAt = d, max(1, gateways), at
-	q.planAt = time.Time{}
 	now := q.clock.Now()
-	q.updatePlan(now)
+	q.setPlan(p, r, now)
+	q.forecast.add(now, p)
 	q.noteQuiet(now)
 }
 
+// recordSums returns the room for a plan, unless the sums are stale.
+func (q *Quota) recordSums(d Demand, gateways int, at time.Time) (Room, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	q.sums, q.gateways, q.sumsAt = d, max(1, gateways), at
+	if q.stale(now) {
+		return Room{}, false
+	}
+	return q.currentRoom(now), true
+}
+
+// currentRoom returns the room with the change since the sums.
+func (q *Quota) currentRoom(now time.Time) Room {
+	r := q.room()
+	r.Active = max(0, r.Active+q.forecast.change(now, q.sums.finishedRate()))
+	return r
+}
+
 // Demand returns the counts of this gateway.
 func (q *Quota) Demand() Demand {
 	q.mu.Lock()
@@ -217,36 +240,37 @@
 
 func (q *Quota) stale(now time.Time) bool { return now.Sub(q.sumsAt) > maxSumAge }
 
-// updatePlan computes the plan again if there are new sums, if the capacity has changed or
-// if the sums are stale.
+// updatePlan computes the plan again if the capacity has changed or if the sums are stale.
 func (q *Quota) updatePlan(now time.Time) {
-	stale := q.stale(now)
-	if !stale && !q.planAt.IsZero() && now.Sub(q.checkedAt) < capacityCheckInterval {
+	if q.stale(now) {
+		q.planAlone(now)
 		return
 	}
-	q.checkedAt = now
-	r := q.room()
-	if !stale {
-		if !q.planAt.IsZero() && r.Capacity == q.planRoom.Capacity {
-			return
-		}
-		r.Active = max(0, r.Active+q.forecast.change(now, q.sums.finishedRate()))
-		q.setPlan(r, q.sums, now)
-		q.forecast.add(now, q.plan)
+	if now.Sub(q.checkedAt) < capacityCheckInterval {
 		return
 	}
+	q.checkedAt = now
+	if r := q.currentRoom(now); r.Capacity != q.planRoom.Capacity {
+		p := NewPlan(r, q.sums)
+		q.setPlan(p, r, now)
+		q.forecast.add(now, p)
+	}
+}
+
+// planAlone computes the plan of a gateway without sums. The other gateways are assumed to
+// have as much load as this one. It is called for each stream and counts the current slot
+// too, because many streams may be waiting after a pause of the process.
+func (q *Quota) planAlone(now time.Time) {
 	q.forecast.clear()
-	// The other gateways are assumed to have as much load as this one. The plan is computed
-	// for each stream, and with the counts of the current slot, because many streams may be
-	// waiting after a pause of the process.
+	r := q.room()
 	r.Active = float64(q.active * q.gateways)
 	n := q.slot(now)
 	own := q.ownDemand(func(c *counter) int { return c.upTo(n, isolatedWindow) })
-	q.setPlan(r, own.times(float64(q.gateways)*Window.Seconds()/isolatedWindow.Seconds()), now)
+	q.setPlan(NewPlan(r, own.times(float64(q.gateways)*Window.Seconds()/isolatedWindow.Seconds())), r, now)
 }
 
-func (q *Quota) setPlan(r Room, d Demand, now time.Time) {
-	q.plan, q.planRoom, q.planAt = NewPlan(r, d), r, now
+func (q *Quota) setPlan(p Plan, r Room, now time.Time) {
+	q.plan, q.planRoom, q.checkedAt = p, r, now
 }
 
 // noteDecision logs the first refusal, and the end of refusals.
