--- a/internal/gateway/path/path.go
+++ b/internal/gateway/path/path.go
@@ -18,7 +18,6 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/registry"
-	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
 	"github.com/bilberryrock/bilberryrock/internal/release"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 )
@@ -153,10 +152,6 @@
 	p.admission = on
 }
 
-// Room returns the capacity of all data centres that hold the whole model, and its use by
-// all gateways.
-func (p *Planner) Room() Room { return Room{} }
-
 // Refresh replaces the engines that may be used. The state of an engine is kept as long
 // as its incarnation stays the same. gateways is the number of gateways in all data
 // centres.
@@ -220,16 +215,6 @@
 	return max(freeBytes/bytesPerStream, 1)
 }
 
-// partialPath is the cheapest path for the layers before a bound whose last engine is in
-// one data centre.
-type partialPath struct {
-	cost       float64
-	hop        Hop
-	prev       *partialPath
-	length     int
-	dataCentre fleet.DataCentreID
-}
-
 // Constraints restrict the choice of a path.
 type Constraints struct {
 	// Avoid lists engines that must not be used.
@@ -243,11 +228,6 @@
 	Size float64
 }
 
-// Room is the capacity of the engines of a pool and its use, in streams of mean size.
-type Room struct {
-	Capacity, Active float64
-}
-
 // Choose returns the cheapest path within the constraints. The caller must call Done
 // with the path when the request ends. The error is of kind refusal.NoUpstream.
 func (p *Planner) Choose(l Constraints) ([]Hop, error) {
@@ -290,211 +270,6 @@
 	return es, costs
 }
 
-// currentSlowdown returns the factor by which the engine is slower than its card, or 1
-// if there is no recent report.
-func (e *engine) currentSlowdown(now time.Time) float64 {
-	if e.slowdown <= 1 || now.Sub(e.slowdownTime) > maxSlowdownAge {
-		return 1
-	}
-	return e.slowdown
-}
-
-// SetSlowdown records the factor by which an engine reports to be slower than its card.
-func (p *Planner) SetSlowdown(id fleet.UpstreamID, slowdown float64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if e := p.byID[id]; e != nil {
-		now := p.clock.Now()
-		e.slowdown, e.slowdownTime, e.ownSlowdownTime = slowdown, now, now
-	}
-}
-
-// SlowdownDue returns the hops whose engines no gateway has recently asked for their
-// slowdown. The caller must ask them: they are not returned again for
-// maxSlowdownReportAge.
-func (p *Planner) SlowdownDue(hops []Hop) []Hop {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	var due []Hop
-	for _, h := range hops {
-		if e := p.byID[h.ID]; e != nil && now.Sub(e.slowdownTime) > maxSlowdownReportAge {
-			e.slowdownTime = now // keeps other streams from asking as well
-			due = append(due, h)
-		}
-	}
-	return due
-}
-
-// load estimates the requests of all gateways on an engine.
-func (p *Planner) load(e *engine, now time.Time) float64 {
-	if now.Sub(p.sumsTime) > maxSumAge {
-		return float64(e.active) * p.sharingGateways
-	}
-	return float64(e.fleetActive) + float64(e.chosenSince)*p.contenders(now)
-}
-
-// contenders returns the number of gateways that are assumed to choose the same engines
-// as this one since the newest sums.
-func (p *Planner) contenders(now time.Time) float64 {
-	base := min(p.sharingGateways, baseContenders)
-	excess := float64(p.arrivals) - arrivalAllowance - p.arrivalRate*now.Sub(p.sumsTime).Seconds()
-	if excess <= 0 {
-		return base
-	}
-	return base + (p.sharingGateways-base)*excess/float64(p.arrivals)
-}
-
-// updateArrivalRate adds the requests since the previous sums to the moving average.
-func (p *Planner) updateArrivalRate(now time.Time) {
-	if d := now.Sub(p.sumsTime); !p.sumsTime.IsZero() && d > 0 {
-		weight := 1 - math.Exp(-d.Seconds()/arrivalRateTimeConstant.Seconds())
-		p.arrivalRate += weight * (float64(p.arrivals)/d.Seconds() - p.arrivalRate)
-	}
-	p.arrivals, p.sumsTime = 0, now
-}
-
-// Stats returns, for each engine with requests in progress or recent events, what this
-// gateway reports to the controller.
-func (p *Planner) Stats() []usage.UpstreamStats {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	var us []usage.UpstreamStats
-	for _, e := range p.engines {
-		failed := now.Sub(e.lastOwnFailure) < maxFailureReportAge
-		served := now.Sub(e.lastOwnProgress) < maxProgressAge
-		slowdown := 0.0
-		if now.Sub(e.ownSlowdownTime) < maxSlowdownReportAge {
-			slowdown = e.slowdown
-		}
-		full := now.Sub(e.lastOwnRefusal) < maxRefusalReportAge
-		if e.active > 0 || failed || served || full || slowdown > 0 {
-			us = append(us, usage.UpstreamStats{ID: e.entry.ID, Active: e.active, Failed: failed, Served: served, OutOfMemory: full, Slowdown: slowdown})
-		}
-	}
-	return us
-}
-
-// SetFleetStats applies the sums over all gateways. Engines that failed for several
-// gateways are excluded here as well.
-func (p *Planner) SetFleetStats(us []usage.UpstreamStats) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	p.updateArrivalRate(now)
-	for _, e := range p.engines {
-		e.fleetActive, e.chosenSince = 0, 0
-	}
-	for _, u := range us {
-		e := p.byID[u.ID]
-		if e == nil {
-			continue
-		}
-		e.fleetActive = u.Active
-		if u.Served {
-			e.lastProgress = now
-		}
-		if u.OutOfMemory {
-			e.lastRefusal = now
-		}
-		if u.Slowdown > 0 {
-			e.slowdown, e.slowdownTime = u.Slowdown, now
-		}
-		if u.Failed && !now.Before(e.excludedUntil) {
-			p.exclude(e, now)
-		}
-	}
-}
-
-// search finds the cheapest path by dynamic programming. It visits the layer bounds in
-// order and keeps the cheapest partial path for each bound and data centre.
-func (p *Planner) search(es []*engine, costs []float64, first []fleet.UpstreamID) []Hop {
-	best := make([]map[fleet.DataCentreID]*partialPath, len(p.layerBounds))
-	best[0] = map[fleet.DataCentreID]*partialPath{p.dataCentre: {dataCentre: p.dataCentre}}
-	firstHopCost := make(map[fleet.DataCentreID]float64)
-	for _, e := range es {
-		if _, ok := firstHopCost[e.entry.DataCentre]; !ok {
-			firstHopCost[e.entry.DataCentre] = firstHopCrossingCost.Seconds() * (1 + firstHopCrossingJitter*p.random())
-		}
-	}
-	firstHopCost[p.dataCentre] = 0
-	for i := range p.layerBounds[:len(p.layerBounds)-1] {
-		for _, s := range best[i] {
-			for k, e := range es {
-				if s.length == 0 && len(first) > 0 && !slices.Contains(first, e.entry.ID) {
-					continue
-				}
-				p.extend(best, i, s, e, costs[k], firstHopCost)
-			}
-		}
-	}
-	var end *partialPath
-	for _, s := range best[len(best)-1] {
-		if end == nil || s.cost < end.cost {
-			end = s
-		}
-	}
-	if end == nil {
-		return nil
-	}
-	hops := make([]Hop, end.length)
-	for s := end; s.prev != nil; s = s.prev {
-		hops[s.length-1] = s.hop
-	}
-	return hops
-}
-
-// extend adds an engine to a partial path that ends at bound i, once for each later bound
-// up to which the engine holds the layers.
-func (p *Planner) extend(best []map[fleet.DataCentreID]*partialPath, i int, s *partialPath, e *engine, cost float64, firstHopCost map[fleet.DataCentreID]float64) {
-	from := p.layerBounds[i]
-	if int(e.entry.Layers.From) > from || int(e.entry.Layers.To) <= from || s.length >= maxHops || visits(s, e) {
-		return
-	}
-	start := s.cost + p.transferCost(s, e, firstHopCost)
-	d := e.entry.DataCentre
-	for j := i + 1; j < len(p.layerBounds) && p.layerBounds[j] <= int(e.entry.Layers.To); j++ {
-		c := start + cost*float64(p.layerBounds[j]-from)
-		if old := best[j][d]; old != nil && old.cost <= c {
-			continue
-		}
-		if best[j] == nil {
-			best[j] = make(map[fleet.DataCentreID]*partialPath)
-		}
-		best[j][d] = &partialPath{
-			cost: c, prev: s, length: s.length + 1, dataCentre: d,
-			hop: Hop{
-				ID: e.entry.ID, Incarnation: e.entry.Incarnation, Address: e.entry.Address,
-				Layers: upstream.LayerRange{From: fleet.Layer(from), To: fleet.Layer(p.layerBounds[j])},
-			},
-		}
-	}
-}
-
-// visits reports whether a partial path already contains an engine. Engines reject paths
-// in which they appear twice.
-func visits(s *partialPath, e *engine) bool {
-	for ; s.prev != nil; s = s.prev {
-		if s.hop.ID == e.entry.ID {
-			return true
-		}
-	}
-	return false
-}
-
-// transferCost returns the cost in seconds of the transfer to the next engine of a path.
-// firstHopCost holds the cost of a first engine in each data centre.
-func (p *Planner) transferCost(s *partialPath, e *engine, firstHopCost map[fleet.DataCentreID]float64) float64 {
-	switch {
-	case s.length == 0:
-		return firstHopCost[e.entry.DataCentre]
-	case s.dataCentre != e.entry.DataCentre:
-		return midPathCrossingCost.Seconds()
-	}
-	return float64(p.model.MeanAnswerTokens) * hopDelay.Seconds()
-}
-
 // Done records the end of a request on a path. ok reports that all engines completed
 // their part.
 func (p *Planner) Done(hops []Hop, ok bool) {
@@ -511,52 +286,3 @@
 		}
 	}
 }
-
-// NoteProgress records that a request made progress on a path.
-func (p *Planner) NoteProgress(hops []Hop) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	for _, h := range hops {
-		if e := p.byID[h.ID]; e != nil {
-			e.lastOwnProgress = now
-		}
-	}
-}
-
-// MarkFailed excludes the engine at an address temporarily.
-func (p *Planner) MarkFailed(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	for _, e := range p.engines {
-		if e.entry.Address != address || now.Before(e.excludedUntil) {
-			continue
-		}
-		e.lastOwnFailure = now
-		p.exclude(e, now)
-	}
-}
-
-// exclude keeps an engine from being chosen, for longer with each consecutive failure.
-func (p *Planner) exclude(e *engine, now time.Time) {
-	d := time.Duration(float64(minExclusion) * math.Pow(2, float64(e.failures)))
-	e.excludedUntil = now.Add(min(d, maxExclusion))
-	e.failures++
-}
-
-// MarkFull excludes the engine at an address until some of its requests may have ended.
-func (p *Planner) MarkFull(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	for _, e := range p.engines {
-		if e.entry.Address != address {
-			continue
-		}
-		e.lastOwnRefusal = now
-		if !now.Before(e.excludedUntil) {
-			e.excludedUntil = now.Add(refusalExclusion)
-		}
-	}
-}
