Select paths by capacity for pools under admission control

Paths of such pools leave a data centre only if no data centre that holds all layers has a path, at a limited rate, and new streams are not sent to full engines. Streams are counted by the memory that they need, and a new stream is refused at once when engines are full.

--- a/internal/gateway/forward/destination.go
+++ b/internal/gateway/forward/destination.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/path"
 	"github.com/bilberryrock/bilberryrock/internal/registry/quarantine"
@@ -22,10 +23,10 @@
 }
 
 // chooseDestination selects a path of engines, or an upstream of a service without
-// engines.
-func (q *request) chooseDestination() (destination, error) {
+// engines. continues is set for a stream whose client already has a part of it.
+func (q *request) chooseDestination(continues bool) (destination, error) {
 	if p := q.pool.Planner; p != nil {
-		hops, err := q.choosePath(p)
+		hops, err := q.choosePath(p, continues)
 		if err != nil {
 			return destination{}, err
 		}
@@ -64,16 +65,22 @@
 // Once the stream may have run at as many first engines as the route allows, the path
 // begins at one of them. If there is no such path, any path is allowed, because those
 // engines may be lost.
-func (q *request) choosePath(p *path.Planner) ([]path.Hop, error) {
-	l := path.Constraints{Avoid: q.avoid}
+func (q *request) choosePath(p *path.Planner, continues bool) ([]path.Hop, error) {
+	unrestricted := path.Constraints{Continues: continues, Size: p.Size(q.headers.PromptTokens, q.headers.MaxAnswerTokens)}
+	l := unrestricted
 	if q.reachedMaxUpstreams() {
-		l = path.Constraints{First: q.ranAt}
+		l.First = q.ranAt
+	} else {
+		l.Avoid = q.avoid
 	}
 	hops, err := p.Choose(l)
-	if err != nil {
-		return p.Choose(path.Constraints{})
+	if err == nil {
+		return hops, nil
+	}
+	if len(l.First) > 0 || len(l.Avoid) > 0 || refusal.KindOf(err) != refusal.Overloaded {
+		hops, err = p.Choose(unrestricted)
 	}
-	return hops, nil
+	return hops, q.withRetryAfter(err)
 }
 
 // pickUpstream selects an upstream of a service without engines under the same limits.
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -438,7 +438,7 @@
 		panic(http.ErrAbortHandler)
 	case q.possibleRuns == 0 && ctx.Err() != nil:
 		q.refuse(refusal.WithCause(refusal.NoUpstream, q.lastErr, "no upstream accepted the request before the deadline"))
-	case q.possibleRuns == 0 && refusal.KindOf(q.lastErr) == refusal.Quarantined:
+	case q.possibleRuns == 0 && (refusal.KindOf(q.lastErr) == refusal.Quarantined || refusal.KindOf(q.lastErr) == refusal.Overloaded):
 		q.refuse(q.lastErr)
 	case q.possibleRuns == 0:
 		q.refuse(refusal.WithCause(refusal.NoUpstream, q.lastErr, "no upstream accepted the request"))
@@ -460,7 +460,7 @@
 	h := q.w.Header()
 	h.Set("Content-Type", "application/json")
 	if a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests {
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter(kind).Seconds(), 'f', 2, 64))
+		h.Set("Retry-After", strconv.FormatFloat(retryAfterOf(err, kind).Seconds(), 'f', 2, 64))
 	}
 	body := `{"error":"` + a.Code + `"}`
 	h.Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/gateway/forward/plain.go
+++ b/internal/gateway/forward/plain.go
@@ -48,7 +48,7 @@
 func (q *request) serveUnary(ctx context.Context) {
 	var buffered *response
 	for q.allowAttempt(ctx) {
-		d, err := q.chooseDestination()
+		d, err := q.chooseDestination(false)
 		if err != nil {
 			q.lastErr = err
 			break
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -124,15 +124,16 @@
 	lastProgress time.Time // when progress was last reported to the planner
 }
 
-// awaitDestination waits up to pathTimeout for a destination.
+// awaitDestination waits up to pathTimeout for a destination. A new stream doesn't wait
+// for engines that are full.
 func (s *relay) awaitDestination(ctx context.Context) (destination, error) {
 	start := s.arrival
 	if s.headSent {
 		start = s.clock.Now()
 	}
 	for {
-		t, err := s.chooseDestination()
-		if err == nil || s.clock.Now().Sub(start) >= pathTimeout {
+		t, err := s.chooseDestination(s.headSent || s.headers.HasLastEvent)
+		if err == nil || s.refusedAsFull(err) || s.clock.Now().Sub(start) >= pathTimeout {
 			return t, err
 		}
 		select {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,9 @@
 	// SharedParts lists the parts of the prompt that other requests may have too, in
 	// order. It lacks the last part, which belongs to the request or to its session.
 	SharedParts []fleet.PromptPartID
+	// PromptTokens is the length of the prompt and MaxAnswerTokens the largest length of
+	// the answer. Both are 0 if not given.
+	PromptTokens, MaxAnswerTokens int
 }
 
 // UpstreamHeaders holds the values of the headers that the gateway sets in a request
--- a/internal/gateway/path/health.go
+++ b/internal/gateway/path/health.go
@@ -86,6 +86,11 @@
 			continue
 		}
 		e.lastOwnRefusal = now
+		if p.admission {
+			// The engine counts as full, not as lost: its layers are not missing.
+			e.refusedUntil = now.Add(refusalExclusion)
+			continue
+		}
 		if !now.Before(e.excludedUntil) {
 			e.excludedUntil = now.Add(refusalExclusion)
 		}
--- a/internal/gateway/path/load.go
+++ b/internal/gateway/path/load.go
@@ -15,6 +15,25 @@
 	return float64(e.fleetActive) + float64(e.chosenSince)*p.contenders(now)
 }
 
+// sizedLoad is load in streams of mean size.
+func (p *Planner) sizedLoad(e *engine, now time.Time) float64 {
+	if now.Sub(p.sumsTime) > maxSumAge {
+		return e.size * p.sharingGateways
+	}
+	return e.fleetSize + e.chosenSizeSince*p.contenders(now)
+}
+
+// utilization returns the estimated load of an engine as a part of its capacity, which is
+// its memory in streams of mean size, and its slots in requests if it can be the first
+// engine of a path.
+func (p *Planner) utilization(e *engine, now time.Time) float64 {
+	u := p.sizedLoad(e, now) / e.memoryCapacity
+	if e.limitedBySlots() {
+		u = max(u, p.load(e, now)/float64(e.entry.Slots))
+	}
+	return u
+}
+
 // contenders returns the number of gateways that are assumed to choose the same engines
 // as this one since the newest sums.
 func (p *Planner) contenders(now time.Time) float64 {
@@ -51,7 +70,11 @@
 		}
 		full := now.Sub(e.lastOwnRefusal) < maxRefusalReportAge
 		if e.active > 0 || failed || served || full || slowdown > 0 {
-			us = append(us, usage.UpstreamStats{ID: e.entry.ID, Active: e.active, Failed: failed, Served: served, OutOfMemory: full, Slowdown: slowdown})
+			u := usage.UpstreamStats{ID: e.entry.ID, Active: e.active, Failed: failed, Served: served, OutOfMemory: full, Slowdown: slowdown}
+			if p.admission {
+				u.Size = e.size
+			}
+			us = append(us, u)
 		}
 	}
 	return us
@@ -66,13 +89,14 @@
 	p.updateArrivalRate(now)
 	for _, e := range p.engines {
 		e.fleetActive, e.chosenSince = 0, 0
+		e.fleetSize, e.chosenSizeSince = 0, 0
 	}
 	for _, u := range us {
 		e := p.byID[u.ID]
 		if e == nil {
 			continue
 		}
-		e.fleetActive = u.Active
+		e.fleetActive, e.fleetSize = u.Active, u.SizeOrActive()
 		if u.Served {
 			e.lastProgress = now
 		}
--- a/internal/gateway/path/path.go
+++ b/internal/gateway/path/path.go
@@ -93,6 +93,7 @@
 	Incarnation fleet.Incarnation
 	Address     string
 	Layers      upstream.LayerRange
+	size        float64 // size of the stream, in streams of mean size
 }
 
 // Planner chooses paths for one pool. It is safe for concurrent use.
@@ -114,15 +115,20 @@
 	// average of requests per second.
 	arrivals    int
 	arrivalRate float64
+	crossings   crossingLimiter // of a pool under admission control
 }
 
 type engine struct {
 	entry           registry.Entry
 	secondsPerLayer float64   // time of a request of average size per layer
-	streamCapacity  float64   // number of requests of average size that fit into the memory
+	streamCapacity  float64   // memoryCapacity, or the slots of a first engine if they are fewer
+	memoryCapacity  float64   // number of requests of average size that fit into the memory
 	active          int       // requests of this gateway in progress
 	fleetActive     int       // requests of all gateways, according to the newest sums
 	chosenSince     int       // requests of this gateway since the newest sums
+	size            float64   // size of the requests counted in active
+	fleetSize       float64   // size of the requests counted in fleetActive
+	chosenSizeSince float64   // size of the requests counted in chosenSince
 	failures        int       // consecutive failures
 	lastOwnFailure  time.Time // last failure seen by this gateway
 	slowdown        float64   // factor by which it is slower than its card
@@ -131,6 +137,7 @@
 	lastOwnProgress time.Time // last progress of a request of this gateway
 	lastProgress    time.Time // last sums in which requests of some gateway made progress
 	excludedUntil   time.Time
+	refusedUntil    time.Time // end of the exclusion for a refusal, under admission control
 	lastOwnRefusal  time.Time // last refusal of this gateway for lack of memory
 	lastRefusal     time.Time // last sums with a refusal of some gateway
 }
@@ -173,8 +180,9 @@
 		}
 		k.entry = e
 		k.secondsPerLayer = secondsPerLayer(m, c)
-		k.streamCapacity = streamCapacity(m, c, e.Layers.Len())
-		if e.Layers.From == 0 && e.Slots > 0 {
+		k.memoryCapacity = streamCapacity(m, c, e.Layers.Len())
+		k.streamCapacity = k.memoryCapacity
+		if k.limitedBySlots() {
 			// The first engine of a path queues requests beyond its slots.
 			k.streamCapacity = min(k.streamCapacity, float64(e.Slots))
 		}
@@ -184,8 +192,13 @@
 	}
 	slices.Sort(bounds)
 	p.layerBounds = slices.Compact(bounds)
+	p.crossings.rate = crossingRate(m, gateways)
 }
 
+// limitedBySlots reports whether the slots of an engine limit the requests on it, since it
+// can be the first engine of a path.
+func (e *engine) limitedBySlots() bool { return e.entry.Layers.From == 0 && e.entry.Slots > 0 }
+
 // secondsPerLayer returns the time of a request of average size per layer.
 func secondsPerLayer(m *release.Engine, c release.Card) float64 {
 	decode := float64(m.MeanAnswerTokens) * m.StepMS * c.StepFactor / 1e3
@@ -225,43 +238,81 @@
 	// Continues is set for a stream whose client already has a part of the response.
 	Continues bool
 	// Size is the memory that the stream needs, in streams of mean size. Zero counts as 1.
+	// Planner.Size computes it.
 	Size float64
 }
 
 // Choose returns the cheapest path within the constraints. The caller must call Done
-// with the path when the request ends. The error is of kind refusal.NoUpstream.
+// with the path when the request ends. The error is of kind refusal.NoUpstream or, under
+// admission control, of kind refusal.Overloaded if there is no path because engines are
+// full.
 func (p *Planner) Choose(l Constraints) ([]Hop, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.model == nil {
 		return nil, refusal.New(refusal.NoUpstream, "no engine is known")
 	}
-	usable, costs := p.usable(l.Avoid)
+	usable, costs := p.usable(l)
 	p.arrivals++
-	hops := p.search(usable, costs, l.First)
-	if hops == nil {
-		return nil, refusal.New(refusal.NoUpstream, "%d usable engines of %d do not hold all %d layers",
-			len(usable), len(p.engines), p.model.Layers)
+	var hops []Hop
+	var err error
+	if p.admission {
+		hops, err = p.chooseWithinCapacity(l, usable, costs)
+	} else if hops = p.search(usable, costs, l.First, crossingRule{}); hops == nil {
+		err = p.errMissingLayers(len(usable))
 	}
-	for _, h := range hops {
-		p.byID[h.ID].active++
-		p.byID[h.ID].chosenSince++
+	if err != nil {
+		return nil, err
+	}
+	size := l.Size
+	if size <= 0 {
+		size = 1
+	}
+	for i := range hops {
+		hops[i].size = size
+		e := p.byID[hops[i].ID]
+		e.active++
+		e.chosenSince++
+		e.size += size
+		e.chosenSizeSince += size
 	}
 	return hops, nil
 }
 
+func (p *Planner) errMissingLayers(usable int) error {
+	return refusal.New(refusal.NoUpstream, "%d usable engines of %d do not hold all %d layers",
+		usable, len(p.engines), p.model.Layers)
+}
+
+// available reports whether an engine is neither lost nor excluded.
+func (p *Planner) available(e *engine, now time.Time) bool {
+	stale := now.Sub(e.entry.LastHeartbeat) > p.heartbeatTimeout && now.Sub(e.lastProgress) > maxProgressAge && now.Sub(e.lastOwnProgress) > maxProgressAge
+	return !stale && !now.Before(e.excludedUntil)
+}
+
 // usable returns the engines that may be chosen now, and the cost of one layer on each.
-func (p *Planner) usable(avoid []fleet.UpstreamID) ([]*engine, []float64) {
+func (p *Planner) usable(l Constraints) ([]*engine, []float64) {
 	now := p.clock.Now()
-	var es []*engine
-	var costs []float64
+	es := make([]*engine, 0, len(p.engines))
+	costs := make([]float64, 0, len(p.engines))
 	for _, e := range p.engines {
-		stale := now.Sub(e.entry.LastHeartbeat) > p.heartbeatTimeout && now.Sub(e.lastProgress) > maxProgressAge && now.Sub(e.lastOwnProgress) > maxProgressAge
-		if stale || now.Before(e.excludedUntil) || slices.Contains(avoid, e.entry.ID) {
+		if !p.available(e, now) || slices.Contains(l.Avoid, e.entry.ID) {
 			continue
 		}
+		var utilization float64
+		if p.admission {
+			if now.Before(e.refusedUntil) {
+				continue
+			}
+			utilization = p.utilization(e, now)
+			if !l.Continues && utilization >= 1 {
+				continue
+			}
+		} else {
+			utilization = p.load(e, now) / e.streamCapacity
+		}
 		es = append(es, e)
-		utilization := min(p.load(e, now)/e.streamCapacity, maxUtilization)
+		utilization = min(utilization, maxUtilization)
 		if now.Sub(e.lastRefusal) < maxRefusalAge {
 			utilization = maxUtilization
 		}
@@ -281,6 +332,10 @@
 			continue
 		}
 		e.active = max(0, e.active-1)
+		e.size = max(0, e.size-h.size)
+		if e.active == 0 {
+			e.size = 0 // drops the rounding errors of the sum
+		}
 		if ok && e.failures > 0 {
 			e.failures, e.excludedUntil = 0, time.Time{}
 		}
--- a/internal/gateway/path/search.go
+++ b/internal/gateway/path/search.go
@@ -19,7 +19,7 @@
 
 // search finds the cheapest path by dynamic programming. It visits the layer bounds in
 // order and keeps the cheapest partial path for each bound and data centre.
-func (p *Planner) search(es []*engine, costs []float64, first []fleet.UpstreamID) []Hop {
+func (p *Planner) search(es []*engine, costs []float64, first []fleet.UpstreamID, r crossingRule) []Hop {
 	best := make([]map[fleet.DataCentreID]*partialPath, len(p.layerBounds))
 	best[0] = map[fleet.DataCentreID]*partialPath{p.dataCentre: {dataCentre: p.dataCentre}}
 	firstHopCost := make(map[fleet.DataCentreID]float64)
@@ -35,6 +35,9 @@
 				if s.length == 0 && len(first) > 0 && !slices.Contains(first, e.entry.ID) {
 					continue
 				}
+				if s.length > 0 && s.dataCentre != e.entry.DataCentre && !r.allows(s.dataCentre) {
+					continue
+				}
 				p.extend(best, i, s, e, costs[k], firstHopCost)
 			}
 		}
--- a/internal/registry/feed/codec.go
+++ b/internal/registry/feed/codec.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"math"
 	"time"
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
@@ -12,10 +13,16 @@
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 )
 
+// sizeUnits is the number of units of UpstreamUse.size in a request of mean size.
+const sizeUnits = 100
+
 func statsToProto(us []usage.UpstreamStats) []*peerv1.UpstreamUse {
 	ps := make([]*peerv1.UpstreamUse, len(us))
 	for i, u := range us {
-		ps[i] = &peerv1.UpstreamUse{Id: string(u.ID), Active: uint32(u.Active), Failed: u.Failed, Served: u.Served, Full: u.OutOfMemory, Pace: float32(u.Slowdown)}
+		ps[i] = &peerv1.UpstreamUse{
+			Id: string(u.ID), Active: uint32(u.Active), Failed: u.Failed, Served: u.Served, Full: u.OutOfMemory, Pace: float32(u.Slowdown),
+			Size: uint32(math.Round(u.Size * sizeUnits)),
+		}
 	}
 	return ps
 }
@@ -23,7 +30,10 @@
 func statsFromProto(ps []*peerv1.UpstreamUse) []usage.UpstreamStats {
 	us := make([]usage.UpstreamStats, len(ps))
 	for i, p := range ps {
-		us[i] = usage.UpstreamStats{ID: fleet.UpstreamID(p.GetId()), Active: int(p.GetActive()), Failed: p.GetFailed(), Served: p.GetServed(), OutOfMemory: p.GetFull(), Slowdown: float64(p.GetPace())}
+		us[i] = usage.UpstreamStats{
+			ID: fleet.UpstreamID(p.GetId()), Active: int(p.GetActive()), Failed: p.GetFailed(), Served: p.GetServed(), OutOfMemory: p.GetFull(),
+			Slowdown: float64(p.GetPace()), Size: float64(p.GetSize()) / sizeUnits,
+		}
 	}
 	return us
 }
--- a/internal/registry/usage/usage.go
+++ b/internal/registry/usage/usage.go
@@ -29,6 +29,9 @@
 type UpstreamStats struct {
 	ID     fleet.UpstreamID
 	Active int
+	// Size is the size of the requests in Active, in requests of mean size. Zero means that
+	// it is not known, as in pools without admission control.
+	Size float64
 	// Failed is set if requests recently failed there, and Served if requests recently
 	// made progress.
 	Failed, Served bool
@@ -39,6 +42,14 @@
 	Slowdown float64
 }
 
+// SizeOrActive returns Size, or the number of active requests if the size is not known.
+func (u UpstreamStats) SizeOrActive() float64 {
+	if u.Size > 0 {
+		return u.Size
+	}
+	return float64(u.Active)
+}
+
 // Report is the report of one gateway, or the sums of several.
 type Report struct {
 	// Gateways is the number of gateways in the sums.
@@ -195,6 +206,9 @@
 	}
 	for _, n := range o.Upstreams {
 		u := stats[n.ID]
+		if u.Size > 0 || n.Size > 0 {
+			u.Size = u.SizeOrActive() + n.SizeOrActive()
+		}
 		u.Active += n.Active
 		u.Served = u.Served || n.Served
 		u.OutOfMemory = u.OutOfMemory || n.OutOfMemory
