--- a/internal/gateway/path/bench_test.go
+++ b/internal/gateway/path/bench_test.go
@@ -23,14 +23,17 @@
 	benchGateways    = 100
 )
 
-// benchPlanner returns a planner with recent sums in which each engine has the given
-// number of requests. The layers from missing on have no engine.
-func benchPlanner(b *testing.B, active int, missing fleet.Layer) *path.Planner {
+// benchSumsInterval is the number of paths that a planner chooses between two sums.
+const benchSumsInterval = 10
+
+// benchPlanner returns a planner, and sums in which each engine has the given number of
+// requests. The layers from missing on have no engine.
+func benchPlanner(b *testing.B, active int, missing fleet.Layer) (*path.Planner, []usage.UpstreamStats) {
 	b.Helper()
 	m := &release.Engine{
 		Layers: benchLayers, LayerMB: 1000, TokenBytes: 4e5, StepMS: 5, PrefillPerSecond: 30000, ActivationBytes: 24600,
 		LinkMbps: 6800, MeanPromptTokens: 775, MeanAnswerTokens: 154,
-		Cards: map[string]release.Card{"card": {MemoryMB: 14000, StepFactor: 5, PrefillFactor: 5}},
+		Cards: map[string]release.Card{"card": {MemoryMB: 24000, StepFactor: 5, PrefillFactor: 5}},
 	}
 	clock := fakeclock.New(fakeclock.Start)
 	var es []registry.Entry
@@ -50,21 +53,67 @@
 	}
 	p := path.New(clock, "dc0", time.Hour, nil)
 	p.Refresh(m, es, benchGateways)
-	p.SetFleetStats(us)
-	return p
+	return p, us
 }
 
-func benchChoose(b *testing.B, p *path.Planner, l path.Constraints) {
-	for b.Loop() {
-		if hops, err := p.Choose(l); err == nil {
+func benchChoose(b *testing.B, p *path.Planner, us []usage.UpstreamStats, l path.Constraints, found bool) {
+	for i := 0; b.Loop(); i++ {
+		if i%benchSumsInterval == 0 {
+			p.SetFleetStats(us)
+		}
+		hops, err := p.Choose(l)
+		if (err == nil) != found {
+			b.Fatalf("unexpected result: %v", err)
+		}
+		if err == nil {
 			p.Done(hops, true)
 		}
 	}
 }
 
+// BenchmarkChooseAdmission measures the choice of a path under admission control. Where
+// engines are full or layers are missing, the choice examines the data centres as well.
+func BenchmarkChooseAdmission(b *testing.B) {
+	for _, s := range []struct {
+		name    string
+		active  int
+		missing fleet.Layer
+		l       path.Constraints
+		found   bool
+	}{
+		{"calm", 1, benchLayers, path.Constraints{}, true},
+		{"full", 1000, benchLayers, path.Constraints{}, false},
+		{"fullContinues", 1000, benchLayers, path.Constraints{Continues: true}, true},
+		{"missingLayers", 1, benchLayers - 10, path.Constraints{}, false},
+	} {
+		b.Run(s.name, func(b *testing.B) {
+			p, us := benchPlanner(b, s.active, s.missing)
+			p.SetAdmission(true)
+			benchChoose(b, p, us, s.l, s.found)
+		})
+	}
+}
+
+// BenchmarkRoom measures the capacity of all data centres.
+func BenchmarkRoom(b *testing.B) {
+	p, us := benchPlanner(b, 1, benchLayers)
+	p.SetFleetStats(us)
+	for b.Loop() {
+		p.Room()
+	}
+}
+
 // BenchmarkChoose measures the choice of a path without admission control.
 func BenchmarkChoose(b *testing.B) {
-	b.Run("calm", func(b *testing.B) { benchChoose(b, benchPlanner(b, 1, benchLayers), path.Constraints{}) })
-	b.Run("full", func(b *testing.B) { benchChoose(b, benchPlanner(b, 1000, benchLayers), path.Constraints{}) })
-	b.Run("missingLayers", func(b *testing.B) { benchChoose(b, benchPlanner(b, 1, benchLayers-10), path.Constraints{}) })
+	for _, s := range []struct {
+		name    string
+		active  int
+		missing fleet.Layer
+		found   bool
+	}{{"calm", 1, benchLayers, true}, {"full", 1000, benchLayers, true}, {"missingLayers", 1, benchLayers - 10, false}} {
+		b.Run(s.name, func(b *testing.B) {
+			p, us := benchPlanner(b, s.active, s.missing)
+			benchChoose(b, p, us, path.Constraints{}, s.found)
+		})
+	}
 }
--- a/internal/gateway/path/links.go
+++ b/internal/gateway/path/links.go
@@ -31,7 +31,9 @@
 	complete map[fleet.DataCentreID]bool
 }
 
-func (r crossingRule) allows(from fleet.DataCentreID) bool { return !r.none && !r.complete[from] }
+func (r *crossingRule) allows(from fleet.DataCentreID) bool {
+	return !r.none && (r.complete == nil || !r.complete[from])
+}
 
 // crossingRate returns the crossings per second that one gateway of several may make. It
 // is infinite if the release does not describe the links.
@@ -100,6 +102,9 @@
 			complete[d] = true
 		}
 	}
+	if len(complete) == 0 && cs.total().streams() == 0 {
+		return nil, p.errMissingLayers(len(usable))
+	}
 	if len(complete) < len(cs) {
 		hops := p.search(usable, costs, l.First, crossingRule{complete: complete})
 		if hops != nil && p.crossings.take(p.countCrossings(hops), l.Continues, now, p.random) {
@@ -109,9 +114,6 @@
 			return nil, refusal.New(refusal.NoUpstream, "no data centre holds all %d layers, and the links between them are used up", p.model.Layers)
 		}
 	}
-	if len(complete) == 0 && cs.total().streams() == 0 {
-		return nil, p.errMissingLayers(len(usable))
-	}
 	return nil, refusal.New(refusal.Overloaded, "%d engines of %d are usable and not full, and do not hold all %d layers",
 		len(usable), len(p.engines), p.model.Layers)
 }
--- a/internal/gateway/path/path.go
+++ b/internal/gateway/path/path.go
@@ -253,7 +253,6 @@
 		return nil, refusal.New(refusal.NoUpstream, "no engine is known")
 	}
 	usable, costs := p.usable(l)
-	p.arrivals++
 	var hops []Hop
 	var err error
 	if p.admission {
@@ -261,6 +260,10 @@
 	} else if hops = p.search(usable, costs, l.First, crossingRule{}); hops == nil {
 		err = p.errMissingLayers(len(usable))
 	}
+	// Under admission control refused requests are no sign of load on the engines.
+	if err == nil || !p.admission {
+		p.arrivals++
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/path/path_test.go
+++ b/internal/gateway/path/path_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/fakeclock"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/path"
 	"github.com/bilberryrock/bilberryrock/internal/registry"
 	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
@@ -29,22 +30,59 @@
 
 // TestScripts guards against paths with missing, repeated or reordered layers, against
 // needless transfers between data centres, against engines that all gateways choose at
-// once, and against requests to engines that failed. A script lists engines as "id
-// dataCentre card fromLayer toLayer" and stats as "id activeRequests state", where state
-// is ok, failed or full.
+// once, and against requests to engines that failed. Under admission control it also
+// guards against crossings while a data centre holds all layers, against new streams on
+// full engines, and against a capacity that counts engines that cannot be used. A script
+// lists engines as "id dataCentre card fromLayer toLayer" and stats as "id activeRequests
+// state", where state is ok, failed or full, with the size of the requests as an optional
+// fourth value.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, file string) {
 		clock := fakeclock.New(fakeclock.Start)
 		p := path.New(clock, "dc1", 3600*time.Millisecond, func() float64 { return 0 })
+		var entries []registry.Entry
+		gateways := 0
 		datadriven.RunTest(t, file, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
 			case "engines":
-				gateways := 4
+				gateways = 4
 				d.MaybeScanArgs(t, "gateways", &gateways)
-				p.Refresh(model, parseEntries(t, d, clock.Now()), gateways)
+				entries = parseEntries(t, d, clock.Now())
+				p.Refresh(model, entries, gateways)
 				return ""
+			case "lost":
+				for i := range entries {
+					if entries[i].Address == address(t, d) {
+						entries[i].LastHeartbeat = clock.Now().Add(-time.Hour)
+					}
+				}
+				p.Refresh(model, entries, gateways)
+				return ""
+			case "heartbeats":
+				for i := range entries {
+					entries[i].LastHeartbeat = clock.Now()
+				}
+				p.Refresh(model, entries, gateways)
+				return ""
+			case "admission":
+				p.SetAdmission(d.HasArg("on"))
+				return ""
+			case "room":
+				r := p.Room()
+				return fmt.Sprintf("capacity %.2f, active %.2f\n", r.Capacity, r.Active)
+			case "size":
+				var prompt, answer int
+				d.ScanArgs(t, "prompt", &prompt)
+				d.ScanArgs(t, "answer", &answer)
+				return fmt.Sprintf("%.3f\n", p.Size(prompt, answer))
+			case "report":
+				var b strings.Builder
+				for _, u := range p.Stats() {
+					fmt.Fprintf(&b, "%s %d active, size %.2f\n", u.ID, u.Active, u.Size)
+				}
+				return b.String()
 			case "choose":
-				return choose(p, d)
+				return choose(t, p, d)
 			case "stats":
 				p.SetFleetStats(parseStats(t, d))
 				return ""
@@ -78,14 +116,21 @@
 	})
 }
 
-func address(t *testing.T, d *datadriven.TestData) string {
+func address(t *testing.T, d *datadriven.TestData) string { return scanned(t, d, "at") }
+
+func scanned(t *testing.T, d *datadriven.TestData, key string) string {
 	var s string
-	d.ScanArgs(t, "at", &s)
+	d.ScanArgs(t, key, &s)
 	return s
 }
 
-func constraints(d *datadriven.TestData) path.Constraints {
-	var l path.Constraints
+func constraints(t *testing.T, d *datadriven.TestData) path.Constraints {
+	l := path.Constraints{Continues: d.HasArg("continues")}
+	if d.HasArg("size") {
+		if _, err := fmt.Sscan(scanned(t, d, "size"), &l.Size); err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+	}
 	for _, a := range d.CmdArgs {
 		switch a.Key {
 		case "avoid":
@@ -97,8 +142,11 @@
 	return l
 }
 
-func choose(p *path.Planner, d *datadriven.TestData) string {
-	hops, err := p.Choose(constraints(d))
+func choose(t *testing.T, p *path.Planner, d *datadriven.TestData) string {
+	hops, err := p.Choose(constraints(t, d))
+	if refusal.KindOf(err) == refusal.Overloaded {
+		return "overloaded: " + err.Error() + "\n"
+	}
 	if err != nil {
 		return err.Error() + "\n"
 	}
@@ -147,6 +195,11 @@
 		if _, err := fmt.Sscan(line, &id, &u.Active, &state); err != nil {
 			d.Fatalf(t, "%q: %v", line, err)
 		}
+		if fields := strings.Fields(line); len(fields) > 3 {
+			if _, err := fmt.Sscan(fields[3], &u.Size); err != nil {
+				d.Fatalf(t, "%q: %v", line, err)
+			}
+		}
 		u.ID, u.Failed, u.OutOfMemory = fleet.UpstreamID(id), state == "failed", state == "full"
 		us = append(us, u)
 	}
--- a/internal/gateway/path/search.go
+++ b/internal/gateway/path/search.go
@@ -35,10 +35,7 @@
 				if s.length == 0 && len(first) > 0 && !slices.Contains(first, e.entry.ID) {
 					continue
 				}
-				if s.length > 0 && s.dataCentre != e.entry.DataCentre && !r.allows(s.dataCentre) {
-					continue
-				}
-				p.extend(best, i, s, e, costs[k], firstHopCost)
+				p.extend(best, i, s, e, costs[k], firstHopCost, &r)
 			}
 		}
 	}
@@ -60,11 +57,14 @@
 
 // extend adds an engine to a partial path that ends at bound i, once for each later bound
 // up to which the engine holds the layers.
-func (p *Planner) extend(best []map[fleet.DataCentreID]*partialPath, i int, s *partialPath, e *engine, cost float64, firstHopCost map[fleet.DataCentreID]float64) {
+func (p *Planner) extend(best []map[fleet.DataCentreID]*partialPath, i int, s *partialPath, e *engine, cost float64, firstHopCost map[fleet.DataCentreID]float64, r *crossingRule) {
 	from := p.layerBounds[i]
 	if int(e.entry.Layers.From) > from || int(e.entry.Layers.To) <= from || s.length >= maxHops || visits(s, e) {
 		return
 	}
+	if s.length > 0 && s.dataCentre != e.entry.DataCentre && !r.allows(s.dataCentre) {
+		return
+	}
 	start := s.cost + p.transferCost(s, e, firstHopCost)
 	d := e.entry.DataCentre
 	for j := i + 1; j < len(p.layerBounds) && p.layerBounds[j] <= int(e.entry.Layers.To); j++ {
