--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -43,6 +43,14 @@
 	c := gateway.ClientHeaders{ID: fleet.RequestID(h.Get("Id")), Key: h.Get("Key")}
 	ms, _ := strconv.Atoi(h.Get("Budget"))
 	c.Budget = time.Duration(ms) * time.Millisecond
+	if s := h.Get("After"); s != "" {
+		n, err := strconv.ParseUint(s, 10, 64)
+		if err != nil {
+			return c, err
+		}
+		c.LastEvent, c.HasLastEvent = n, true
+	}
+	_, _ = fmt.Sscan(h.Get("Tokens"), &c.PromptTokens, &c.MaxAnswerTokens) // missing in most requests
 	for _, part := range strings.Fields(h.Get("Parts")) {
 		c.SharedParts = append(c.SharedParts, fleet.PromptPartID(part))
 	}
@@ -93,6 +101,7 @@
 	setRetryCounts   func(budget.Count)     // sets the sums of attempts and retries of the pool "model"
 	receive          func(feed.Update)      // delivers an update of a controller
 	heartbeat        func()                 // delivers a heartbeat of each upstream
+	state            *state.State
 	clock            *offsetClock
 	current          atomic.Pointer[release.Release]
 	// beforeDial, if not nil, is called before each connection to an upstream is opened.
@@ -200,6 +209,7 @@
 	if upstreams > 0 {
 		u.Confirmed, u.ConfirmedVersion = clock.Boot(), 1
 	}
+	w.state = st
 	w.receive = func(u feed.Update) { is.NoErr(st.Receive(u)) }
 	w.receive(u)
 	clock.offset.Store(int64(4 * time.Second))
--- a/internal/registry/feed/feed_test.go
+++ b/internal/registry/feed/feed_test.go
@@ -151,6 +151,29 @@
 	}
 }
 
+// Guards against sums without the sizes that gateways report, and against sums in which a
+// gateway that reports none counts as nothing.
+func TestSumsHoldSizes(t *testing.T) {
+	is := is.New(t)
+	r := newHarness()
+	f, other := r.follow(t, "g1"), r.follow(t, "g2")
+	r.next(f)
+	r.next(other)
+	f.requests <- &peerv1.FollowRequest{Stamp: 2, Uses: []*peerv1.UpstreamUse{{Id: "e1", Active: 3, Size: 129}}}
+	other.requests <- &peerv1.FollowRequest{Stamp: 2, Uses: []*peerv1.UpstreamUse{{Id: "e1", Active: 2}}}
+	for start := r.clock.Now(); ; {
+		is.True(r.clock.Now().Sub(start) < 8*feed.Interval) // the sums never hold both reports
+		u := r.next(f)
+		if len(u.GetSums()) == 0 {
+			continue
+		}
+		if us := decodeSums(t, u).GetUses(); len(us) > 0 && us[0].GetActive() == 5 {
+			is.Equal(us[0].GetSize(), uint32(329))
+			return
+		}
+	}
+}
+
 // Guards against a follower that applies the renewal of other content to an entry. It
 // would keep the outdated content permanently.
 func TestRenewalOfOtherContent(t *testing.T) {
--- a/internal/registry/usage/usage_test.go
+++ b/internal/registry/usage/usage_test.go
@@ -109,3 +109,15 @@
 	u.SetPeer("c2", usage.Report{Upstreams: []usage.UpstreamStats{{ID: "e3", Failed: true}}})
 	is.Equal(u.upstreams(true), []usage.UpstreamStats{{ID: "e1", Active: 1}, {ID: "e3", Failed: true}})
 }
+
+// Guards against sums in which the requests of a gateway that reports no sizes, or of an
+// older controller, count as nothing, and against sizes in pools whose gateways report none.
+func TestSizes(t *testing.T) {
+	is := is.New(t)
+	u := newFixture()
+	u.setGateway("g1", usage.UpstreamStats{ID: "e1", Active: 2, Size: 0.5}, usage.UpstreamStats{ID: "e2", Active: 4})
+	u.setGateway("g2", usage.UpstreamStats{ID: "e1", Active: 3}, usage.UpstreamStats{ID: "e2", Active: 1})
+	u.SetPeer("c2", usage.Report{Upstreams: []usage.UpstreamStats{{ID: "e1", Active: 10, Size: 20.25}}})
+	is.Equal(u.upstreams(true), []usage.UpstreamStats{{ID: "e1", Active: 15, Size: 23.75}, {ID: "e2", Active: 5}})
+	is.Equal(u.upstreams(false), []usage.UpstreamStats{{ID: "e1", Active: 5, Size: 3.5}, {ID: "e2", Active: 5}})
+}
