--- a/internal/gateway/path/bench_test.go
+++ b/internal/gateway/path/bench_test.go
@@ -27,8 +27,9 @@
 const benchSumsInterval = 10
 
 // benchPlanner returns a planner, and sums in which each engine has the given number of
-// requests. The layers from missing on have no engine.
-func benchPlanner(b *testing.B, active int, missing fleet.Layer) (*path.Planner, []usage.UpstreamStats) {
+// requests. The layers from missing on have no engine. With gaps, each data centre lacks
+// another layer.
+func benchPlanner(b *testing.B, active int, missing fleet.Layer, gaps bool) (*path.Planner, []usage.UpstreamStats) {
 	b.Helper()
 	m := &release.Engine{
 		Layers: benchLayers, LayerMB: 1000, TokenBytes: 4e5, StepMS: 5, PrefillPerSecond: 30000, ActivationBytes: 24600,
@@ -41,7 +42,8 @@
 	for i := range benchEngines {
 		from := fleet.Layer(i / benchDataCentres * 5 % benchLayers)
 		to := min(from+10, benchLayers)
-		if to > missing {
+		gap := fleet.Layer(10 + 20*(i%benchDataCentres))
+		if to > missing || gaps && from <= gap && gap < to {
 			continue
 		}
 		id := fleet.UpstreamID(fmt.Sprintf("e%d", i))
@@ -78,16 +80,18 @@
 		name    string
 		active  int
 		missing fleet.Layer
+		gaps    bool
 		l       path.Constraints
 		found   bool
 	}{
-		{"calm", 1, benchLayers, path.Constraints{}, true},
-		{"full", 1000, benchLayers, path.Constraints{}, false},
-		{"fullContinues", 1000, benchLayers, path.Constraints{Continues: true}, true},
-		{"missingLayers", 1, benchLayers - 10, path.Constraints{}, false},
+		{"calm", 1, benchLayers, false, path.Constraints{}, true},
+		{"full", 1000, benchLayers, false, path.Constraints{}, false},
+		{"fullContinues", 1000, benchLayers, false, path.Constraints{Continues: true}, true},
+		{"missingLayers", 1, benchLayers - 10, false, path.Constraints{}, false},
+		{"crossing", 1, benchLayers, true, path.Constraints{Continues: true}, true},
 	} {
 		b.Run(s.name, func(b *testing.B) {
-			p, us := benchPlanner(b, s.active, s.missing)
+			p, us := benchPlanner(b, s.active, s.missing, s.gaps)
 			p.SetAdmission(true)
 			benchChoose(b, p, us, s.l, s.found)
 		})
@@ -96,7 +100,7 @@
 
 // BenchmarkRoom measures the capacity of all data centres.
 func BenchmarkRoom(b *testing.B) {
-	p, us := benchPlanner(b, 1, benchLayers)
+	p, us := benchPlanner(b, 1, benchLayers, false)
 	p.SetFleetStats(us)
 	for b.Loop() {
 		p.Room()
@@ -112,7 +116,7 @@
 		found   bool
 	}{{"calm", 1, benchLayers, true}, {"full", 1000, benchLayers, true}, {"missingLayers", 1, benchLayers - 10, false}} {
 		b.Run(s.name, func(b *testing.B) {
-			p, us := benchPlanner(b, s.active, s.missing)
+			p, us := benchPlanner(b, s.active, s.missing, false)
 			benchChoose(b, p, us, path.Constraints{}, s.found)
 		})
 	}
