--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -472,7 +472,7 @@
 		panic(http.ErrAbortHandler)
 	case q.possibleRuns == 0 && ctx.Err() != nil:
 		q.refuse(refusal.WithCause(refusal.NoUpstream, q.lastErr, "no upstream accepted the request before the deadline"))
-	case q.possibleRuns == 0 && refusal.KindOf(q.lastErr) == refusal.Quarantined:
+	case q.possibleRuns == 0 && (refusal.KindOf(q.lastErr) == refusal.Quarantined || refusal.KindOf(q.lastErr) == refusal.Overloaded):
 		q.refuse(q.lastErr)
 	case q.possibleRuns == 0:
 		q.refuse(refusal.WithCause(refusal.NoUpstream, q.lastErr, "no upstream accepted the request"))
@@ -502,11 +502,11 @@
 	_, _ = io.WriteString(q.w, body) // the client may have disconnected
 }
 
-// retryAfter returns the time after which a refused client may retry. It is random unless
-// the error has one.
+// retryAfter returns the time after which a client that was refused with err may retry. It
+// is random unless the error has one.
 func retryAfter(err error, k refusal.Kind) time.Duration {
 	var e *refusal.Error
-	if errors.As(err, &e) && e.RetryAfter > 0 {
+	if errors.As(err, &e) && e.Kind == k && e.RetryAfter > 0 {
 		return e.RetryAfter
 	}
 	switch k {
