--- a/internal/admission/budget/fleet.go
+++ b/internal/admission/budget/fleet.go
@@ -61,10 +61,9 @@
 // part of the limit, and before the first sum it does not retry. A Shared is safe for
 // concurrent use.
 type Shared struct {
-	clock  fleet.Clock
-	limit  Limit
-	random func() float64
-	start  time.Time
+	clock fleet.Clock
+	limit Limit
+	start time.Time
 
 	mu             sync.Mutex
 	buckets        [bucketCount + 1]bucket
@@ -73,12 +72,8 @@
 	sumAt          time.Time // time of the last SetSum
 	maxInstances   int       // greatest recent number of instances, kept for maxInstancesAge
 	maxInstancesAt time.Time
-	balance        float64 // in retries
+	spending       spending
 	refilledAt     time.Time
-	// threshold is the balance at which the next retry may start. It is random and
-	// drawn anew for each retry, so that balances of less than one retry add up over
-	// the fleet.
-	threshold float64
 }
 
 // bucket counts what was sent in one tenth of a window.
@@ -91,7 +86,9 @@
 // [0, 1).
 func NewShared(clock fleet.Clock, l Limit, random func() float64) *Shared {
 	now := clock.Now()
-	return &Shared{clock: clock, limit: l, random: random, start: now, refilledAt: now, balance: startupBurst, threshold: 1 - random()}
+	p := spending{random: random, all: tokens{balance: startupBurst, threshold: 1 - random()}}
+	p.fresh.balance = (1 - reservedFraction) * startupBurst
+	return &Shared{clock: clock, limit: l, start: now, refilledAt: now, spending: p}
 }
 
 // Deposit records a first attempt.
@@ -107,11 +104,9 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	f.refill(now)
-	if f.sumAt.IsZero() || f.balance < f.threshold {
+	if f.sumAt.IsZero() || !f.spending.withdraw() {
 		return false
 	}
-	f.balance--
-	f.threshold = 1 - f.random()
 	f.currentBucket(now).Retries++
 	return true
 }
@@ -159,39 +154,32 @@
 	return sum
 }
 
-// remaining returns the retries that remain of the limit, and the number of instances
-// that share them.
-func (f *Shared) remaining(now time.Time) (float64, float64) {
+// remaining returns the retries that remain of the limit, the retries that the limit
+// allows in a window, and the number of instances that share both.
+func (f *Shared) remaining(now time.Time) (remaining, allowed, sharers float64) {
 	fraction := 1.0
 	if now.Sub(f.start) < f.limit.Window {
 		fraction = firstWindowFraction
 	}
-	sharers := float64(max(1, f.maxInstances))
-	limit := f.limit.Share*float64(f.sum.Attempts) + f.limit.Extra*float64(f.instances)/sharers
-	remaining := fraction*limit - float64(f.sum.Retries)
+	sharers = float64(max(1, f.maxInstances))
+	allowed = fraction * (f.limit.Share*float64(f.sum.Attempts) + f.limit.Extra*float64(f.instances)/sharers)
+	remaining = allowed - float64(f.sum.Retries)
 	if !f.sumAt.IsZero() && now.Sub(f.sumAt) <= maxSumAge {
-		return remaining, sharers
+		return remaining, allowed, sharers
 	}
 	own := f.ownCount(now)
-	ownRemaining := isolatedFraction*fraction*(f.limit.Share*float64(own.Attempts)+f.limit.Extra/sharers) - float64(own.Retries)
+	ownAllowed := isolatedFraction * fraction * (f.limit.Share*float64(own.Attempts) + f.limit.Extra/sharers)
+	ownRemaining := ownAllowed - float64(own.Retries)
 	if now.Sub(f.sumAt) < f.limit.Window {
 		// The other instances may have spent more than their shares.
 		ownRemaining = min(ownRemaining, remaining/sharers)
 	}
-	return ownRemaining, 1
+	return ownRemaining, ownAllowed, 1
 }
 
 // refill adds the retries that were earned since the last call.
 func (f *Shared) refill(now time.Time) {
-	remaining, sharers := f.remaining(now)
-	remaining = max(0, remaining) / sharers
-	rate, burst := remaining/spendTime.Seconds(), remaining
-	if sharers > 1 {
-		burst *= burstFraction
-	}
-	if now.Sub(f.start) < startupPeriod {
-		rate, burst = min(rate, startupRate), min(burst, startupBurst)
-	}
-	f.balance = min(f.balance+rate*now.Sub(f.refilledAt).Seconds(), burst)
+	remaining, allowed, sharers := f.remaining(now)
+	f.spending.refill(remaining, allowed, sharers, now.Sub(f.start) < startupPeriod, now.Sub(f.refilledAt))
 	f.refilledAt = now
 }
