--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -125,13 +125,18 @@
 	// watcher sets them concurrently.
 	retryDenied   atomic.Bool
 	retryReserved atomic.Bool
-	avoid         []fleet.UpstreamID
-	ranAt         []fleet.UpstreamID // upstreams that may have run the request
-	tried         []fleet.UpstreamID // upstreams selected for an attempt
-	lastUpstream  string             // upstream of the latest attempt
-	status        int
-	outcome       string
-	lastErr       error
+	// lastEventAt is the time from the arrival to the latest event that the client
+	// has, in nanoseconds, or 0 if it has no part of a stream. A watcher reads it
+	// concurrently.
+	lastEventAt  atomic.Int64
+	wait         *retryWait // for the retry budget, or nil
+	avoid        []fleet.UpstreamID
+	ranAt        []fleet.UpstreamID // upstreams that may have run the request
+	tried        []fleet.UpstreamID // upstreams selected for an attempt
+	lastUpstream string             // upstream of the latest attempt
+	status       int
+	outcome      string
+	lastErr      error
 	// crashes is the number of engines that crashed before they responded to the prompt,
 	// while it may have been the cause.
 	crashes int
@@ -388,9 +393,20 @@
 }
 
 // takeRetry charges the retry budget for one attempt, unless reserveRetry did so
-// before.
+// before. Under admission control a started stream that is denied joins those that wait
+// for the budget.
 func (q *request) takeRetry() bool {
-	return q.retryReserved.CompareAndSwap(true, false) || q.withdrawRetry()
+	if q.retryReserved.CompareAndSwap(true, false) {
+		return true
+	}
+	if q.wait != nil {
+		return q.wait.take()
+	}
+	ok := q.withdrawRetry()
+	if !ok && q.underAdmissionControl() && q.started() {
+		q.joinWait()
+	}
+	return ok
 }
 
 // reserveRetry charges the retry budget for the next attempt in advance, at most
@@ -405,7 +421,7 @@
 }
 
 func (q *request) withdrawRetry() bool {
-	if q.pool.RetryBudget.Withdraw() {
+	if q.withdraw() {
 		return true
 	}
 	if !q.retryDenied.Swap(true) {
--- a/internal/gateway/forward/metrics.go
+++ b/internal/gateway/forward/metrics.go
@@ -14,6 +14,8 @@
 	stalls        prometheus.Counter
 	retriesDenied prometheus.Counter
 	crashes       prometheus.Counter
+	retryWaiting  prometheus.Gauge
+	retryWaits    *prometheus.HistogramVec
 }
 
 // NewMetrics registers the metrics of a gateway.
@@ -39,7 +41,14 @@
 	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "bilberryrock_gateway_prompt_crashes_total", Help: "Attempts whose engine crashed before it responded to a prompt that may be the cause.",
 	})
-	r.MustRegister(m.requests, m.refusals, m.latency, m.stalls, m.retriesDenied, m.crashes)
+	m.retryWaiting = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "bilberryrock_gateway_streams_awaiting_retry", Help: "Started streams that wait for the retry budget of all gateways.",
+	})
+	m.retryWaits = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "bilberryrock_gateway_retry_wait_seconds", Help: "Time that started streams waited for the retry budget, by how the wait ended.",
+		Buckets: prometheus.ExponentialBuckets(0.02, 2, 8),
+	}, []string{"end"})
+	r.MustRegister(m.requests, m.refusals, m.latency, m.stalls, m.retriesDenied, m.crashes, m.retryWaiting, m.retryWaits)
 	return m
 }
 
@@ -55,3 +64,19 @@
 func (m *Metrics) retryDenied() { m.retriesDenied.Inc() }
 
 func (m *Metrics) crashed() { m.crashes.Inc() }
+
+func (m *Metrics) retryWaitStarted() { m.retryWaiting.Inc() }
+
+// retryWaitEnded records the wait of a started stream. late reports whether the client
+// has probably abandoned the stream meanwhile.
+func (m *Metrics) retryWaitEnded(continued, late bool, took time.Duration) {
+	end := "broken"
+	switch {
+	case continued && late:
+		end = "continuedLate"
+	case continued:
+		end = "continued"
+	}
+	m.retryWaiting.Dec()
+	m.retryWaits.WithLabelValues(end).Observe(took.Seconds())
+}
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -78,6 +78,8 @@
 // part of the stream, it waits up to pathTimeout for the retry budget, since that
 // client cannot start over.
 func (s *relay) awaitAttempt(ctx context.Context) bool {
+	defer s.leaveWait()
+	granted := false // whether the budget allows an attempt
 	for start := s.clock.Now(); ; {
 		if s.unnumbered.Load() {
 			return false
@@ -85,12 +87,14 @@
 		if s.allowAttempt(ctx) {
 			return true
 		}
-		if !s.headSent || !s.withinRouteLimits(s.possibleRuns, s.attempts) || s.clock.Now().Sub(start) >= pathTimeout {
+		if granted || !s.headSent || !s.withinRouteLimits(s.possibleRuns, s.attempts) || s.clock.Now().Sub(start) >= pathTimeout {
 			return false
 		}
 		select {
 		case <-ctx.Done():
 			return false
+		case <-s.wait.granted():
+			granted = true
 		case <-s.clock.After(pathPollInterval):
 		}
 	}
@@ -300,6 +304,9 @@
 			return true, answered, errors.Wrap(err, "write to client")
 		}
 		s.timing.record(s.clock.Now().Sub(s.arrival))
+		if !e.comment {
+			s.recordStarted()
+		}
 	}
 }
 
@@ -352,6 +359,7 @@
 		return
 	}
 	s.headSent = true
+	s.recordStarted()
 	s.mediaType = mediaType(p)
 	s.status = p.StatusCode
 	copyHeaders(s.w.Header(), p.Header)
