--- a/internal/gateway/forward/recovery.go
+++ b/internal/gateway/forward/recovery.go
@@ -27,10 +27,9 @@
 // started reports whether the client already has a part of the stream.
 func (q *request) started() bool { return q.lastEventAt.Load() > 0 }
 
-// recordStarted records that a part of the stream is sent to the client.
-func (q *request) recordStarted() {
-	q.lastEventAt.Store(int64(max(1, q.clock.Now().Sub(q.arrival))))
-}
+// recordStarted records that a part of the stream is sent to the client at a time after
+// the arrival of the request.
+func (q *request) recordStarted(at time.Duration) { q.lastEventAt.Store(int64(max(1, at))) }
 
 // startedStream describes the stream to the retry budget. The deadline leaves the
 // TargetLatency of the route for the first event of the next attempt.
--- a/internal/gateway/forward/recovery_test.go
+++ b/internal/gateway/forward/recovery_test.go
@@ -40,7 +40,7 @@
 	for i := range relays {
 		q := &request{Handler: h, route: route, pool: &state.Pool{RetryBudget: b}, arrival: c.Now(), attempts: 1, possibleRuns: 1, reachedUpstream: true}
 		c.Advance(100 * time.Millisecond)
-		q.recordStarted()
+		q.recordStarted(100 * time.Millisecond)
 		relays[i] = &relay{request: q, headSent: true}
 	}
 	b.SetSum(budget.Count{}, 1)
@@ -89,7 +89,7 @@
 		q := &request{Handler: &Handler{clock: k}, route: &release.Route{TargetLatency: c.latency, TargetGap: c.gap}, arrival: k.Now()}
 		is.True(!q.started())
 		k.Advance(time.Second)
-		q.recordStarted()
+		q.recordStarted(time.Second)
 		is.True(q.started())
 		s := q.startedStream()
 		is.Equal(s.LastEvent, k.Now())
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -303,9 +303,10 @@
 			s.outcome = "clientGone"
 			return true, answered, errors.Wrap(err, "write to client")
 		}
-		s.timing.record(s.clock.Now().Sub(s.arrival))
+		at := s.clock.Now().Sub(s.arrival)
+		s.timing.record(at)
 		if !e.comment {
-			s.recordStarted()
+			s.recordStarted(at)
 		}
 	}
 }
@@ -359,7 +360,7 @@
 		return
 	}
 	s.headSent = true
-	s.recordStarted()
+	s.recordStarted(s.clock.Now().Sub(s.arrival))
 	s.mediaType = mediaType(p)
 	s.status = p.StatusCode
 	copyHeaders(s.w.Header(), p.Header)
