--- a/internal/admission/budget/recovery_test.go
+++ b/internal/admission/budget/recovery_test.go
@@ -101,6 +101,7 @@
 // admission control.
 func TestRecovery(t *testing.T) {
 	datadriven.Walk(t, "testdata/recovery", func(t *testing.T, file string) {
+		t.Parallel()
 		datadriven.RunTest(t, file, func(t *testing.T, d *datadriven.TestData) string {
 			var sum outcome
 			for seed := range uint64(seeds) {
