Choose paths within groups of equal speed, and anticipate the choices of other gateways

Under load, all gateways chose the same first engine until the next sums: its streams swung between 105 and 268 at a capacity of 192 within two seconds, and the first events of those beyond came up to 1.6 s late. A path of fast cards with one slow card held the memory of the fast ones for the time of the slow one. A gateway now allows for the streams that start and end after the reports of the sums, and paths and placement keep fast cards apart where both kinds hold all layers.

--- a/cmd/bilberryrock-platform/main.go
+++ b/cmd/bilberryrock-platform/main.go
@@ -54,7 +54,7 @@
 		fmt.Fprintln(os.Stderr, "bilberryrock-platform: option admission:", err)
 		return exitSettings
 	}
-	roles := map[string]func(platform.Settings, lifecycle.Signals, *output.Writer, *zap.Logger) error{"gateway": gatewayRole(admission), "controller": runController}
+	roles := map[string]func(platform.Settings, quota.Mode, lifecycle.Signals, *output.Writer, *zap.Logger) error{"gateway": runGateway, "controller": runController}
 	start, ok := roles[o.Role.Name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "bilberryrock-platform: unknown role %q\n", o.Role.Name)
@@ -77,7 +77,7 @@
 	defer out.Close()
 	logAndFlush(log, "The daemon starts.", zap.String("role", o.Role.Name), zap.String("instance", string(s.Instance)),
 		zap.String("dataCentre", string(s.DataCentre)), zap.Bool("found", s.Bootstrap), zap.Strings("seeds", s.PeerSeeds))
-	if err := start(s, signals, out, log); err != nil {
+	if err := start(s, admission, signals, out, log); err != nil {
 		log.Error("The daemon ended with an error.", zap.Error(err))
 		return exitFailed
 	}
--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -82,14 +82,6 @@
 	}
 }
 
-// gatewayRole returns a function that runs a gateway with the given mode of admission
-// control.
-func gatewayRole(m quota.Mode) func(platform.Settings, lifecycle.Signals, *output.Writer, *zap.Logger) error {
-	return func(s platform.Settings, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
-		return runGateway(s, m, signals, out, log)
-	}
-}
-
 // runGateway serves clients until SIGTERM.
 func runGateway(s platform.Settings, admission quota.Mode, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
 	clock := systemclock.NewBootClock()
@@ -152,11 +144,11 @@
 }
 
 // runController serves the operator, the workers and the other daemons until SIGTERM.
-func runController(s platform.Settings, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
+func runController(s platform.Settings, admission quota.Mode, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
 	clock := systemclock.NewBootClock()
 	c, err := controller.New(controller.Settings{
 		Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerAddress, Folder: s.DataDir, Bootstrap: s.Bootstrap, Seeds: s.PeerSeeds, FaultTolerance: s.FaultTolerance,
-		HeartbeatTimeout: maxMissedHeartbeats * s.HeartbeatInterval, DialOptions: dialOptions(),
+		HeartbeatTimeout: maxMissedHeartbeats * s.HeartbeatInterval, DialOptions: dialOptions(), Admission: admission,
 	}, platform.Configuration{}, platform.Engines{Client: exchange.New(clock)}, clock, log)
 	if err != nil {
 		return err
--- a/internal/admission/quota/plan.go
+++ b/internal/admission/quota/plan.go
@@ -50,8 +50,18 @@
 	Pairs    map[Pair]Count
 }
 
-// finishedRate returns the rate at which streams end, per second.
-func (d Demand) finishedRate() float64 { return float64(d.Finished) / Window.Seconds() }
+// FinishedRate returns the rate at which streams end, per second.
+// StartRate returns the number of streams that are admitted per second.
+func (d Demand) StartRate() float64 {
+	admitted := 0
+	for _, c := range d.Pairs {
+		admitted += c.Admitted
+	}
+	return float64(admitted) / Window.Seconds()
+}
+
+// FinishedRate returns the number of admitted streams that end per second.
+func (d Demand) FinishedRate() float64 { return float64(d.Finished) / Window.Seconds() }
 
 // Add returns the sum of two demands. It changes d, which must not be in use elsewhere,
 // but not o.
@@ -176,7 +186,7 @@
 	if r.Capacity <= 0 {
 		return p
 	}
-	p.Allowed = max(0, d.finishedRate()+(targetUtilization*r.Capacity-r.Active)/horizon.Seconds())
+	p.Allowed = max(0, d.FinishedRate()+(targetUtilization*r.Capacity-r.Active)/horizon.Seconds())
 	if p.Offered <= p.Allowed {
 		return p
 	}
--- a/internal/admission/quota/quota.go
+++ b/internal/admission/quota/quota.go
@@ -214,7 +214,7 @@
 // currentRoom returns the room with the change since the sums.
 func (q *Quota) currentRoom(now time.Time) Room {
 	r := q.room()
-	r.Active = max(0, r.Active+q.forecast.change(now, q.sums.finishedRate()))
+	r.Active = max(0, r.Active+q.forecast.change(now, q.sums.FinishedRate()))
 	return r
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -18,6 +18,7 @@
 	"time"
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
+	"github.com/bilberryrock/bilberryrock/internal/admission/quota"
 	"github.com/bilberryrock/bilberryrock/internal/controller/tenure"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
@@ -68,6 +69,8 @@
 	// FaultTolerance is the number of controllers whose simultaneous loss the control
 	// plane must survive. The default is voter.DefaultFaultTolerance.
 	FaultTolerance int
+	// Admission sets which services are under admission control.
+	Admission quota.Mode
 	// HeartbeatTimeout is the age of the last heartbeat up to which an upstream is used.
 	HeartbeatTimeout time.Duration
 	// DialOptions are the options for connections to other daemons.
@@ -156,7 +159,7 @@
 			c.followReleases(ctx)
 		}
 	})
-	c.placer = placer.New(clock, c.catalog, c.tenure, c, m, c.feed, s.HeartbeatTimeout, l)
+	c.placer = placer.New(clock, c.catalog, c.tenure, c, m, c.feed, s.HeartbeatTimeout, l, placer.WithAdmission(s.Admission))
 	return c, nil
 }
 
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -171,7 +171,7 @@
 		q.refuse(err)
 		return
 	}
-	if q.route.Type == release.Stream && q.pool.Admission != nil {
+	if q.route.Type == release.Stream && q.underAdmissionControl() {
 		if err := q.admit(); err != nil {
 			q.refuse(err)
 			return
@@ -300,7 +300,7 @@
 // admit offers a stream to the admission control of its service, and returns an error if it
 // is refused.
 func (q *request) admit() error {
-	p := quota.Pair{Level: quota.Level(q.table.Level(q.route, q.account))}
+	p := quota.Pair{Level: quota.Level(q.level())}
 	if q.account != nil {
 		p.Account = q.account.ID
 	}
@@ -376,8 +376,8 @@
 // priority returns the service level for services under admission control, and otherwise
 // the priority of the account or of the route.
 func (q *request) priority() int {
-	if q.pool.Admission != nil {
-		return min(q.table.Level(q.route, q.account), maxPriority)
+	if q.underAdmissionControl() {
+		return min(q.level(), maxPriority)
 	}
 	n := q.route.Priority
 	if q.account != nil {
--- a/internal/gateway/forward/recovery.go
+++ b/internal/gateway/forward/recovery.go
@@ -19,10 +19,10 @@
 
 // underAdmissionControl reports whether admission control applies to the service of the
 // request.
-func (q *request) underAdmissionControl() bool { return false }
+func (q *request) underAdmissionControl() bool { return q.pool.Admission != nil }
 
 // level returns the service level of the request. Level 0 is the most urgent.
-func (q *request) level() int { return 0 }
+func (q *request) level() int { return q.table.Level(q.route, q.account) }
 
 // started reports whether the client already has a part of the stream.
 func (q *request) started() bool { return q.lastEventAt.Load() > 0 }
--- a/internal/gateway/path/links.go
+++ b/internal/gateway/path/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
@@ -85,35 +86,60 @@
 	return n
 }
 
-// chooseWithinCapacity returns the cheapest path through the usable engines. A path makes
-// a crossing only if there is none without, and not from a data centre that holds all
-// layers.
-func (p *Planner) chooseWithinCapacity(l Constraints, usable []*engine, costs []float64) ([]Hop, error) {
-	if hops := p.search(usable, costs, l.First, crossingRule{none: true}); hops != nil {
+// chooseWithinCapacity returns the cheapest path within a group that holds all layers. If
+// there is no such group, or for a started stream, it returns the cheapest path of all
+// usable engines otherwise. That path makes a crossing only if there is none without, and
+// not from a data centre that holds all layers.
+func (p *Planner) chooseWithinCapacity(l Constraints) ([]Hop, error) {
+	now := p.clock.Now()
+	p.anticipate(now)
+	gs := p.groups(now)
+	if hops := p.cheapestGroup(gs, l).hops(); hops != nil {
 		return hops, nil
 	}
-	now := p.clock.Now()
-	// The data centres and layers are those of all available engines, since an engine that
-	// is full or to be avoided still holds its layers.
-	cs := p.capacities(now)
-	complete := make(map[fleet.DataCentreID]bool)
-	for d, c := range cs {
-		if c.streams() > 0 {
-			complete[d] = true
+	noneComplete := !slices.ContainsFunc(gs, (*group).holdsAllLayers)
+	usable, costs := p.usable(p.engines, l)
+	if noneComplete || l.Continues {
+		if hops := p.search(usable, costs, l.First, crossingRule{none: true}); hops != nil {
+			return hops, nil
 		}
 	}
-	if len(complete) == 0 && cs.total().streams() == 0 {
-		return nil, p.errMissingLayers(len(usable))
+	// Engines that are full or to be avoided still hold their layers.
+	complete := make(map[fleet.DataCentreID]bool)
+	incomplete := false
+	for _, g := range gs {
+		complete[g.dataCentre] = complete[g.dataCentre] || g.holdsAllLayers()
+		incomplete = incomplete || !g.holdsAllLayers()
 	}
-	if len(complete) < len(cs) {
+	if incomplete {
 		hops := p.search(usable, costs, l.First, crossingRule{complete: complete})
 		if hops != nil && p.crossings.take(p.countCrossings(hops), l.Continues, now, p.random) {
 			return hops, nil
 		}
-		if hops != nil && len(complete) == 0 {
+		if hops != nil && noneComplete {
 			return nil, refusal.New(refusal.NoUpstream, "no data centre holds all %d layers, and the links between them are used up", p.model.Layers)
 		}
 	}
+	if noneComplete && !total(gs).holdsAllLayers() {
+		return nil, p.errMissingLayers(len(usable))
+	}
 	return nil, refusal.New(refusal.Overloaded, "%d engines of %d are usable and not full, and do not hold all %d layers",
 		len(usable), len(p.engines), p.model.Layers)
 }
+
+// cheapestGroup returns the cheapest of the cheapest paths within each group that holds all
+// layers, or nil.
+func (p *Planner) cheapestGroup(gs []*group, l Constraints) *partialPath {
+	var best *partialPath
+	for _, g := range gs {
+		if !g.holdsAllLayers() {
+			continue
+		}
+		es, costs := p.usable(g.engines, l)
+		s := p.cheapest(p.dataCentre, es, costs, l.First, crossingRule{none: true})
+		if s != nil && (best == nil || s.cost < best.cost) {
+			best = s
+		}
+	}
+	return best
+}
--- a/internal/gateway/path/load.go
+++ b/internal/gateway/path/load.go
@@ -15,12 +15,20 @@
 	return float64(e.fleetActive) + float64(e.chosenSince)*p.contenders(now)
 }
 
-// sizedLoad is load in streams of mean size.
+// countedLoad is load for pools under admission control.
+func (p *Planner) countedLoad(e *engine, now time.Time) float64 {
+	if now.Sub(p.sumsTime) > maxSumAge {
+		return float64(e.active) * p.sharingGateways
+	}
+	return float64(e.fleetActive)*p.anticipated.remaining + float64(e.chosenSince) + e.anticipated
+}
+
+// sizedLoad is countedLoad in streams of mean size.
 func (p *Planner) sizedLoad(e *engine, now time.Time) float64 {
 	if now.Sub(p.sumsTime) > maxSumAge {
 		return e.size * p.sharingGateways
 	}
-	return e.fleetSize + e.chosenSizeSince*p.contenders(now)
+	return e.fleetSize*p.anticipated.remaining + e.chosenSizeSince + e.anticipated
 }
 
 // utilization returns the estimated load of an engine as a part of its capacity, which is
@@ -29,7 +37,7 @@
 func (p *Planner) utilization(e *engine, now time.Time) float64 {
 	u := p.sizedLoad(e, now) / e.memoryCapacity
 	if e.limitedBySlots() {
-		u = max(u, p.load(e, now)/float64(e.entry.Slots))
+		u = max(u, p.countedLoad(e, now)/float64(e.entry.Slots))
 	}
 	return u
 }
--- a/internal/gateway/path/path.go
+++ b/internal/gateway/path/path.go
@@ -116,6 +116,7 @@
 	arrivals    int
 	arrivalRate float64
 	crossings   crossingLimiter // of a pool under admission control
+	anticipated anticipation    // of a pool under admission control
 }
 
 type engine struct {
@@ -128,6 +129,8 @@
 	chosenSince     int       // requests of this gateway since the newest sums
 	size            float64   // size of the requests counted in active
 	fleetSize       float64   // size of the requests counted in fleetActive
+	anticipated     float64   // assumed requests of other gateways since the newest sums
+	stepFactor      float64   // step time of its card relative to the fastest card
 	chosenSizeSince float64   // size of the requests counted in chosenSince
 	failures        int       // consecutive failures
 	lastOwnFailure  time.Time // last failure seen by this gateway
@@ -180,6 +183,7 @@
 		}
 		k.entry = e
 		k.secondsPerLayer = secondsPerLayer(m, c)
+		k.stepFactor = c.StepFactor
 		k.memoryCapacity = streamCapacity(m, c, e.Layers.Len())
 		k.streamCapacity = k.memoryCapacity
 		if k.limitedBySlots() {
@@ -193,6 +197,7 @@
 	slices.Sort(bounds)
 	p.layerBounds = slices.Compact(bounds)
 	p.crossings.rate = crossingRate(m, gateways)
+	p.resetAnticipation()
 }
 
 // limitedBySlots reports whether the slots of an engine limit the requests on it, since it
@@ -252,13 +257,15 @@
 	if p.model == nil {
 		return nil, refusal.New(refusal.NoUpstream, "no engine is known")
 	}
-	usable, costs := p.usable(l)
 	var hops []Hop
 	var err error
 	if p.admission {
-		hops, err = p.chooseWithinCapacity(l, usable, costs)
-	} else if hops = p.search(usable, costs, l.First, crossingRule{}); hops == nil {
-		err = p.errMissingLayers(len(usable))
+		hops, err = p.chooseWithinCapacity(l)
+	} else {
+		usable, costs := p.usable(p.engines, l)
+		if hops = p.search(usable, costs, l.First, crossingRule{}); hops == nil {
+			err = p.errMissingLayers(len(usable))
+		}
 	}
 	// Under admission control refused requests are no sign of load on the engines.
 	if err == nil || !p.admission {
@@ -293,12 +300,13 @@
 	return !stale && !now.Before(e.excludedUntil)
 }
 
-// usable returns the engines that may be chosen now, and the cost of one layer on each.
-func (p *Planner) usable(l Constraints) ([]*engine, []float64) {
+// usable returns those of some engines that may be chosen now, and the cost of one layer on
+// each.
+func (p *Planner) usable(from []*engine, l Constraints) ([]*engine, []float64) {
 	now := p.clock.Now()
-	es := make([]*engine, 0, len(p.engines))
-	costs := make([]float64, 0, len(p.engines))
-	for _, e := range p.engines {
+	es := make([]*engine, 0, len(from))
+	costs := make([]float64, 0, len(from))
+	for _, e := range from {
 		if !p.available(e, now) || slices.Contains(l.Avoid, e.entry.ID) {
 			continue
 		}
--- a/internal/gateway/path/path_test.go
+++ b/internal/gateway/path/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -32,7 +33,9 @@
 // needless transfers between data centres, against engines that all gateways choose at
 // once, and against requests to engines that failed. Under admission control it also
 // guards against crossings while a data centre holds all layers, against new streams on
-// full engines, and against a capacity that counts engines that cannot be used. A script
+// full engines, against paths of fast cards with a slow one, against choices that do not
+// allow for those of the other gateways, and against a capacity that counts engines that
+// cannot be used. A script
 // lists engines as "id dataCentre card fromLayer toLayer" and stats as "id activeRequests
 // state", where state is ok, failed or full, with the size of the requests as an optional
 // fourth value.
@@ -86,6 +89,9 @@
 			case "stats":
 				p.SetFleetStats(parseStats(t, d))
 				return ""
+			case "rates":
+				p.SetRates(number(t, d.CmdArgs[0].Key), number(t, d.CmdArgs[1].Key))
+				return ""
 			case "fail":
 				p.MarkFailed(address(t, d))
 				return ""
@@ -116,6 +122,14 @@
 	})
 }
 
+func number(t *testing.T, s string) float64 {
+	x, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
+
 func address(t *testing.T, d *datadriven.TestData) string { return scanned(t, d, "at") }
 
 func scanned(t *testing.T, d *datadriven.TestData, key string) string {
--- a/internal/gateway/path/room.go
+++ b/internal/gateway/path/room.go
@@ -1,12 +1,5 @@
 package path
 
-import (
-	"slices"
-	"time"
-
-	"github.com/bilberryrock/bilberryrock/internal/fleet"
-)
-
 const (
 	// minSize and maxSize bound the size of a stream. Clients declare the lengths of which
 	// it is computed, and nobody checks them.
@@ -35,9 +28,9 @@
 	Capacity, Active float64
 }
 
-// Room returns the capacity of all data centres that hold all layers, and its use by all
-// gateways. If none holds them all, the engines of all data centres together count as one
-// data centre. Engines that are lost or excluded do not count.
+// Room returns the capacity of all groups that hold all layers, and its use by all
+// gateways. If none holds them all, all engines together count as one group. Engines that
+// are lost or excluded do not count.
 //
 // Active is the number in the newest sums as it is, so that all gateways get the same one.
 func (p *Planner) Room() Room {
@@ -46,81 +39,33 @@
 	if p.model == nil {
 		return Room{}
 	}
-	cs := p.capacities(p.clock.Now())
+	gs := p.groups(p.clock.Now())
 	var r Room
-	for _, c := range cs {
-		if n := c.streams(); n > 0 {
-			r.Capacity += n
-			r.Active += c.active
+	for _, g := range gs {
+		if g.holdsAllLayers() {
+			r.Capacity += g.streams()
+			r.Active += g.active
 		}
 	}
 	if r.Capacity == 0 {
-		t := cs.total()
-		if r.Capacity = t.streams(); r.Capacity > 0 {
-			r.Active = t.active
+		if t := total(gs); t.holdsAllLayers() {
+			r = Room{Capacity: t.streams(), Active: t.active}
 		}
 	}
 	return r
 }
 
-// capacity is the capacity of the available engines of a data centre.
-type capacity struct {
-	// layers holds the capacity for the layers after each bound, up to the next one.
-	layers []float64
-	// active is the size of the streams of all gateways on the engines that hold layer 0.
-	active float64
-}
-
-// streams returns how many streams of mean size can pass all layers.
-func (c *capacity) streams() float64 {
-	if len(c.layers) == 0 {
-		return 0
-	}
-	return slices.Min(c.layers)
-}
-
-type capacities map[fleet.DataCentreID]*capacity
-
-// capacities returns the capacity of each data centre that has an available engine.
-func (p *Planner) capacities(now time.Time) capacities {
-	cs := make(capacities)
-	recent := now.Sub(p.sumsTime) <= maxSumAge
-	for _, e := range p.engines {
-		if !p.available(e, now) {
-			continue
-		}
-		c := cs[e.entry.DataCentre]
-		if c == nil {
-			c = &capacity{layers: make([]float64, len(p.layerBounds)-1)}
-			cs[e.entry.DataCentre] = c
-		}
-		for i := range c.layers {
-			if n := p.layerBounds[i]; int(e.entry.Layers.From) <= n && n < int(e.entry.Layers.To) {
-				c.layers[i] += e.streamCapacity
-			}
-		}
-		switch {
-		case e.entry.Layers.From > 0:
-		case recent:
-			c.active += e.fleetSize
-		default:
-			c.active += e.size * p.sharingGateways
-		}
-	}
-	return cs
-}
-
-// total returns the capacity of all data centres as if they were one.
-func (c capacities) total() *capacity {
-	sum := &capacity{layers: []float64{0}}
-	for _, k := range c {
-		if len(sum.layers) != len(k.layers) {
-			sum.layers = make([]float64, len(k.layers))
+// total returns the capacity of all groups as if they were one.
+func total(gs []*group) *group {
+	sum := &group{}
+	for _, g := range gs {
+		if len(sum.layers) != len(g.layers) {
+			sum.layers = make([]float64, len(g.layers))
 		}
-		for i, n := range k.layers {
+		for i, n := range g.layers {
 			sum.layers[i] += n
 		}
-		sum.active += k.active
+		sum.active += g.active
 	}
 	return sum
 }
--- a/internal/gateway/path/search.go
+++ b/internal/gateway/path/search.go
@@ -20,15 +20,33 @@
 // search finds the cheapest path by dynamic programming. It visits the layer bounds in
 // order and keeps the cheapest partial path for each bound and data centre.
 func (p *Planner) search(es []*engine, costs []float64, first []fleet.UpstreamID, r crossingRule) []Hop {
+	return p.cheapest(p.dataCentre, es, costs, first, r).hops()
+}
+
+// hops returns the hops of a path, or nil if there is no path.
+func (s *partialPath) hops() []Hop {
+	if s == nil {
+		return nil
+	}
+	hops := make([]Hop, s.length)
+	for ; s.prev != nil; s = s.prev {
+		hops[s.length-1] = s.hop
+	}
+	return hops
+}
+
+// cheapest returns the cheapest path for a gateway in a data centre, as the partial path
+// for all layers, or nil.
+func (p *Planner) cheapest(from fleet.DataCentreID, es []*engine, costs []float64, first []fleet.UpstreamID, r crossingRule) *partialPath {
 	best := make([]map[fleet.DataCentreID]*partialPath, len(p.layerBounds))
-	best[0] = map[fleet.DataCentreID]*partialPath{p.dataCentre: {dataCentre: p.dataCentre}}
+	best[0] = map[fleet.DataCentreID]*partialPath{from: {dataCentre: from}}
 	firstHopCost := make(map[fleet.DataCentreID]float64)
 	for _, e := range es {
 		if _, ok := firstHopCost[e.entry.DataCentre]; !ok {
 			firstHopCost[e.entry.DataCentre] = firstHopCrossingCost.Seconds() * (1 + firstHopCrossingJitter*p.random())
 		}
 	}
-	firstHopCost[p.dataCentre] = 0
+	firstHopCost[from] = 0
 	for i := range p.layerBounds[:len(p.layerBounds)-1] {
 		for _, s := range best[i] {
 			for k, e := range es {
@@ -45,14 +63,7 @@
 			end = s
 		}
 	}
-	if end == nil {
-		return nil
-	}
-	hops := make([]Hop, end.length)
-	for s := end; s.prev != nil; s = s.prev {
-		hops[s.length-1] = s.hop
-	}
-	return hops
+	return end
 }
 
 // extend adds an engine to a partial path that ends at bound i, once for each later bound
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -208,6 +208,7 @@
 		}
 		if p.Admission != nil {
 			p.Admission.SetSums(r.Demands[id], r.Gateways, at)
+			p.Planner.SetRates(r.Demands[id].StartRate(), r.Demands[id].FinishedRate())
 		}
 	}
 }
--- a/internal/placement/cover/cover.go
+++ b/internal/placement/cover/cover.go
@@ -23,12 +23,28 @@
 // move engines back and forth.
 const minCoverageGap = 2
 
+// Option configures a plan.
+type Option func(*planner)
+
+// WithSpeedGroups plans the fast cards of a data centre and its other cards as a group each,
+// if each of them can hold the whole model. Chains then do not mix them: a stream holds the
+// memory of all engines of its chain for the time that the slowest one takes.
+func WithSpeedGroups() Option { return func(p *planner) { p.speedGroups = true } }
+
+type planner struct {
+	speedGroups bool
+}
+
 // Plan returns the assignments that improve the coverage of a model with the given
 // number of layers.
-func Plan(layers int, engines []placement.Engine) []placement.Assignment {
+func Plan(layers int, engines []placement.Engine, os ...Option) []placement.Assignment {
 	if layers <= 0 {
 		return nil
 	}
+	var p planner
+	for _, o := range os {
+		o(&p)
+	}
 	es := slices.Clone(engines)
 	for i := range es {
 		if r := es[i].Layers; r.From < 0 || r.From > r.To || int(r.To) > layers {
@@ -38,7 +54,7 @@
 	}
 	slices.SortFunc(es, func(a, b placement.Engine) int { return cmp.Compare(a.ID, b.ID) })
 	var assignments []placement.Assignment
-	for _, g := range groups(layers, es) {
+	for _, g := range p.groups(layers, es) {
 		assignments = append(assignments, g.assign()...)
 	}
 	return assignments
@@ -56,7 +72,7 @@
 // groups returns a group for each data centre that can hold the whole model, and one
 // for all other engines. If all engines together can't hold it with memory reserved,
 // the last group reserves none.
-func groups(layers int, es []placement.Engine) []*group {
+func (p planner) groups(layers int, es []placement.Engine) []*group {
 	var gs []*group
 	rest := &group{layers: layers}
 	for _, d := range dataCentres(es) {
@@ -66,6 +82,10 @@
 				g.engines = append(g.engines, e)
 			}
 		}
+		if fast, slow := g.splitBySpeed(); p.speedGroups && fast.usableLayers() >= layers && slow.usableLayers() >= layers {
+			gs = append(gs, fast, slow)
+			continue
+		}
 		if g.usableLayers() >= layers {
 			gs = append(gs, g)
 			continue
@@ -80,6 +100,23 @@
 	return append(gs, rest)
 }
 
+// splitBySpeed returns the fast cards of a group and the others.
+func (g *group) splitBySpeed() (fast, slow *group) {
+	slowest := 0.0
+	for _, e := range g.engines {
+		slowest = max(slowest, e.StepFactor)
+	}
+	fast, slow = &group{layers: g.layers}, &group{layers: g.layers}
+	for _, e := range g.engines {
+		if placement.IsFast(e.StepFactor, slowest) {
+			fast.engines = append(fast.engines, e)
+		} else {
+			slow.engines = append(slow.engines, e)
+		}
+	}
+	return fast, slow
+}
+
 func dataCentres(es []placement.Engine) []fleet.DataCentreID {
 	var ds []fleet.DataCentreID
 	for _, e := range es {
--- a/internal/placement/cover/cover_test.go
+++ b/internal/placement/cover/cover_test.go
@@ -28,6 +28,9 @@
 			case "plan":
 				var layers int
 				d.ScanArgs(t, "layers", &layers)
+				if d.HasArg("speedGroups") {
+					return plan(engines, layers, cover.WithSpeedGroups())
+				}
 				return plan(engines, layers)
 			}
 			d.Fatalf(t, "unknown command %q", d.Cmd)
@@ -52,14 +55,14 @@
 	return es
 }
 
-func plan(engines []placement.Engine, layers int) string {
+func plan(engines []placement.Engine, layers int, os ...cover.Option) string {
 	var b strings.Builder
 	after := make(map[fleet.UpstreamID]upstream.LayerRange)
 	maxLayers := make(map[fleet.UpstreamID]int)
 	for _, e := range engines {
 		after[e.ID], maxLayers[e.ID] = e.Layers, e.MaxLayers
 	}
-	for _, o := range cover.Plan(layers, engines) {
+	for _, o := range cover.Plan(layers, engines, os...) {
 		fmt.Fprintf(&b, "%s %d-%d\n", o.ID, o.Layers.From, o.Layers.To)
 		if o.Layers.Len() > maxLayers[o.ID] {
 			fmt.Fprintf(&b, "%s fits only %d layers\n", o.ID, maxLayers[o.ID])
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -82,13 +82,16 @@
 	streams := make(map[string]int, len(cards))
 	for name := range cards {
 		streams[name] = reservedStreams
-		if chains >= minSharingChains && e.Cards[name].StepFactor <= fastStepRatio*slowest {
+		if chains >= minSharingChains && IsFast(e.Cards[name].StepFactor, slowest) {
 			streams[name] = sharedReservedStreams
 		}
 	}
 	return streams
 }
 
+// IsFast reports whether a card counts as fast beside the slowest card of its data centre.
+func IsFast(stepFactor, slowest float64) bool { return stepFactor <= fastStepRatio*slowest }
+
 // Report is the state that an engine reports.
 type Report struct {
 	Layers upstream.LayerRange
--- a/internal/placement/placer/placer.go
+++ b/internal/placement/placer/placer.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/bilberryrock/bilberryrock/internal/admission/quota"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/placement"
 	"github.com/bilberryrock/bilberryrock/internal/placement/cover"
@@ -73,6 +74,7 @@
 	commander        placement.Commander
 	suspects         Suspects
 	heartbeatTimeout time.Duration
+	admission        quota.Mode
 	logger           *zap.Logger
 	cancel           context.CancelFunc
 	wg               sync.WaitGroup
@@ -100,13 +102,23 @@
 	nextCall    time.Time // earliest time of the next call
 }
 
+// Option sets one property of a Placer.
+type Option func(*Placer)
+
+// WithAdmission sets which services are under admission control. Their fast cards are placed
+// apart from the others. The default is quota.Auto.
+func WithAdmission(m quota.Mode) Option { return func(p *Placer) { p.admission = m } }
+
 // New starts a Placer. Engines without a heartbeat for heartbeatTimeout get no orders,
 // unless they still serve requests.
-func New(clock fleet.Clock, c *catalog.Catalog, l Leadership, r Releases, m placement.Commander, s Suspects, heartbeatTimeout time.Duration, log *zap.Logger) *Placer {
+func New(clock fleet.Clock, c *catalog.Catalog, l Leadership, r Releases, m placement.Commander, s Suspects, heartbeatTimeout time.Duration, log *zap.Logger, os ...Option) *Placer {
 	p := &Placer{
 		clock: clock, catalog: c, leadership: l, releases: r, commander: m, suspects: s, heartbeatTimeout: heartbeatTimeout,
 		logger: log.Named("placement"), engines: make(map[engineKey]*engineState), failedAt: make(map[fleet.UpstreamID]time.Time),
 	}
+	for _, o := range os {
+		o(p)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	p.wg.Go(func() {
@@ -157,7 +169,11 @@
 	}
 	for i := range r.Services {
 		if s := &r.Services[i]; s.Engine != nil {
-			p.placeService(ctx, s, es, now)
+			var os []cover.Option
+			if p.admission.Applies(r.Differentiated(s)) {
+				os = append(os, cover.WithSpeedGroups())
+			}
+			p.placeService(ctx, s, es, now, os...)
 		}
 	}
 }
@@ -194,7 +210,7 @@
 	return initialSettleDelay
 }
 
-func (p *Placer) placeService(ctx context.Context, s *release.Service, es []registry.Entry, now time.Time) {
+func (p *Placer) placeService(ctx context.Context, s *release.Service, es []registry.Entry, now time.Time, os ...cover.Option) {
 	byID := make(map[fleet.UpstreamID]registry.Entry)
 	cardCounts := make(map[fleet.DataCentreID]map[string]int)
 	for _, e := range es {
@@ -215,7 +231,7 @@
 	for _, e := range byID {
 		engines = append(engines, p.planningView(s.Engine, e, reservedStreams[e.DataCentre][e.Card], now))
 	}
-	for _, o := range cover.Plan(s.Engine.Layers, engines) {
+	for _, o := range cover.Plan(s.Engine.Layers, engines, os...) {
 		p.sendOrder(ctx, s.Engine, byID[o.ID], o.Layers, now)
 	}
 }
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -7,6 +7,7 @@
 package release
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
@@ -81,6 +82,32 @@
 // HasEngines reports whether requests of the service need a path of engines.
 func (s *Service) HasEngines() bool { return s.Engine != nil && s.Engine.Layers > 0 }
 
+// Differentiated reports whether a service has engines and streaming routes that differ in
+// priority or target latency.
+func (r *Release) Differentiated(s *Service) bool {
+	if !s.HasEngines() {
+		return false
+	}
+	var first *Route
+	for i := range r.Routes {
+		o := &r.Routes[i]
+		if o.Type != Stream || !o.leadsTo(s.Pool) {
+			continue
+		}
+		if first == nil {
+			first = o
+		}
+		if o.Priority != first.Priority || o.TargetLatency != first.TargetLatency {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *Route) leadsTo(p fleet.PoolID) bool {
+	return slices.ContainsFunc(o.Split, func(s Share) bool { return s.Pool == p && s.Weight > 0 })
+}
+
 const (
 	// MaxLayers is the largest number of layers of a model. Controllers plan with a counter
 	// for each layer.
--- a/internal/release/table/levels.go
+++ b/internal/release/table/levels.go
@@ -36,31 +36,19 @@
 // service that is drawn for it.
 type levels struct {
 	// ranked holds the different urgencies in ascending order.
-	ranked         map[fleet.PoolID][]urgency
-	differentiated map[fleet.PoolID]bool
+	ranked map[fleet.PoolID][]urgency
 }
 
 func newLevels(t *Table) levels {
-	l := levels{ranked: make(map[fleet.PoolID][]urgency), differentiated: make(map[fleet.PoolID]bool)}
+	l := levels{ranked: make(map[fleet.PoolID][]urgency)}
 	groups := connectedPools(t.Release)
 	ranked := make(map[fleet.PoolID][]urgency) // by the representative of a group
-	first := make(map[fleet.PoolID]*release.Route)
 	priorities := accountPriorities(t.Release)
 	for i := range t.Release.Routes {
 		o := &t.Release.Routes[i]
 		if o.Type != release.Stream {
 			continue
 		}
-		for _, s := range o.Split {
-			if s.Weight <= 0 {
-				continue
-			}
-			if f := first[s.Pool]; f == nil {
-				first[s.Pool] = o
-			} else if f.Priority != o.Priority || f.TargetLatency != o.TargetLatency {
-				l.differentiated[s.Pool] = true
-			}
-		}
 		if len(o.Split) == 0 {
 			continue
 		}
@@ -136,5 +124,5 @@
 // priority or target latency.
 func (t *Table) Differentiated(p fleet.PoolID) bool {
 	s, ok := t.services[p]
-	return ok && s.HasEngines() && t.levels.differentiated[p]
+	return ok && t.Release.Differentiated(s)
 }
