--- a/internal/admission/quota/plan.go
+++ b/internal/admission/quota/plan.go
@@ -50,7 +50,6 @@
 	Pairs    map[Pair]Count
 }
 
-// FinishedRate returns the rate at which streams end, per second.
 // StartRate returns the number of streams that are admitted per second.
 func (d Demand) StartRate() float64 {
 	admitted := 0
