Count the capacity of engines by what streams hold on average

A stream grows from its prompt to its full size, so the engines hold more streams at a time than their memory divided by the full size.

--- a/internal/gateway/path/room.go
+++ b/internal/gateway/path/room.go
@@ -23,7 +23,8 @@
 	return max(minSize, min(tokens/float64(mean), maxSize))
 }
 
-// Room is the capacity of the engines of a pool and its use, in streams of mean size.
+// Room is the capacity of the engines of a pool and its use, in streams of mean size. The
+// capacity is what the engines hold at a time on average.
 type Room struct {
 	Capacity, Active float64
 }
@@ -52,9 +53,20 @@
 			r = Room{Capacity: t.streams(), Active: t.active}
 		}
 	}
+	r.Capacity /= p.meanOccupancy()
 	return r
 }
 
+// meanOccupancy returns the part of its full size that a stream needs on average, since its
+// answer grows from nothing.
+func (p *Planner) meanOccupancy() float64 {
+	prompt, answer := float64(p.model.MeanPromptTokens), float64(p.model.MeanAnswerTokens)
+	if prompt+answer <= 0 {
+		return 1
+	}
+	return (prompt + answer/2) / (prompt + answer)
+}
+
 // total returns the capacity of all groups as if they were one.
 func total(gs []*group) *group {
 	sum := &group{}
