--- a/cmd/bilberryrock-platform/main.go
+++ b/cmd/bilberryrock-platform/main.go
@@ -29,7 +29,7 @@
 
 type options struct {
 	Level     string `long:"logLevel" default:"info" description:"least level of the log lines: debug, info, warn or error"`
-	Admission string `long:"admission" default:"auto" choice:"auto" choice:"always" choice:"never" description:"services of engines at which a gateway limits the admission of streams: auto (those whose streaming routes differ in priority or target latency), always or never"`
+	Admission string `long:"admission" default:"auto" choice:"auto" choice:"always" choice:"never" description:"services of engines under admission control: auto (those whose streaming routes differ in priority or target latency), always or never"`
 	Check     bool   `long:"check" description:"check the settings and end"`
 	Role      struct {
 		Name string `positional-arg-name:"gateway|controller" required:"yes"`
