Limit what all clients of a process cost together

A budget over all connections of the servers of a process charges each head while it is read for the memory that parsing it takes, each body for its bytes, and counts connections. When it is short, waiting connections are closed, the costliest and oldest first.

--- a/internal/entry/listener/conn.go
+++ b/internal/entry/listener/conn.go
@@ -1,14 +1,26 @@
 package listener
 
 import (
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
+)
+
+const (
+	// refusalWriteTimeout limits the write of a refusal that the listener sends itself.
+	refusalWriteTimeout = 100 * time.Millisecond
+	// refusalRetryAfter is the header line of a refusal for lack of memory. The heads that
+	// take the memory are closed after a few seconds.
+	refusalRetryAfter = "Retry-After: 1\r\n"
 )
 
 // backlogListener is a TCP listener that accepts the connections in its accept queue
@@ -58,15 +70,21 @@
 
 // Accept implements net.Listener.
 func (t *trackingListener) Accept() (net.Conn, error) {
-	n, err := t.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		n, err := t.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: n, server: t.server}
+		if !t.server.budget.admit(c) {
+			_ = n.Close() // the client gets no response either way
+			continue
+		}
+		t.server.mu.Lock()
+		t.server.conns[c] = struct{}{}
+		t.server.mu.Unlock()
+		return c, nil
 	}
-	c := &conn{Conn: n, server: t.server}
-	t.server.mu.Lock()
-	t.server.conns[c] = struct{}{}
-	t.server.mu.Unlock()
-	return c, nil
 }
 
 // conn is a connection that tracks whether a request is in progress on it.
@@ -85,6 +103,19 @@
 	// head or for the time between requests, and not one in the past that interrupts a
 	// read.
 	idle, limited bool
+	// head counts the head that is being read. carried is the number of bytes of the
+	// latest read that net/http may still hold, which may begin the next head.
+	head    headCounter
+	carried int
+	// interrupted is set when the budget closes the connection.
+	interrupted bool
+
+	// The budget guards the fields below. charged is in bytes, since is the time from
+	// which the connection waits for a request, evicted tells whether the budget closes
+	// it, and released whether it is closed.
+	charged           int64
+	since             time.Time
+	evicted, released bool
 }
 
 // SetReadDeadline implements net.Conn. net/http sets a deadline for the time between two
@@ -131,20 +162,110 @@
 		return 0, io.EOF
 	}
 	n, err := c.Conn.Read(b)
+	if c.refuseInterrupted() {
+		return 0, io.EOF
+	}
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendDeadline() {
 		n, err = c.Conn.Read(b)
 	}
 	if n == 0 {
 		return n, err
 	}
+	refused, status := c.recordRead(b[:n], len(b))
+	if refused {
+		c.writeRefusal(status)
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+// recordRead records bytes that were read into a buffer of the given size. It reports
+// whether the connection must be closed instead, and the status of the response, or 0 for
+// none.
+func (c *conn) recordRead(b []byte, bufferSize int) (refused bool, status int) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.readClosed {
+		c.mu.Unlock()
 		// Stop would not wait for the response to a request that is read now.
-		return 0, io.EOF
+		return true, 0
 	}
 	c.hasInput = true
-	return n, err
+	if c.active || c.server.certificate != "" { // bytes of TLS are encrypted
+		c.recordBody(len(b), bufferSize)
+		c.mu.Unlock()
+		return false, 0
+	}
+	cost := carriedCost(c.carried)
+	rest := c.head.add(b)
+	cost += c.head.cost()
+	if c.head.done {
+		c.carried = rest
+	}
+	reason, tooMuch := c.server.checkHead(&c.head)
+	c.mu.Unlock()
+	// The budget is locked before a connection, never after it.
+	if tooMuch {
+		c.server.budget.refuse(reason)
+		return true, http.StatusRequestHeaderFieldsTooLarge
+	}
+	if !c.server.budget.chargeHead(c, cost) {
+		c.server.budget.refuse(HeadMemory)
+		return true, http.StatusServiceUnavailable
+	}
+	return false, 0
+}
+
+// recordBody records the number of bytes that were read during a request and may begin the
+// next one.
+func (c *conn) recordBody(bytes, bufferSize int) {
+	switch {
+	case bufferSize == 1: // net/http watches for the end of the connection
+		c.carried++
+	case bufferSize > parseBufferBytes: // read directly into the body
+		c.carried = 0
+	default:
+		c.carried = bytes
+	}
+}
+
+// writeRefusal responds to a request whose head was not read completely, which therefore
+// has not run. On a connection with TLS the client only sees the end of it.
+func (c *conn) writeRefusal(status int) {
+	if status == 0 || c.server.certificate != "" {
+		return
+	}
+	response := refusal.HeadTooLarge.Response()
+	retryAfter := ""
+	if status == http.StatusServiceUnavailable {
+		response = refusal.Overloaded.Response()
+		retryAfter = refusalRetryAfter
+	}
+	body := `{"error":"` + response.Code + `"}`
+	if c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)) != nil {
+		return // the client has closed the connection
+	}
+	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
+		response.Status, http.StatusText(response.Status), len(body), retryAfter, body) // the client may be gone
+}
+
+// interrupt makes the connection close while it waits for a request.
+func (c *conn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interrupted, c.readClosed = true, true
+	_ = c.Conn.SetReadDeadline(time.Now()) // fails if the client has closed the connection
+}
+
+// refuseInterrupted reports whether the budget closes the connection. If a part of a head
+// has been read, the client gets a response.
+func (c *conn) refuseInterrupted() bool {
+	c.mu.Lock()
+	interrupted, partial := c.interrupted, c.head.bytes > 0
+	c.mu.Unlock()
+	if interrupted && partial {
+		c.writeRefusal(http.StatusServiceUnavailable)
+	}
+	return interrupted
 }
 
 // extendDeadline reports whether to read once more after a deadline has passed, and sets
@@ -161,6 +282,7 @@
 	c.server.mu.Lock()
 	delete(c.server.conns, c)
 	c.server.mu.Unlock()
+	c.server.budget.release(c)
 	c.server.notify()
 	return err
 }
@@ -185,16 +307,28 @@
 // setActive marks the start of a request. After stopReading, it is a request that was
 // already in a buffer of net/http.
 func (c *conn) setActive() {
+	c.mu.Lock()
+	var cost int64
+	if c.head.bytes == 0 {
+		cost = carriedCost(c.carried)
+	}
+	c.mu.Unlock()
+	c.server.budget.begin(c, cost)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.active, c.readClosed = true, false
+	if c.interrupted {
+		_ = c.Conn.SetReadDeadline(time.Time{}) // fails if the client has closed the connection
+	}
+	c.active, c.readClosed, c.interrupted = true, false, false
 }
 
 // setIdle marks the end of a request.
 func (c *conn) setIdle() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.active, c.hasInput, c.idle = false, false, true
+	c.head = headCounter{}
+	c.mu.Unlock()
+	c.server.budget.end(c)
 }
 
 // stopReading ends the reading on a connection without a request, upon which net/http
--- a/internal/entry/listener/limit_test.go
+++ b/internal/entry/listener/limit_test.go
@@ -66,7 +66,7 @@
 func TestPhases(t *testing.T) {
 	is := is.New(t)
 	l := &lateConn{}
-	c := &conn{Conn: l, server: &Server{limits: func() Limits { return Limits{Head: time.Minute, Idle: 10 * time.Minute} }}}
+	c := &conn{Conn: l, server: bareServer(Limits{Head: time.Minute, Idle: 10 * time.Minute})}
 	remaining := func() time.Duration {
 		is.NoErr(c.SetReadDeadline(time.Now().Add(time.Hour)))
 		return time.Until(l.deadlines[len(l.deadlines)-1]).Round(time.Minute)
@@ -82,6 +82,11 @@
 	}
 }
 
+// bareServer returns a server without a listener.
+func bareServer(l Limits) *Server {
+	return &Server{http: &http.Server{}, limits: func() Limits { return l }, budget: NewBudget(0, 0, make(clock), zap.NewNop())}
+}
+
 // lateConn is a connection whose first read fails after the deadline and whose later reads
 // return bytes.
 type lateConn struct {
@@ -108,7 +113,7 @@
 func TestLateBytes(t *testing.T) {
 	is := is.New(t)
 	l := &lateConn{}
-	c := &conn{Conn: l, server: &Server{limits: func() Limits { return Limits{Head: time.Minute} }}}
+	c := &conn{Conn: l, server: bareServer(Limits{Head: time.Minute})}
 	is.NoErr(c.SetReadDeadline(time.Now().Add(time.Hour)))
 	is.True(time.Until(l.deadlines[0]) <= time.Minute)
 	n, err := c.Read(make([]byte, 8))
--- a/internal/entry/listener/listener.go
+++ b/internal/entry/listener/listener.go
@@ -59,6 +59,7 @@
 
 	requestName func(*http.Request) string
 	limits      func() Limits
+	budget      *Budget
 
 	draining   atomic.Bool
 	stopping   atomic.Bool
@@ -91,19 +92,26 @@
 	return func(s *Server) { s.requestName = f }
 }
 
-// Limits are timeouts for clients. Zero means the timeout of the http.Server, which is
-// the upper bound in any case.
+// Limits are limits for clients. Zero means the limit of the http.Server, which is the
+// upper bound in any case.
 type Limits struct {
 	// Head is the time to read the head of a request, from when the server starts to wait
 	// for it.
 	Head time.Duration
 	// Idle is the time between two requests on a connection.
 	Idle time.Duration
+	// HeadBytes is the maximum size of the head of a request in bytes. The connection is
+	// closed at headMargin beyond it; up to there the handler may refuse the request.
+	HeadBytes int
 }
 
 // WithLimits sets a function that returns the current limits, which may change.
 func WithLimits(f func() Limits) Option { return func(s *Server) { s.limits = f } }
 
+// WithBudget sets the budget for the memory and the connections of clients, which the
+// servers of a process share. The default is a budget of its own with the default limits.
+func WithBudget(b *Budget) Option { return func(s *Server) { s.budget = b } }
+
 // WithFailureHandler sets a function that is called with the error if the server stops
 // accepting connections without a call to Stop.
 func WithFailureHandler(f func(error)) Option { return func(s *Server) { s.onFailure = f } }
@@ -130,6 +138,9 @@
 	for _, o := range options {
 		o(s)
 	}
+	if s.budget == nil {
+		s.budget = NewBudget(0, 0, c, log)
+	}
 	httpServer.Handler = s.trackRequests(httpServer.Handler)
 	httpServer.ConnState = s.onConnState
 	accepting := &trackingListener{Listener: s.wrap(s.listener), server: s}
@@ -214,6 +225,23 @@
 	return errors.Errorf("listener %s: %d requests were cut off at the stop", s.name, n)
 }
 
+// checkHead reports whether a head exceeds a limit, and which.
+func (s *Server) checkHead(h *headCounter) (Reason, bool) {
+	limit := s.limits().HeadBytes
+	if limit <= 0 {
+		limit = s.http.MaxHeaderBytes
+	}
+	switch {
+	case limit > 0 && h.bytes > limit+headMargin:
+		return HeadBytes, true
+	case h.lines > maxHeadLines:
+		return HeadLines, true
+	case h.emptyLines > maxEmptyLines:
+		return EmptyLines, true
+	}
+	return 0, false
+}
+
 // remaining returns the number of connections and requests to wait for.
 func (s *Server) remaining() int {
 	s.mu.Lock()
@@ -292,6 +320,11 @@
 			s.notify()
 		}()
 		rw := &responseWriter{ResponseWriter: w, server: s}
+		if r.Body != nil && r.Body != http.NoBody {
+			b := &chargedBody{ReadCloser: r.Body, budget: s.budget, declared: r.ContentLength}
+			defer b.release()
+			r.Body = b
+		}
 		h.ServeHTTP(rw, r)
 		if !rw.wroteHeader && s.draining.Load() {
 			w.Header().Set("Connection", "close")
