Derive the client budget from the memory and descriptors in the settings

Gateways and controllers read memory-mb and max-fds, bilberryrockd memory and maxDescriptors. Bodies that don't fit are refused with 503 overloaded.

--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -67,6 +68,10 @@
 	// peerKeepaliveTimeout is the time after which a connection between daemons is closed
 	// if sent bytes are not acknowledged.
 	peerKeepaliveTimeout = 1500 * time.Millisecond
+	// goMemoryPercent is the part of the memory of the machine at which the garbage
+	// collector runs more often. The rest is for the text of the program, stacks of the
+	// kernel and the delay of the collector.
+	goMemoryPercent = 70
 	// reloadInterval is the time between two checks of the settings file, which may
 	// change without a signal.
 	reloadInterval = 5 * time.Second
@@ -96,7 +101,7 @@
 	follower := feed.NewClient(s.Instance, clock, gatewayState, log, feed.WithSeeds(s.PeerSeeds...), feed.WithDataCentre(s.DataCentre),
 		feed.WithDialOptions(dialOptions()...), feed.WithPrompts(gatewayState.Prompts()))
 	defer follower.Stop()
-	group := &serverGroup{clock: clock, log: log, failed: make(chan error, 4)}
+	group := newServerGroup(s, clock, registry, log)
 	clientServer := newServer(handler)
 	// The client listener starts last, so that a listener that fails to start does not
 	// abort client requests that were already accepted.
@@ -154,7 +159,7 @@
 	}
 	registry := newRegistry(out)
 	registry.MustRegister(c.Collector())
-	group := &serverGroup{clock: clock, log: log, failed: make(chan error, 4)}
+	group := newServerGroup(s, clock, registry, log)
 	controlServer := newServer(platform.Control(c, log))
 	if err := group.startMetrics(registry, s.MetricsAddress); err != nil {
 		return err
@@ -206,15 +211,27 @@
 type serverGroup struct {
 	clock  fleet.Clock
 	log    *zap.Logger
+	budget *listener.Budget
 	failed chan error
 }
 
+// newServerGroup returns a group whose servers share the memory and the descriptors that
+// the settings give the process.
+func newServerGroup(s platform.Settings, c fleet.Clock, r *prometheus.Registry, log *zap.Logger) *serverGroup {
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(s.MemoryBytes * goMemoryPercent / 100)
+	}
+	budget := listener.NewBudget(s.MemoryBytes, s.MaxDescriptors, c, log.Named("listener"))
+	r.MustRegister(budget)
+	return &serverGroup{clock: c, log: log, budget: budget, failed: make(chan error, 4)}
+}
+
 func (s *serverGroup) start(name string, v *http.Server, address string, options ...listener.Option) (*listener.Server, error) {
 	l, err := listener.Listen(name, address)
 	if err != nil {
 		return nil, err
 	}
-	options = append([]listener.Option{listener.WithFailureHandler(func(err error) { s.failed <- err })}, options...)
+	options = append([]listener.Option{listener.WithBudget(s.budget), listener.WithFailureHandler(func(err error) { s.failed <- err })}, options...)
 	return listener.New(name, l, v, s.clock, s.log, options...), nil
 }
 
@@ -233,7 +250,7 @@
 		if t == nil {
 			return listener.Limits{}
 		}
-		return listener.Limits{Head: t.Release.Limits.HeaderTimeout, Idle: t.Release.Limits.IdleTimeout}
+		return listener.Limits{Head: t.Release.Limits.HeaderTimeout, Idle: t.Release.Limits.IdleTimeout, HeadBytes: t.Release.Limits.HeaderBytes}
 	}
 }
 
--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -144,6 +144,9 @@
 	if errors.As(err, &tooLarge) {
 		return refusal.New(refusal.TooLarge, "the body is larger than %d bytes", tooLarge.Limit)
 	}
+	if refusal.KindOf(err) == refusal.Overloaded {
+		return err
+	}
 	if err != nil {
 		return refusal.WithCause(refusal.BadRequest, err, "the body could not be read")
 	}
--- a/internal/entry/daemon/drain_test.go
+++ b/internal/entry/daemon/drain_test.go
@@ -23,7 +23,7 @@
 	address, err := f.FreeAddress()
 	is.NoErr(err)
 	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	s, err := startServer("callers", address, h, entry.Limits{}, "", "", systemclock.Clock{}, zap.NewNop(), make(chan error, 1))
+	s, err := startServer("callers", address, h, entry.Limits{}, "", "", nil, systemclock.Clock{}, zap.NewNop(), make(chan error, 1))
 	is.NoErr(err)
 	closes := func() bool {
 		response, err := http.Get("http://" + address)
--- a/internal/entry/daemon/hostile_test.go
+++ b/internal/entry/daemon/hostile_test.go
@@ -85,7 +85,7 @@
 	}
 	address := listener.Addr().String()
 	listener.Close()
-	s, err := startServer("callers", address, api.Handler(), l, "", "", systemclock.Clock{}, zap.NewNop(), make(chan error, 1))
+	s, err := startServer("callers", address, api.Handler(), l, "", "", nil, systemclock.Clock{}, zap.NewNop(), make(chan error, 1))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/entry/daemon/listener.go
+++ b/internal/entry/daemon/listener.go
@@ -16,9 +16,11 @@
 // startServer opens a listener and serves h until the server is stopped. If the listener
 // fails, the error is sent to failed. With a certificate and key it serves TLS.
 //
+// All listeners of a daemon share the budget; nil means one with the default limits.
+//
 // ReadTimeout and WriteTimeout of http.Server stay zero, because they would abort
 // responses that take longer. Each request body and each write has a deadline instead.
-func startServer(name, address string, h http.Handler, l entry.Limits, certificate, key string, c fleet.Clock, log *zap.Logger, failed chan<- error) (*listener.Server, error) {
+func startServer(name, address string, h http.Handler, l entry.Limits, certificate, key string, budget *listener.Budget, c fleet.Clock, log *zap.Logger, failed chan<- error) (*listener.Server, error) {
 	tcpListener, err := listener.Listen(name, address)
 	if err != nil {
 		return nil, err
@@ -36,6 +38,7 @@
 			return timedListener{Listener: netutil.LimitListener(n, l.MaxConnections), timeout: l.WriteTimeout}
 		}),
 		listener.WithTLS(certificate, key),
+		listener.WithBudget(budget),
 		listener.WithFailureHandler(func(err error) { failed <- err }),
 	), nil
 }
--- a/internal/entry/daemon/requests.go
+++ b/internal/entry/daemon/requests.go
@@ -8,6 +8,7 @@
 
 	"github.com/bilberryrock/bilberryrock/internal/document"
 	"github.com/bilberryrock/bilberryrock/internal/entry/caller"
+	"github.com/bilberryrock/bilberryrock/internal/entry/listener"
 	"github.com/bilberryrock/bilberryrock/internal/entry/operator"
 	"github.com/bilberryrock/bilberryrock/internal/entry/platform"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
@@ -81,6 +82,9 @@
 
 func (d *Daemon) listen() error {
 	l := d.settings.Listeners
+	limits := d.settings.Limits.WithDefaults()
+	budget := listener.NewBudget(limits.MemoryBytes, limits.MaxDescriptors, d.clock, d.base.Named("listener"))
+	d.metrics.MustRegister(budget)
 	for _, spec := range []struct {
 		name, address    string
 		handler          http.Handler
@@ -91,7 +95,7 @@
 		{"operators", l.Operators, d.requests.operators, d.settings.Operators.Certificate, d.settings.Operators.Key},
 		{"callers", l.Callers, d.requests.callers, "", ""},
 	} {
-		s, err := startServer(spec.name, spec.address, spec.handler, d.settings.Limits, spec.certificate, spec.key, d.clock, d.base.Named(spec.name), d.failed)
+		s, err := startServer(spec.name, spec.address, spec.handler, d.settings.Limits, spec.certificate, spec.key, budget, d.clock, d.base.Named(spec.name), d.failed)
 		if err != nil {
 			return err
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,10 @@
 	IdleTimeout  time.Duration
 	// MaxConnections is the maximum number of open connections of a listener.
 	MaxConnections int
+	// MemoryBytes is the memory that the daemon may use, in bytes, and MaxDescriptors the
+	// number of descriptors that it may open. All listeners share them.
+	MemoryBytes    int64
+	MaxDescriptors int
 }
 
 // Default limits of a listener.
@@ -27,6 +31,8 @@
 	DefaultWriteTimeout   = 30 * time.Second
 	DefaultIdleTimeout    = 2 * time.Minute
 	DefaultMaxConnections = 20000
+	DefaultMemoryBytes    = 256 << 20
+	DefaultMaxDescriptors = 20000
 )
 
 // WithDefaults returns l with zero fields replaced by their defaults.
@@ -49,5 +55,11 @@
 	if l.MaxConnections == 0 {
 		l.MaxConnections = DefaultMaxConnections
 	}
+	if l.MemoryBytes == 0 {
+		l.MemoryBytes = DefaultMemoryBytes
+	}
+	if l.MaxDescriptors == 0 {
+		l.MaxDescriptors = DefaultMaxDescriptors
+	}
 	return l
 }
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -249,6 +249,9 @@
 	if errors.As(err, &tooLarge) {
 		return nil, refusal.New(refusal.TooLarge, "the body is larger than %d bytes", tooLarge.Limit)
 	}
+	if refusal.KindOf(err) == refusal.Overloaded {
+		return nil, err
+	}
 	if err != nil {
 		return nil, refusal.WithCause(refusal.BadRequest, err, "the body could not be read")
 	}
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -263,6 +263,9 @@
 	if err == nil {
 		q.body, err = io.ReadAll(io.LimitReader(q.r.Body, limit+1))
 	}
+	if refusal.KindOf(err) == refusal.Overloaded {
+		return err
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return refusal.WithCause(refusal.NoUpstream, err, "request body not received before the deadline")
 	}
