--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -68,10 +68,6 @@
 	// peerKeepaliveTimeout is the time after which a connection between daemons is closed
 	// if sent bytes are not acknowledged.
 	peerKeepaliveTimeout = 1500 * time.Millisecond
-	// goMemoryPercent is the part of the memory of the machine at which the garbage
-	// collector runs more often. The rest is for the text of the program, stacks of the
-	// kernel and the delay of the collector.
-	goMemoryPercent = 70
 	// reloadInterval is the time between two checks of the settings file, which may
 	// change without a signal.
 	reloadInterval = 5 * time.Second
@@ -219,7 +215,7 @@
 // the settings give the process.
 func newServerGroup(s platform.Settings, c fleet.Clock, r *prometheus.Registry, log *zap.Logger) *serverGroup {
 	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(s.MemoryBytes * goMemoryPercent / 100)
+		debug.SetMemoryLimit(listener.RuntimeMemoryLimit(s.MemoryBytes))
 	}
 	budget := listener.NewBudget(s.MemoryBytes, s.MaxDescriptors, c, log.Named("listener"))
 	r.MustRegister(budget)
--- a/cmd/bilberryrockd/main.go
+++ b/cmd/bilberryrockd/main.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"os"
 	"reflect"
+	"runtime/debug"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
@@ -25,6 +26,7 @@
 
 	"github.com/bilberryrock/bilberryrock/internal/entry/daemon"
 	"github.com/bilberryrock/bilberryrock/internal/entry/lifecycle"
+	"github.com/bilberryrock/bilberryrock/internal/entry/listener"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/settings"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
 	"github.com/bilberryrock/bilberryrock/internal/report/output"
@@ -88,6 +90,7 @@
 }
 
 func serve(file string, s settings.Settings, signals lifecycle.Signals, log *zap.Logger) int {
+	debug.SetMemoryLimit(listener.RuntimeMemoryLimit(s.Limits.MemoryBytes))
 	d, err := daemon.New(s, daemon.WithLog(log))
 	if err != nil {
 		log.Named("daemon").Error("The daemon could not start.", zap.Error(err))
--- a/internal/entry/listener/budget.go
+++ b/internal/entry/listener/budget.go
@@ -19,10 +19,16 @@
 
 	// baseMemory is the memory in bytes that a process takes without clients.
 	baseMemory = 32 << 20
-	// clientMemoryDivisor is the part of the rest that is charged to clients. The other
-	// half is garbage, responses and what is not counted. It is divided equally between
-	// heads with connections and bodies.
-	clientMemoryDivisor = 2
+	// headMemoryDivisor and bodyMemoryDivisor are the parts of the rest that connections
+	// with their heads and bodies may be charged. What remains is for garbage, responses
+	// and what is not counted. With a quarter for heads, closing and replacing connections
+	// at a high rate made enough garbage to exceed the memory of the machine.
+	headMemoryDivisor = 6
+	bodyMemoryDivisor = 4
+	// runtimeMemoryPercent is the part of the memory at which the garbage collector runs
+	// more often. The rest is for the text of the program and the delay of the collector.
+	// At 70 a process with 112 MiB exceeded them by garbage.
+	runtimeMemoryPercent = 60
 	// minClientMemory is the smallest budget for heads or bodies in bytes. The largest
 	// legal body of 4 MiB costs twice its size.
 	minClientMemory = 12 << 20
@@ -60,8 +66,9 @@
 	mu            sync.Mutex
 	heads, bodies int64
 	// open are the connections that hold a descriptor, and closing those of them that
-	// were evicted.
+	// were evicted. closingHeads is the charge for the latter, which is part of heads.
 	open, closing int
+	closingHeads  int64
 	// waiting are the connections without a request in progress that are not being closed.
 	waiting map[*conn]struct{}
 	counts  [reasonCount]uint64
@@ -78,13 +85,18 @@
 	if descriptors <= 0 {
 		descriptors = DefaultMaxDescriptors
 	}
-	part := max(minClientMemory, (memory-baseMemory)/clientMemoryDivisor/2)
+	available := memory - baseMemory
 	return &Budget{
-		clock: c, log: log, maxHeads: part, maxBodies: part, waiting: make(map[*conn]struct{}),
+		clock: c, log: log, waiting: make(map[*conn]struct{}),
+		maxHeads: max(minClientMemory, available/headMemoryDivisor), maxBodies: max(minClientMemory, available/bodyMemoryDivisor),
 		maxConnections: max(minConnections, (descriptors-reservedDescriptors)/descriptorsPerConnection),
 	}
 }
 
+// RuntimeMemoryLimit returns the limit for debug.SetMemoryLimit on a machine with a memory
+// in bytes.
+func RuntimeMemoryLimit(memory int64) int64 { return memory * runtimeMemoryPercent / 100 }
+
 // admit reports whether a new connection may be used. If there are too many, it closes the
 // one that has waited longest for a request. It waits up to admitTimeout until connections
 // that are being closed have released their descriptors.
@@ -105,7 +117,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.makeRoom(func() bool { return b.active() < b.maxConnections }, oldest, Connections, c)
-	b.makeRoom(func() bool { return b.heads+connectionCost <= b.maxHeads }, costliest, HeadMemory, c)
+	b.makeRoom(func() bool { return b.heads-b.closingHeads+connectionCost <= b.maxHeads }, costliest, HeadMemory, c)
 	if b.active() >= b.maxConnections || b.open >= b.maxConnections+b.maxConnections/closingShare {
 		return false, b.closing > 0
 	}
@@ -144,30 +156,40 @@
 	return c.charged / connectionCost * (int64(age/time.Millisecond) + 1)
 }
 
-// evict closes a waiting connection and no longer charges for it.
+// evict starts to close a waiting connection. It is charged until it is closed.
 func (b *Budget) evict(c *conn, r Reason) {
 	b.count(r)
 	delete(b.waiting, c)
-	b.set(c, 0)
 	b.closing++
+	b.closingHeads += c.charged
 	c.evicted = true
 	c.interrupt()
 }
 
-// chargeHead charges for a head that is being read and reports whether it fits.
+// chargeHead charges for a head that is being read and reports whether it fits. It waits up
+// to admitTimeout until connections that are being closed have released their memory.
 func (b *Budget) chargeHead(c *conn, cost int64) bool {
+	for end := time.Now().Add(admitTimeout); ; time.Sleep(admitInterval) {
+		charged, closing := b.tryChargeHead(c, cost+connectionCost)
+		if charged || !closing || time.Now().After(end) {
+			return charged
+		}
+	}
+}
+
+func (b *Budget) tryChargeHead(c *conn, cost int64) (charged, closing bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if c.evicted {
-		return false
+		return false, false
 	}
-	cost += connectionCost
-	b.makeRoom(func() bool { return b.heads+cost-c.charged <= b.maxHeads }, costliest, HeadMemory, c)
-	if b.heads+cost-c.charged > b.maxHeads {
-		return false
+	more := cost - c.charged
+	b.makeRoom(func() bool { return b.heads-b.closingHeads+more <= b.maxHeads }, costliest, HeadMemory, c)
+	if b.heads+more > b.maxHeads {
+		return false, b.closingHeads > 0
 	}
 	b.set(c, cost)
-	return true
+	return true, false
 }
 
 // begin marks the start of a request, which ends the wait of its connection. headCost is
@@ -179,7 +201,7 @@
 		// The request was complete when the connection was chosen.
 		c.evicted = false
 		b.closing--
-		b.set(c, connectionCost)
+		b.closingHeads -= c.charged
 	}
 	if headCost > 0 {
 		b.set(c, connectionCost+headCost)
@@ -207,6 +229,7 @@
 	b.open--
 	if c.evicted {
 		b.closing--
+		b.closingHeads -= c.charged
 	}
 	b.set(c, 0)
 	delete(b.waiting, c)
