--- a/Makefile
+++ b/Makefile
@@ -12,11 +12,12 @@
 	go run ./internal/trial/demo
 
 # The test cache does not see that the trials and the soak test build the programs, so
-# these tests run with -count=1.
+# these tests run with -count=1. They run one package at a time, because the crowd tests
+# measure memory apart from other load.
 test: check
 	skip=$$(bash scripts/known-red.sh) && \
 	go test -race $$skip $$(go list ./... | grep -v -e /internal/trial/ -e /platform$$) && \
-	go test -race -count=1 $$skip ./internal/trial/... ./platform
+	go test -race -count=1 -p 1 $$skip ./internal/trial/... ./platform
 
 # The soak test of the programs on the platform: 50 seeds, each with planned work, with
 # mixed faults and with hand-overs.
