--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,14 @@
 	// At is the address of the engine of the path that could not serve the
 	// request, or empty.
 	At string
+	// Misdirected reports whether the request reached another upstream than the one that
+	// must handle it, or an engine that does not hold its part of the path.
+	Misdirected bool
+	// Leaving reports whether the upstream that sent the response is leaving and must get
+	// no further requests.
+	Leaving bool
+	// Pause is the time for which the upstream asks for no requests, or 0.
+	Pause time.Duration
 }
 
 // HeaderCodec converts between the headers of a platform and these types.
