Let selections leave out upstreams by incarnation

A request to a pool may carry the share of each upstream, and the constraints of a path a function that excludes engines. Without them selections and their random draws are as before.

--- a/internal/gateway/path/path.go
+++ b/internal/gateway/path/path.go
@@ -237,6 +237,9 @@
 	// First lists the engines that the path may begin at. If empty, any engine may be
 	// the first.
 	First []fleet.UpstreamID
+	// Exclude, if not nil, reports whether an engine must not be used. It is called only
+	// for engines that are usable otherwise, and must not call the Planner.
+	Exclude func(id fleet.UpstreamID, n fleet.Incarnation) bool
 	// Continues is set for a stream whose client already has a part of the response.
 	Continues bool
 	// Size is the memory that the stream needs, in streams of mean size. Zero counts as 1.
@@ -256,7 +259,7 @@
 	if p.model == nil {
 		return nil, refusal.New(refusal.NoUpstream, "no engine is known")
 	}
-	usable, costs := p.usable(l.Avoid)
+	usable, costs := p.usable(l)
 	p.arrivals++
 	hops := p.search(usable, costs, l.First)
 	if hops == nil {
@@ -271,13 +274,16 @@
 }
 
 // usable returns the engines that may be chosen now, and the cost of one layer on each.
-func (p *Planner) usable(avoid []fleet.UpstreamID) ([]*engine, []float64) {
+func (p *Planner) usable(l Constraints) ([]*engine, []float64) {
 	now := p.clock.Now()
 	var es []*engine
 	var costs []float64
 	for _, e := range p.engines {
 		stale := now.Sub(e.entry.LastHeartbeat) > p.heartbeatTimeout && now.Sub(e.lastProgress) > maxProgressAge && now.Sub(e.lastOwnProgress) > maxProgressAge
-		if stale || now.Before(e.excludedUntil) || slices.Contains(avoid, e.entry.ID) {
+		if stale || now.Before(e.excludedUntil) || slices.Contains(l.Avoid, e.entry.ID) {
+			continue
+		}
+		if l.Exclude != nil && l.Exclude(e.entry.ID, e.entry.Incarnation) {
 			continue
 		}
 		es = append(es, e)
--- a/internal/gateway/path/path_test.go
+++ b/internal/gateway/path/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -45,6 +46,8 @@
 				return ""
 			case "choose":
 				return choose(p, d)
+			case "possible":
+				return fmt.Sprintf("%t\n", p.Possible(constraints(d)))
 			case "stats":
 				p.SetFleetStats(parseStats(t, d))
 				return ""
@@ -86,12 +89,20 @@
 
 func constraints(d *datadriven.TestData) path.Constraints {
 	var l path.Constraints
+	var excluded []string // id/incarnation
 	for _, a := range d.CmdArgs {
 		switch a.Key {
 		case "avoid":
 			l.Avoid = append(l.Avoid, fleet.UpstreamID(a.Vals[0]))
 		case "first":
 			l.First = append(l.First, fleet.UpstreamID(a.Vals[0]))
+		case "exclude":
+			excluded = append(excluded, a.Vals[0])
+		}
+	}
+	if len(excluded) > 0 {
+		l.Exclude = func(id fleet.UpstreamID, n fleet.Incarnation) bool {
+			return slices.Contains(excluded, fmt.Sprintf("%s/%d", id, n))
 		}
 	}
 	return l
--- a/internal/routing/pool/pool.go
+++ b/internal/routing/pool/pool.go
@@ -75,6 +75,10 @@
 	// Eligible lists the upstreams that can serve the request, such as those that
 	// hold a range of layers. Empty means all upstreams of the pool.
 	Eligible []fleet.UpstreamID
+	// Share, if not nil, returns the share of its usual requests that an upstream may get,
+	// from 0 to 1. An upstream with a share of 0 is not selected. A share between 0 and 1
+	// scales its health, so it is still selected if no other upstream qualifies.
+	Share func(id fleet.UpstreamID, n fleet.Incarnation) float64
 	// Explain, if not nil, is set to a description of the decision.
 	Explain *Explanation
 }
@@ -232,7 +236,7 @@
 
 // considerEligible considers the upstreams of r.Eligible, starting at a random
 // position. If none qualifies, it adds the first with a recent heartbeat that is not
-// in r.Exclude, whatever its health.
+// in r.Exclude and has a share, whatever its health.
 func (p *Pool) considerEligible(s *scratch, set *memberSet, r *Request, now time.Time) {
 	first := int(p.draw() % uint64(len(r.Eligible)))
 	length := min(len(r.Eligible), maxScan)
@@ -249,7 +253,7 @@
 	}
 	for i := range length {
 		m := set.byID[r.Eligible[(first+i)%len(r.Eligible)]]
-		if m != nil && p.hasRecentHeartbeat(m, now) && !containsID(r.Exclude, m.id) {
+		if m != nil && p.hasRecentHeartbeat(m, now) && !containsID(r.Exclude, m.id) && r.share(m) > 0 {
 			s.add(m, m.candidate(set, r, m.health(), p.offset(now)))
 			return
 		}
@@ -258,7 +262,8 @@
 
 // scanForCandidate adds the first member that qualifies, starting at a random
 // position. It is used after all draws failed. If no member qualifies, it adds the
-// first with a recent heartbeat that is not in r.Exclude, whatever its health.
+// first with a recent heartbeat that is not in r.Exclude and has a share, whatever its
+// health.
 func (p *Pool) scanForCandidate(s *scratch, set *memberSet, r *Request, now time.Time) {
 	first := int(p.draw() % uint64(max(len(set.all), 1)))
 	length := min(len(set.all), maxScan)
@@ -270,7 +275,7 @@
 	}
 	for i := range length {
 		m := set.all[(first+i)%len(set.all)]
-		if p.hasRecentHeartbeat(m, now) && !containsID(r.Exclude, m.id) {
+		if p.hasRecentHeartbeat(m, now) && !containsID(r.Exclude, m.id) && r.share(m) > 0 {
 			s.add(m, m.candidate(set, r, m.health(), p.offset(now)))
 			return
 		}
@@ -296,13 +301,25 @@
 	if p.offset(now) < m.excludedUntil.Load() {
 		return
 	}
-	health := m.health()
+	share := r.share(m)
+	if share <= 0 {
+		return
+	}
+	health := m.health() * share
 	if health < 1 && health*math.MaxUint32 < float64(uint32(p.draw())) {
 		return
 	}
 	s.add(m, m.candidate(set, r, health, p.offset(now)))
 }
 
+// share returns the share of its usual requests that m may get.
+func (r *Request) share(m *member) float64 {
+	if r.Share == nil {
+		return 1
+	}
+	return r.Share(m.id, m.incarnation)
+}
+
 func (p *Pool) hasRecentHeartbeat(m *member, now time.Time) bool {
 	return p.offset(now)-m.lastHeartbeat.Load() <= int64(heartbeatTimeout)
 }
