Send nothing to upstreams that are leaving or paused

A gateway records what each response says of its upstream and reads it in the selection of upstreams and paths, before probes, and right before a request is written. Requests that only paused or leaving upstreams could serve are refused at once, with the earliest end of the pauses as Retry-After. Started streams wait for a path as before.

An engine that refuses a request and asks for a pause is not reported to the other gateways as full, because the pause refers to this gateway only.

--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -90,7 +90,7 @@
 		Retries: budget.Limit{Share: s.RetryRatio * retryBudgetShare, Extra: s.RetryExtra * retryBudgetShare, Window: s.RetryWindow},
 	}, client, log)
 	registry := newRegistry(out)
-	registry.MustRegister(gatewayState.Prompts().Collector())
+	registry.MustRegister(gatewayState.Prompts().Collector(), gatewayState.Notices().Collector())
 	handler := forward.New(clock, gatewayState, client, platform.Headers{}, platform.Engines{Client: client},
 		forward.NewMetrics(registry), log)
 	follower := feed.NewClient(s.Instance, clock, gatewayState, log, feed.WithSeeds(s.PeerSeeds...), feed.WithDataCentre(s.DataCentre),
--- a/internal/gateway/forward/destination.go
+++ b/internal/gateway/forward/destination.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
+	"github.com/bilberryrock/bilberryrock/internal/gateway/notice"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/path"
 	"github.com/bilberryrock/bilberryrock/internal/registry/quarantine"
 	"github.com/bilberryrock/bilberryrock/internal/routing/pool"
@@ -14,16 +17,42 @@
 	hops   []path.Hop
 	target exchange.Target
 	engine quarantine.Engine
+	// upstreams lists the upstreams that the attempt uses, first the one that receives the
+	// request.
+	upstreams []notice.Upstream
 	// lastHeartbeat is that of the upstream, or zero for a path.
 	lastHeartbeat time.Time
-	// done must be called once with the outcome of the attempt. refused means that no
-	// connection could be opened.
+	// done or withhold must be called once, which end does. done is called with the
+	// outcome of the attempt, where refused means that no connection could be opened.
 	done func(ok bool, refused bool)
+	// withhold is called if the request was not sent because of a notice.
+	withhold func()
+}
+
+// end records the outcome of the attempt. err is its error, or nil.
+func (d destination) end(ok bool, err error) {
+	if errors.Is(err, errWithheld) {
+		d.withhold()
+		return
+	}
+	d.done(ok, exchange.ConnectFailed(err))
 }
 
 // chooseDestination selects a path of engines, or an upstream of a service without
-// engines.
+// engines. The error wraps errWithheld if only upstreams that are paused or leaving could
+// serve the request.
 func (q *request) chooseDestination() (destination, error) {
+	d, err := q.selectDestination()
+	if err == nil {
+		return d, nil
+	}
+	if withheld := q.withheldError(); withheld != nil {
+		return d, withheld
+	}
+	return d, err
+}
+
+func (q *request) selectDestination() (destination, error) {
 	if p := q.pool.Planner; p != nil {
 		hops, err := q.choosePath(p)
 		if err != nil {
@@ -31,8 +60,10 @@
 		}
 		return destination{
 			hops: hops, target: exchange.Target{ID: hops[0].ID, Address: hops[0].Address},
-			engine: quarantine.HashEngine(hops[0].ID, hops[0].Incarnation),
-			done:   func(ok, _ bool) { p.Done(hops, ok) },
+			engine:    quarantine.HashEngine(hops[0].ID, hops[0].Incarnation),
+			upstreams: enginesOf(hops),
+			done:      func(ok, _ bool) { p.Done(hops, ok) },
+			withhold:  func() { p.Done(hops, false) },
 		}, nil
 	}
 	lease, err := q.pickUpstream()
@@ -44,7 +75,9 @@
 	return destination{
 		target:        exchange.Target{ID: u.ID, Address: u.Address},
 		engine:        quarantine.HashEngine(u.ID, u.Incarnation),
+		upstreams:     []notice.Upstream{{ID: u.ID, Incarnation: u.Incarnation}},
 		lastHeartbeat: u.LastHeartbeat,
+		withhold:      func() { lease.Done(pool.Canceled) },
 		done: func(ok, refused bool) {
 			switch {
 			case ok:
@@ -69,17 +102,24 @@
 	if q.reachedMaxUpstreams() {
 		l = path.Constraints{First: q.ranAt}
 	}
+	excludeDrawn, excludeBlocked := q.noticeExclusions()
+	l.Exclude = excludeDrawn
 	hops, err := p.Choose(l)
+	if err != nil && excludeDrawn != nil {
+		l.Exclude = excludeBlocked
+		hops, err = p.Choose(l)
+	}
 	if err != nil {
-		return p.Choose(path.Constraints{})
+		return p.Choose(path.Constraints{Exclude: excludeBlocked})
 	}
 	return hops, nil
 }
 
 // pickUpstream selects an upstream of a service without engines under the same limits.
 func (q *request) pickUpstream() (pool.Lease, error) {
+	r := pool.Request{Exclude: q.avoid, Share: q.noticeShares()}
 	if q.reachedMaxUpstreams() {
-		return q.pool.Upstreams.Pick(pool.Request{Eligible: q.ranAt})
+		r.Exclude, r.Eligible = nil, q.ranAt
 	}
-	return q.pool.Upstreams.Pick(pool.Request{Exclude: q.avoid})
+	return q.pool.Upstreams.Pick(r)
 }
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -67,7 +67,9 @@
 
 // Prober requests state reports from engines.
 type Prober interface {
-	Report(ctx context.Context, id fleet.UpstreamID, address string) (placement.Report, error)
+	// Probe returns the report of an engine and the headers of its response. The headers
+	// are valid also if an error is returned.
+	Probe(ctx context.Context, id fleet.UpstreamID, address string) (placement.Report, gateway.ResponseHeaders, error)
 }
 
 // Handler forwards requests. It is safe for concurrent use.
@@ -87,7 +89,7 @@
 func New(clock state.Clock, s *state.State, c *exchange.Client, d gateway.HeaderCodec, p Prober, m *Metrics, l *zap.Logger) *Handler {
 	return &Handler{
 		clock: clock, state: s, client: c, codec: d, metrics: m, logger: l.Named("forward"),
-		probes: &probeCache{clock: clock, prober: p, probes: make(map[string]*probe)},
+		probes: &probeCache{clock: clock, prober: p, notices: s.Notices(), probes: make(map[string]*probe)},
 	}
 }
 
@@ -281,7 +283,7 @@
 }
 
 // upstreamRequest builds the request for an upstream.
-func (q *request) upstreamRequest(s gateway.UpstreamHeaders) exchange.Request {
+func (q *request) upstreamRequest(d destination, s gateway.UpstreamHeaders) exchange.Request {
 	header := q.r.Header.Clone()
 	removeHopByHopHeaders(header)
 	header.Del("Content-Length")
@@ -299,14 +301,14 @@
 			now := q.clock.Now()
 			s.Remaining = q.deadline.Sub(now)
 			q.codec.EncodeUpstream(h, s)
-			return q.checkBeforeSend(now.Sub(selected), s.Remaining)
+			return q.checkBeforeSend(d, now.Sub(selected), s.Remaining)
 		},
 	}
 }
 
 // checkBeforeSend repeats the checks that allowed an attempt, right before the request
 // is written. The process may have been paused since the upstream was selected.
-func (q *request) checkBeforeSend(sinceSelection, remaining time.Duration) error {
+func (q *request) checkBeforeSend(d destination, sinceSelection, remaining time.Duration) error {
 	if remaining <= 0 {
 		return refusal.New(refusal.NoUpstream, "request deadline has passed")
 	}
@@ -316,6 +318,9 @@
 	if err := q.checkPrompt(); err != nil {
 		return err
 	}
+	if err := q.checkNotices(d); err != nil {
+		return err
+	}
 	if q.account == nil || q.possibleRuns > 0 {
 		return nil
 	}
@@ -438,7 +443,7 @@
 		panic(http.ErrAbortHandler)
 	case q.possibleRuns == 0 && ctx.Err() != nil:
 		q.refuse(refusal.WithCause(refusal.NoUpstream, q.lastErr, "no upstream accepted the request before the deadline"))
-	case q.possibleRuns == 0 && refusal.KindOf(q.lastErr) == refusal.Quarantined:
+	case q.possibleRuns == 0 && (refusal.KindOf(q.lastErr) == refusal.Quarantined || refusal.KindOf(q.lastErr) == refusal.Overloaded):
 		q.refuse(q.lastErr)
 	case q.possibleRuns == 0:
 		q.refuse(refusal.WithCause(refusal.NoUpstream, q.lastErr, "no upstream accepted the request"))
@@ -460,7 +465,7 @@
 	h := q.w.Header()
 	h.Set("Content-Type", "application/json")
 	if a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests {
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter(kind).Seconds(), 'f', 2, 64))
+		h.Set("Retry-After", formatRetryAfter(retryAfter(err)))
 	}
 	body := `{"error":"` + a.Code + `"}`
 	h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -468,9 +473,14 @@
 	_, _ = io.WriteString(q.w, body) // the client may have disconnected
 }
 
-// retryAfter returns a random time after which a refused client may retry.
-func retryAfter(k refusal.Kind) time.Duration {
-	switch k {
+// retryAfter returns the time after which a refused client may retry. It is random unless
+// the error has a time.
+func retryAfter(err error) time.Duration {
+	var e *refusal.Error
+	if errors.As(err, &e) && e.RetryAfter > 0 {
+		return e.RetryAfter
+	}
+	switch refusal.KindOf(err) {
 	case refusal.Stopping:
 		return time.Duration(rand.Int64N(int64(maxStoppingRetryAfter)))
 	case refusal.Quarantined:
@@ -479,6 +489,13 @@
 	return minRetryAfter + time.Duration(rand.Int64N(int64(retryAfterJitter)))
 }
 
+// formatRetryAfter returns the seconds of d with two decimals. It rounds up if d has a
+// finer part, so that the client does not come back too early.
+func formatRetryAfter(d time.Duration) string {
+	const resolution = 10 * time.Millisecond
+	return strconv.FormatFloat(((d + resolution - 1) / resolution * resolution).Seconds(), 'f', 2, 64)
+}
+
 // writeHead writes the status line and the headers of the response. Only here is it
 // decided whether the client may reuse the connection, because the gateway may have
 // started to drain after the request arrived.
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -54,14 +54,19 @@
 	h.Set("Account", string(s.Account))
 	for _, p := range s.Path {
 		h.Add("Path", fmt.Sprintf("%d-%d", p.Layers.From, p.Layers.To))
+		h.Add("Engines", string(p.ID))
 	}
 	if s.HasLastEvent {
 		h.Set("After", strconv.FormatUint(s.LastEvent, 10))
 	}
 }
 
-func (headerCodec) DecodeResponse(_ int, h http.Header) gateway.ResponseHeaders {
-	return gateway.ResponseHeaders{ID: fleet.RequestID(h.Get("Id")), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", At: h.Get("At")}
+func (headerCodec) DecodeResponse(status int, h http.Header) gateway.ResponseHeaders {
+	pause, _ := time.ParseDuration(h.Get("Pause"))
+	return gateway.ResponseHeaders{
+		ID: fleet.RequestID(h.Get("Id")), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", At: h.Get("At"),
+		Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != "", Pause: pause,
+	}
 }
 
 // decoder ignores its input and returns the release that a test has set.
@@ -71,12 +76,19 @@
 
 func (d decoder) Decode([]byte) (*release.Release, error) { return d.current.Load(), nil }
 
-// prober returns reports without stalled streams and counts its calls.
-type prober struct{ calls *atomic.Int64 }
+// prober returns reports without stalled streams and counts its calls. Its responses have the
+// headers reply, if set.
+type prober struct {
+	calls *atomic.Int64
+	reply *atomic.Pointer[gateway.ResponseHeaders]
+}
 
-func (p prober) Report(context.Context, fleet.UpstreamID, string) (placement.Report, error) {
+func (p prober) Probe(context.Context, fleet.UpstreamID, string) (placement.Report, gateway.ResponseHeaders, error) {
 	p.calls.Add(1)
-	return placement.Report{}, nil
+	if r := p.reply.Load(); r != nil {
+		return placement.Report{}, *r, nil
+	}
+	return placement.Report{}, gateway.ResponseHeaders{}, nil
 }
 
 // testGateway is a gateway whose upstreams all run the same handler.
@@ -90,13 +102,16 @@
 	received         []http.Header
 	logs             *observer.ObservedLogs // log lines of the gateway
 	probes           atomic.Int64           // requests for reports of engines
-	setRetryCounts   func(budget.Count)     // sets the sums of attempts and retries of the pool "model"
-	receive          func(feed.Update)      // delivers an update of a controller
-	heartbeat        func()                 // delivers a heartbeat of each upstream
+	probeReply       atomic.Pointer[gateway.ResponseHeaders]
+	setRetryCounts   func(budget.Count) // sets the sums of attempts and retries of the pool "model"
+	receive          func(feed.Update)  // delivers an update of a controller
+	heartbeat        func()             // delivers a heartbeat of each upstream
 	clock            *offsetClock
 	current          atomic.Pointer[release.Release]
 	// beforeDial, if not nil, is called before each connection to an upstream is opened.
 	beforeDial atomic.Pointer[func()]
+	// update is the newest update of a controller. heartbeat delivers it again.
+	update *feed.Update
 }
 
 // pauseBeforeDial simulates one pause of the process while it opens a connection: the
@@ -147,10 +162,10 @@
 	}
 }
 
-// offsetClock is the system clock plus an offset. With it a gateway appears to have run
-// long enough to have its full share of the retry budget.
+// offsetClock is a clock plus an offset. With it a gateway appears to have run long enough
+// to have its full share of the retry budget.
 type offsetClock struct {
-	systemclock.Clock
+	state.Clock
 	offset atomic.Int64
 }
 
@@ -165,9 +180,16 @@
 // newTestGatewayWithRetries returns a testGateway with the given retry limits and the
 // given number of upstreams in each of the pools "plain" and "model".
 func newTestGatewayWithRetries(t *testing.T, upstreams int, b upstreamFunc, retries budget.Limit) *testGateway {
+	return newTestGatewayWithClock(t, upstreams, b, retries, systemclock.Clock{})
+}
+
+// newTestGatewayWithClock returns a testGateway whose clock is the given one plus an offset.
+func newTestGatewayWithClock(t *testing.T, upstreams int, b upstreamFunc, retries budget.Limit, base state.Clock) *testGateway {
 	is := is.New(t)
 	core, logs := observer.New(zap.InfoLevel)
 	w := &testGateway{logs: logs, requestID: "1"}
+	clock := &offsetClock{Clock: base}
+	w.clock = clock
 	var entries []registry.Entry
 	for i := range upstreams {
 		for _, pool := range []fleet.PoolID{"plain", "model"} {
@@ -177,12 +199,10 @@
 			entries = append(entries, registry.Entry{
 				ID: fleet.UpstreamID(fmt.Sprintf("%s%d", pool, i)), Incarnation: 1, Sequence: 1, Pool: pool, Slots: 10,
 				Address: s.Listener.Addr().String(), State: registry.Ready, Card: "card",
-				Layers: upstream.LayerRange{To: 4}, LastHeartbeat: time.Now(),
+				Layers: upstream.LayerRange{To: 4}, LastHeartbeat: clock.Now(),
 			})
 		}
 	}
-	clock := &offsetClock{}
-	w.clock = clock
 	w.current.Store(testRelease())
 	client := exchange.New(clock, exchange.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
 		if f := w.beforeDial.Load(); f != nil {
@@ -200,6 +220,7 @@
 	if upstreams > 0 {
 		u.Confirmed, u.ConfirmedVersion = clock.Boot(), 1
 	}
+	w.update = &u
 	w.receive = func(u feed.Update) { is.NoErr(st.Receive(u)) }
 	w.receive(u)
 	clock.offset.Store(int64(4 * time.Second))
@@ -211,7 +232,7 @@
 		w.receive(u)
 	}
 	w.heartbeat()
-	h := forward.New(clock, st, client, headerCodec{}, prober{&w.probes}, forward.NewMetrics(prometheus.NewRegistry()), zap.New(core))
+	h := forward.New(clock, st, client, headerCodec{}, prober{&w.probes, &w.probeReply}, forward.NewMetrics(prometheus.NewRegistry()), zap.New(core))
 	w.handler = h
 	w.setRetryCounts = func(c budget.Count) {
 		w.receive(feed.Update{Sums: &usage.Report{Gateways: 1, Attempts: map[fleet.PoolID]budget.Count{"model": c}}})
--- a/internal/gateway/forward/metrics.go
+++ b/internal/gateway/forward/metrics.go
@@ -14,6 +14,7 @@
 	stalls        prometheus.Counter
 	retriesDenied prometheus.Counter
 	crashes       prometheus.Counter
+	withheldSends prometheus.Counter
 }
 
 // NewMetrics registers the metrics of a gateway.
@@ -39,7 +40,10 @@
 	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "bilberryrock_gateway_prompt_crashes_total", Help: "Attempts whose engine crashed before it responded to a prompt that may be the cause.",
 	})
-	r.MustRegister(m.requests, m.refusals, m.latency, m.stalls, m.retriesDenied, m.crashes)
+	m.withheldSends = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "bilberryrock_gateway_withheld_sends_total", Help: "Attempts that were not sent because an upstream was paused or began to leave after it was selected.",
+	})
+	r.MustRegister(m.requests, m.refusals, m.latency, m.stalls, m.retriesDenied, m.crashes, m.withheldSends)
 	return m
 }
 
@@ -55,3 +59,5 @@
 func (m *Metrics) retryDenied() { m.retriesDenied.Inc() }
 
 func (m *Metrics) crashed() { m.crashes.Inc() }
+
+func (m *Metrics) withheld() { m.withheldSends.Inc() }
--- a/internal/gateway/forward/plain.go
+++ b/internal/gateway/forward/plain.go
@@ -57,7 +57,7 @@
 		q.lastUpstream = string(d.target.ID)
 		a, res, err := q.attempt(ctx, d, q.mayTryAnother())
 		q.reachedUpstream = q.reachedUpstream || !exchange.Unsent(err)
-		d.done(res == answered, exchange.ConnectFailed(err))
+		d.end(res == answered, err)
 		if err != nil {
 			q.lastErr = err
 			q.logSendFailure(d, res, err)
@@ -113,12 +113,13 @@
 		ctx, cancel = context.WithTimeout(ctx, q.route.TargetLatency*earlyTimeoutNum/earlyTimeoutDen)
 		defer cancel()
 	}
-	x, err := q.client.Send(ctx, t, q.upstreamRequest(gateway.UpstreamHeaders{Upstream: t.ID, Path: d.hops}))
+	x, err := q.client.Send(ctx, t, q.upstreamRequest(d, gateway.UpstreamHeaders{Upstream: t.ID, Path: d.hops}))
 	if err != nil {
 		return nil, resultOf(err), err
 	}
 	defer x.Close()
 	reply := q.codec.DecodeResponse(x.Response.StatusCode, x.Response.Header)
+	q.recordNotices(d, reply)
 	if reply.NotRun {
 		return nil, notRun, refusal.WithCause(refusal.NoUpstream, x.Drain(), "upstream %s responded with status %d without running the request",
 			t.ID, x.Response.StatusCode)
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -14,6 +14,8 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/gateway"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
+	"github.com/bilberryrock/bilberryrock/internal/gateway/notice"
+	"github.com/bilberryrock/bilberryrock/internal/placement"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
@@ -124,7 +126,8 @@
 	lastProgress time.Time // when progress was last reported to the planner
 }
 
-// awaitDestination waits up to pathTimeout for a destination.
+// awaitDestination waits up to pathTimeout for a destination. A new stream does not wait for
+// the end of a pause.
 func (s *relay) awaitDestination(ctx context.Context) (destination, error) {
 	start := s.arrival
 	if s.headSent {
@@ -135,6 +138,9 @@
 		if err == nil || s.clock.Now().Sub(start) >= pathTimeout {
 			return t, err
 		}
+		if !s.headSent && errors.Is(err, errWithheld) {
+			return t, err
+		}
 		select {
 		case <-ctx.Done():
 			return destination{}, err
@@ -161,7 +167,7 @@
 	finished, res, err := s.forward(ctx, t, w)
 	refused := exchange.ConnectFailed(err)
 	s.reachedUpstream = s.reachedUpstream || !exchange.Unsent(err)
-	t.done(err == nil && res == answered, refused)
+	t.end(err == nil && res == answered, err)
 	if err == nil {
 		return finished
 	}
@@ -191,7 +197,7 @@
 // forward sends the request and relays the events of its response.
 func (s *relay) forward(ctx context.Context, t destination, w *watcher) (bool, result, error) {
 	sent := s.clock.Now()
-	x, err := s.client.Send(ctx, t.target, s.upstreamRequest(gateway.UpstreamHeaders{
+	x, err := s.client.Send(ctx, t.target, s.upstreamRequest(t, gateway.UpstreamHeaders{
 		Upstream: t.target.ID, Path: t.hops, LastEvent: s.lastEvent, HasLastEvent: s.hasLastEvent,
 	}))
 	if err != nil {
@@ -199,6 +205,7 @@
 	}
 	defer x.Close()
 	reply := s.codec.DecodeResponse(x.Response.StatusCode, x.Response.Header)
+	s.recordNotices(t, reply)
 	if reply.NotRun {
 		s.recordRefusal(reply, x.Response.StatusCode, s.clock.Now().Sub(sent))
 		return false, notRun, refusal.WithCause(refusal.NoUpstream, x.Drain(), "upstream %s responded with status %d without running the request, engine at fault: %.64q",
@@ -215,13 +222,16 @@
 
 // recordRefusal reports the engine that refused a request to the planner. A refusal
 // within maxRefusalDelay means that the engine has no free memory or is releasing its
-// layers. A later one counts as a failure of the engine, because a dead engine is
-// noticed only after a timeout.
+// layers, unless it asks for a pause, which says more. A later one counts as a failure of
+// the engine, because a dead engine is noticed only after a timeout.
 func (s *relay) recordRefusal(r gateway.ResponseHeaders, status int, took time.Duration) {
 	if r.At == "" || s.pool.Planner == nil {
 		return
 	}
 	if status == http.StatusServiceUnavailable && took < maxRefusalDelay {
+		if r.Pause > 0 {
+			return
+		}
 		s.refusals++
 		s.pool.Planner.MarkFull(r.At)
 		return
@@ -433,7 +443,10 @@
 	}
 	w.checks++
 	first := w.dest.target.Address
-	r, err := s.probes.report(w.ctx, w.dest.target)
+	r, err := s.probes.report(w.ctx, w.dest.upstreams[0], w.dest.target)
+	if errors.Is(err, errWithheld) {
+		r, err = placement.Report{}, nil // without a probe there is no finding
+	}
 	if w.ctx.Err() != nil {
 		return
 	}
@@ -485,7 +498,7 @@
 	var wg sync.WaitGroup
 	for _, h := range p.SlowdownDue(w.dest.hops) {
 		wg.Go(func() {
-			r, err := w.relay.probes.report(w.ctx, exchange.Target{ID: h.ID, Address: h.Address})
+			r, err := w.relay.probes.report(w.ctx, notice.Upstream{ID: h.ID, Incarnation: h.Incarnation}, exchange.Target{ID: h.ID, Address: h.Address})
 			if err == nil {
 				p.SetSlowdown(h.ID, r.Slowdown)
 			}
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -15,6 +15,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/admission/budget"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
+	"github.com/bilberryrock/bilberryrock/internal/gateway/notice"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/path"
 	"github.com/bilberryrock/bilberryrock/internal/registry"
 	"github.com/bilberryrock/bilberryrock/internal/registry/catalog"
@@ -85,6 +86,7 @@
 	logger     *zap.Logger
 	catalog    *catalog.Catalog
 	prompts    *quarantine.Table
+	notices    *notice.Table
 
 	table       atomic.Pointer[table.Table]
 	confirmedAt atomic.Int64 // Clock.Boot in nanoseconds, or 0
@@ -99,7 +101,7 @@
 func New(clock Clock, dataCentre fleet.DataCentreID, d release.Decoder, l Limits, c *exchange.Client, log *zap.Logger) *State {
 	s := &State{
 		clock: clock, dataCentre: dataCentre, decoder: d, limits: l, client: c, logger: log.Named("state"),
-		prompts: quarantine.New(clock, log), pools: make(map[fleet.PoolID]*Pool),
+		prompts: quarantine.New(clock, log), notices: notice.New(clock, log), pools: make(map[fleet.PoolID]*Pool),
 	}
 	s.catalog = catalog.New(clock, catalog.WithKnownPools(s.knowsPool))
 	return s
@@ -117,6 +119,9 @@
 // Prompts returns the prompt records of this gateway.
 func (s *State) Prompts() *quarantine.Table { return s.prompts }
 
+// Notices returns what this gateway knows of upstreams at first hand.
+func (s *State) Notices() *notice.Table { return s.notices }
+
 // ClockReading implements feed.Receiver.
 func (s *State) ClockReading() time.Duration { return s.clock.Boot() }
 
@@ -210,6 +215,10 @@
 	maxIdle := make(map[exchange.Target]int)
 	maxIdlePerUpstream := maxIdleConns(t.Release, gateways)
 	now := s.clock.Now()
+	s.notices.Sweep(func(id fleet.UpstreamID) (fleet.Incarnation, bool) {
+		e, ok := s.catalog.Get(id)
+		return e.Incarnation, ok
+	})
 	for _, e := range s.catalog.All(servingFactor * s.limits.HeartbeatTimeout) {
 		// The path planner itself skips engines that neither send heartbeats nor make
 		// progress.
@@ -217,6 +226,9 @@
 			continue
 		}
 		entries[e.Pool] = append(entries[e.Pool], e)
+		if s.notices.Leaves(notice.Upstream{ID: e.ID, Incarnation: e.Incarnation}) {
+			continue // its idle connections are closed
+		}
 		maxIdle[exchange.Target{ID: e.ID, Address: e.Address}] = maxIdlePerUpstream[e.Pool]
 	}
 	s.mu.Lock()
