--- a/internal/gateway/forward/notices_test.go
+++ b/internal/gateway/forward/notices_test.go
@@ -38,6 +38,7 @@
 //	                           receives the next request, X, or the same as before
 //	layers                     the input gives the layers of engines
 //	send path=P count=N        N requests, one after the other
+//	share path=P count=N       N requests, of which only the share of the marked upstream counts
 //	overtake path=P by=Q       a request, and one to Q that is answered between the choice
 //	                           of the upstream for the first one and its connection
 //	advance D                  all upstreams send heartbeats afterwards
@@ -158,6 +159,11 @@
 		s.beforeNextDial(func() { first = s.send(t, other) })
 		second := s.send(t, path)
 		return first + " overtook " + second + "\n" + s.counts()
+	case "share":
+		for range count {
+			s.send(t, path)
+		}
+		return s.share(count)
 	case "send":
 		responses := make(map[string]int)
 		for range count {
@@ -250,6 +256,19 @@
 	return text + fmt.Sprintf(", Retry-After %.2f s", seconds)
 }
 
+// share tells whether the marked upstream got about 1/8 of the requests. The bounds are 4.5
+// and 7.5 standard deviations from it with 400 requests.
+func (s *noticeScript) share(count int) string {
+	s.mu.Lock()
+	n := s.requests[true]
+	s.mu.Unlock()
+	s.counts()
+	if n >= count/20 && n <= count/4 {
+		return "about 1/8\n"
+	}
+	return fmt.Sprintf("%d of %d\n", n, count)
+}
+
 // counts returns and resets the numbers of requests and probes.
 func (s *noticeScript) counts() string {
 	s.mu.Lock()
