--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,7 +2,8 @@
 // clients to upstreams, and the interface to the header format of a platform.
 //
 // Package forward handles the requests, package exchange implements HTTP/1.1 to
-// upstreams, and package path selects the engines of a stream.
+// upstreams, package path selects the engines of a stream, and package notice keeps which
+// upstreams have said that they are leaving or ask for a pause.
 package gateway
 
 import (
