--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -465,7 +465,7 @@
 	h := q.w.Header()
 	h.Set("Content-Type", "application/json")
 	if a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests {
-		h.Set("Retry-After", formatRetryAfter(retryAfter(err)))
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter(err).Seconds(), 'f', 2, 64))
 	}
 	body := `{"error":"` + a.Code + `"}`
 	h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -489,13 +489,6 @@
 	return minRetryAfter + time.Duration(rand.Int64N(int64(retryAfterJitter)))
 }
 
-// formatRetryAfter returns the seconds of d with two decimals. It rounds up if d has a
-// finer part, so that the client does not come back too early.
-func formatRetryAfter(d time.Duration) string {
-	const resolution = 10 * time.Millisecond
-	return strconv.FormatFloat(((d + resolution - 1) / resolution * resolution).Seconds(), 'f', 2, 64)
-}
-
 // writeHead writes the status line and the headers of the response. Only here is it
 // decided whether the client may reuse the connection, because the gateway may have
 // started to drain after the request arrived.
--- a/internal/gateway/forward/notices.go
+++ b/internal/gateway/forward/notices.go
@@ -15,6 +15,9 @@
 	"github.com/bilberryrock/bilberryrock/internal/routing/pool"
 )
 
+// retryAfterResolution is the resolution of Retry-After in refusals of the gateway.
+const retryAfterResolution = 10 * time.Millisecond
+
 // errWithheld is wrapped by the errors of requests that are not sent because upstreams are
 // paused or leaving.
 var errWithheld = errors.New("upstreams are paused or leaving")
@@ -112,7 +115,9 @@
 	case end.IsZero():
 		return refusal.WithCause(refusal.NoUpstream, errWithheld, "all upstreams that could serve the request are leaving")
 	}
-	d := max(end.Sub(q.clock.Now()), time.Millisecond)
+	// The time is rounded up, so that the client does not come back too early.
+	steps := (end.Sub(q.clock.Now()) + retryAfterResolution - 1) / retryAfterResolution
+	d := max(steps, 1) * retryAfterResolution
 	return refusal.WithCause(refusal.Overloaded, errWithheld, "no upstream may be used before the end of a pause in %s", d).WithRetryAfter(d)
 }
 
