--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/bilberryrock/bilberryrock/internal/admission/budget"
+	"github.com/bilberryrock/bilberryrock/internal/admission/quota"
 	"github.com/bilberryrock/bilberryrock/internal/controller"
 	"github.com/bilberryrock/bilberryrock/internal/entry/lifecycle"
 	"github.com/bilberryrock/bilberryrock/internal/entry/listener"
@@ -82,15 +83,15 @@
 }
 
 // runGateway serves clients until SIGTERM.
-func runGateway(s platform.Settings, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
+func runGateway(s platform.Settings, admission quota.Mode, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
 	clock := systemclock.NewBootClock()
 	client := exchange.New(clock)
 	gatewayState := state.New(clock, s.DataCentre, platform.Configuration{}, state.Limits{
 		HeartbeatTimeout: maxMissedHeartbeats * s.HeartbeatInterval, KeyLease: s.RevocationTimeout - keyLeaseMargin, ReadinessTimeout: readinessTimeout,
 		Retries: budget.Limit{Share: s.RetryRatio * retryBudgetShare, Extra: s.RetryExtra * retryBudgetShare, Window: s.RetryWindow},
-	}, client, log)
+	}, client, log, state.WithAdmission(admission))
 	registry := newRegistry(out)
-	registry.MustRegister(gatewayState.Prompts().Collector(), gatewayState.Notices().Collector())
+	registry.MustRegister(gatewayState.Prompts().Collector(), gatewayState.Notices().Collector(), gatewayState.AdmissionCollector())
 	handler := forward.New(clock, gatewayState, client, platform.Headers{}, platform.Engines{Client: client},
 		forward.NewMetrics(registry), log)
 	follower := feed.NewClient(s.Instance, clock, gatewayState, log, feed.WithSeeds(s.PeerSeeds...), feed.WithDataCentre(s.DataCentre),
@@ -143,11 +144,11 @@
 }
 
 // runController serves the operator, the workers and the other daemons until SIGTERM.
-func runController(s platform.Settings, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
+func runController(s platform.Settings, admission quota.Mode, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
 	clock := systemclock.NewBootClock()
 	c, err := controller.New(controller.Settings{
 		Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerAddress, Folder: s.DataDir, Bootstrap: s.Bootstrap, Seeds: s.PeerSeeds, FaultTolerance: s.FaultTolerance,
-		HeartbeatTimeout: maxMissedHeartbeats * s.HeartbeatInterval, DialOptions: dialOptions(),
+		HeartbeatTimeout: maxMissedHeartbeats * s.HeartbeatInterval, DialOptions: dialOptions(), Admission: admission,
 	}, platform.Configuration{}, platform.Engines{Client: exchange.New(clock)}, clock, log)
 	if err != nil {
 		return err
--- a/internal/gateway/forward/destination.go
+++ b/internal/gateway/forward/destination.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/notice"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/path"
@@ -39,22 +40,22 @@
 }
 
 // chooseDestination selects a path of engines, or an upstream of a service without
-// engines. The error wraps errWithheld if only upstreams that are paused or leaving could
-// serve the request.
-func (q *request) chooseDestination() (destination, error) {
-	d, err := q.selectDestination()
+// engines. continues is set for a stream whose client already has a part of it. The error
+// wraps errWithheld if only upstreams that are paused or leaving could serve the request.
+func (q *request) chooseDestination(continues bool) (destination, error) {
+	d, err := q.selectDestination(continues)
 	if err == nil {
 		return d, nil
 	}
-	if withheld := q.withheldError(); withheld != nil {
+	if withheld := q.withheldError(continues); withheld != nil {
 		return d, withheld
 	}
 	return d, err
 }
 
-func (q *request) selectDestination() (destination, error) {
+func (q *request) selectDestination(continues bool) (destination, error) {
 	if p := q.pool.Planner; p != nil {
-		hops, err := q.choosePath(p)
+		hops, err := q.choosePath(p, continues)
 		if err != nil {
 			return destination{}, err
 		}
@@ -93,14 +94,22 @@
 	}, nil
 }
 
+// unrestricted returns the constraints of any path for the request.
+func (q *request) unrestricted(p *path.Planner, continues bool) path.Constraints {
+	return path.Constraints{Continues: continues, Size: p.Size(q.headers.PromptTokens, q.headers.MaxAnswerTokens)}
+}
+
 // choosePath selects a path that avoids the first engine of the path that broke last.
 // Once the stream may have run at as many first engines as the route allows, the path
 // begins at one of them. If there is no such path, any path is allowed, because those
 // engines may be lost.
-func (q *request) choosePath(p *path.Planner) ([]path.Hop, error) {
-	l := path.Constraints{Avoid: q.avoid}
+func (q *request) choosePath(p *path.Planner, continues bool) ([]path.Hop, error) {
+	unrestricted := q.unrestricted(p, continues)
+	l := unrestricted
 	if q.reachedMaxUpstreams() {
-		l = path.Constraints{First: q.ranAt}
+		l.First = q.ranAt
+	} else {
+		l.Avoid = q.avoid
 	}
 	excludeDrawn, excludeBlocked := q.noticeExclusions()
 	l.Exclude = excludeDrawn
@@ -109,10 +118,14 @@
 		l.Exclude = excludeBlocked
 		hops, err = p.Choose(l)
 	}
-	if err != nil {
-		return p.Choose(path.Constraints{Exclude: excludeBlocked})
+	if err == nil {
+		return hops, nil
+	}
+	if len(l.First) > 0 || len(l.Avoid) > 0 || refusal.KindOf(err) != refusal.Overloaded {
+		unrestricted.Exclude = excludeBlocked
+		hops, err = p.Choose(unrestricted)
 	}
-	return hops, nil
+	return hops, q.withRetryAfter(err)
 }
 
 // pickUpstream selects an upstream of a service without engines under the same limits.
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -19,6 +19,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bilberryrock/bilberryrock/internal/admission/quota"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/gateway"
@@ -63,6 +64,8 @@
 	// maxStreamRuns is the number of runs that each resumable stream is allowed. A
 	// higher MaxAttempts of the route takes precedence.
 	maxStreamRuns = 5
+	// maxPriority is the least urgent priority of the request header of upstreams.
+	maxPriority = 9
 )
 
 // Prober requests state reports from engines.
@@ -127,18 +130,25 @@
 	// watcher sets them concurrently.
 	retryDenied   atomic.Bool
 	retryReserved atomic.Bool
-	avoid         []fleet.UpstreamID
-	ranAt         []fleet.UpstreamID // upstreams that may have run the request
-	tried         []fleet.UpstreamID // upstreams selected for an attempt
-	lastUpstream  string             // upstream of the latest attempt
-	status        int
-	outcome       string
-	lastErr       error
+	// lastEventAt is the time from the arrival to the latest event that the client
+	// has, in nanoseconds, or 0 if it has no part of a stream. A watcher reads it
+	// concurrently.
+	lastEventAt  atomic.Int64
+	wait         *retryWait // for the retry budget, or nil
+	avoid        []fleet.UpstreamID
+	ranAt        []fleet.UpstreamID // upstreams that may have run the request
+	tried        []fleet.UpstreamID // upstreams selected for an attempt
+	lastUpstream string             // upstream of the latest attempt
+	status       int
+	outcome      string
+	lastErr      error
 	// crashes is the number of engines that crashed before they responded to the prompt,
 	// while it may have been the cause.
 	crashes int
 	// waited is the time spent waiting for a usable path, or for a verdict on the prompt.
 	waited time.Duration
+	// admission is the decision of the admission control, or nil if it does not apply.
+	admission *quota.Decision
 	// timing records when the events of a stream were written to the client.
 	timing eventTiming
 }
@@ -163,6 +173,13 @@
 		q.refuse(err)
 		return
 	}
+	if q.route.Type == release.Stream && q.underAdmissionControl() {
+		if err := q.admit(); err != nil {
+			q.refuse(err)
+			return
+		}
+		defer func() { q.pool.Admission.Done(q.possibleRuns > 0 || q.timing.events > 0) }()
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), q.deadline.Sub(h.clock.Now()))
 	defer cancel()
 	q.setWriteDeadline()
@@ -282,6 +299,23 @@
 	return nil
 }
 
+// admit offers a stream to the admission control of its service, and returns an error if it
+// is refused.
+func (q *request) admit() error {
+	p := quota.Pair{Level: quota.Level(q.level())}
+	if q.account != nil {
+		p.Account = q.account.ID
+	}
+	d := q.pool.Admission.Offer(p)
+	q.admission = &d
+	if d.Admitted {
+		return nil
+	}
+	left := q.deadline.Sub(q.clock.Now())
+	return refusal.New(refusal.Overloaded, "service %q admits %.3f of the streams of this account at level %d", q.poolID, d.Fraction, d.Level).
+		WithRetryAfter(q.pool.Admission.RetryAfter(left))
+}
+
 // upstreamRequest builds the request for an upstream.
 func (q *request) upstreamRequest(d destination, s gateway.UpstreamHeaders) exchange.Request {
 	header := q.r.Header.Clone()
@@ -344,12 +378,17 @@
 	return false
 }
 
+// priority returns the service level for services under admission control, and otherwise
+// the priority of the account or of the route.
 func (q *request) priority() int {
+	if q.underAdmissionControl() {
+		return min(q.level(), maxPriority)
+	}
 	n := q.route.Priority
 	if q.account != nil {
 		n = q.account.Priority
 	}
-	return max(0, min(n, 9))
+	return max(0, min(n, maxPriority))
 }
 
 // mayRepeat reports whether the request may run more than once.
@@ -393,9 +432,20 @@
 }
 
 // takeRetry charges the retry budget for one attempt, unless reserveRetry did so
-// before.
+// before. Under admission control a started stream that is denied joins those that wait
+// for the budget.
 func (q *request) takeRetry() bool {
-	return q.retryReserved.CompareAndSwap(true, false) || q.withdrawRetry()
+	if q.retryReserved.CompareAndSwap(true, false) {
+		return true
+	}
+	if q.wait != nil {
+		return q.wait.take()
+	}
+	ok := q.withdrawRetry()
+	if !ok && q.underAdmissionControl() && q.started() {
+		q.joinWait()
+	}
+	return ok
 }
 
 // reserveRetry charges the retry budget for the next attempt in advance, at most
@@ -410,7 +460,7 @@
 }
 
 func (q *request) withdrawRetry() bool {
-	if q.pool.RetryBudget.Withdraw() {
+	if q.withdraw() {
 		return true
 	}
 	if !q.retryDenied.Swap(true) {
@@ -465,7 +515,7 @@
 	h := q.w.Header()
 	h.Set("Content-Type", "application/json")
 	if a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests {
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter(err).Seconds(), 'f', 2, 64))
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter(err, kind).Seconds(), 'f', 2, 64))
 	}
 	body := `{"error":"` + a.Code + `"}`
 	h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -473,14 +523,14 @@
 	_, _ = io.WriteString(q.w, body) // the client may have disconnected
 }
 
-// retryAfter returns the time after which a refused client may retry. It is random unless
-// the error has a time.
-func retryAfter(err error) time.Duration {
+// retryAfter returns the time after which a client that was refused with err may retry. It
+// is random unless the error has one.
+func retryAfter(err error, k refusal.Kind) time.Duration {
 	var e *refusal.Error
-	if errors.As(err, &e) && e.RetryAfter > 0 {
+	if errors.As(err, &e) && e.Kind == k && e.RetryAfter > 0 {
 		return e.RetryAfter
 	}
-	switch refusal.KindOf(err) {
+	switch k {
 	case refusal.Stopping:
 		return time.Duration(rand.Int64N(int64(maxStoppingRetryAfter)))
 	case refusal.Quarantined:
@@ -513,6 +563,9 @@
 		zap.String("upstream", q.lastUpstream), zap.Uint64("version", uint64(q.state.Version())),
 		zap.Duration("confirmedAgo", q.state.ConfirmationAge()),
 	}
+	if d := q.admission; d != nil && !d.Admitted {
+		fields = append(fields, zap.Int("level", int(d.Level)), zap.Float64("fraction", d.Fraction))
+	}
 	if q.retryDenied.Load() {
 		fields = append(fields, zap.Bool("retryDenied", true))
 	}
--- a/internal/gateway/forward/notices.go
+++ b/internal/gateway/forward/notices.go
@@ -64,8 +64,16 @@
 	if t.Empty() {
 		return nil, nil
 	}
+	// A choice asks for some engines twice, and one draw must decide for both.
+	drawn := make(map[notice.Upstream]bool)
 	excludeDrawn = func(id fleet.UpstreamID, n fleet.Incarnation) bool {
-		return !t.Draw(notice.Upstream{ID: id, Incarnation: n})
+		u := notice.Upstream{ID: id, Incarnation: n}
+		excluded, known := drawn[u]
+		if !known {
+			excluded = !t.Draw(u)
+			drawn[u] = excluded
+		}
+		return excluded
 	}
 	excludeBlocked = func(id fleet.UpstreamID, n fleet.Incarnation) bool {
 		_, blocked := t.Blocked(notice.Upstream{ID: id, Incarnation: n})
@@ -100,14 +108,14 @@
 // withheldError returns an error if a selection failed only because upstreams are paused or
 // leaving, and nil otherwise. It is of kind refusal.Overloaded and has the earliest time at
 // which the request could be served, or of kind refusal.NoUpstream if there is no such time.
-func (q *request) withheldError() error {
+func (q *request) withheldError(continues bool) error {
 	t := q.state.Notices()
 	if t.Empty() {
 		return nil
 	}
 	end, withheld := q.earliestUpstream(t)
 	if p := q.pool.Planner; p != nil {
-		end, withheld = q.earliestPath(t, p)
+		end, withheld = q.earliestPath(t, p, q.unrestricted(p, continues))
 	}
 	switch {
 	case !withheld:
@@ -143,31 +151,44 @@
 	return end, err != nil && alive && !free
 }
 
-// earliestPath returns the earliest time at which there is a path, or zero if a path needs
-// an engine that is leaving. It reports false if there would be no path without notices
-// either.
-func (q *request) earliestPath(t *notice.Table, p *path.Planner) (time.Time, bool) {
+// earliestPath returns the earliest time at which there is a path within the constraints, or
+// zero if a path needs an engine that is leaving. It reports false if there is a path now, or
+// would be none without notices either, or if there is none only because engines are full:
+// those have room again sooner than most pauses end.
+func (q *request) earliestPath(t *notice.Table, p *path.Planner, l path.Constraints) (time.Time, bool) {
 	var ends []time.Time
 	blockedAny := false
-	possible := p.Possible(path.Constraints{Exclude: func(id fleet.UpstreamID, n fleet.Incarnation) bool {
+	l.Exclude = func(id fleet.UpstreamID, n fleet.Incarnation) bool {
 		end, blocked := t.Blocked(notice.Upstream{ID: id, Incarnation: n})
 		blockedAny = blockedAny || blocked
 		if blocked && !end.IsZero() {
 			ends = append(ends, end)
 		}
-		return false
-	}})
-	if !possible || !blockedAny {
+		return blocked
+	}
+	if p.Possible(l) || !blockedAny {
+		return time.Time{}, false
+	}
+	l.Exclude = func(id fleet.UpstreamID, n fleet.Incarnation) bool {
+		_, blocked := t.Blocked(notice.Upstream{ID: id, Incarnation: n})
+		return blocked
+	}
+	if p.PossibleUnlessFull(l) {
+		return time.Time{}, false
+	}
+	l.Exclude = nil
+	if !p.Possible(l) {
 		return time.Time{}, false
 	}
 	slices.SortFunc(ends, time.Time.Compare)
 	// Engines only become available as time passes, so a binary search finds the first end
 	// after which there is a path.
 	i := sort.Search(len(ends), func(i int) bool {
-		return p.Possible(path.Constraints{Exclude: func(id fleet.UpstreamID, n fleet.Incarnation) bool {
+		l.Exclude = func(id fleet.UpstreamID, n fleet.Incarnation) bool {
 			end, blocked := t.Blocked(notice.Upstream{ID: id, Incarnation: n})
 			return blocked && (end.IsZero() || end.After(ends[i]))
-		}})
+		}
+		return p.Possible(l)
 	})
 	if i == len(ends) {
 		return time.Time{}, true
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -80,6 +80,8 @@
 // part of the stream, it waits up to pathTimeout for the retry budget, since that
 // client cannot start over.
 func (s *relay) awaitAttempt(ctx context.Context) bool {
+	defer s.leaveWait()
+	granted := false // whether the budget allows an attempt
 	for start := s.clock.Now(); ; {
 		if s.unnumbered.Load() {
 			return false
@@ -87,12 +89,14 @@
 		if s.allowAttempt(ctx) {
 			return true
 		}
-		if !s.headSent || !s.withinRouteLimits(s.possibleRuns, s.attempts) || s.clock.Now().Sub(start) >= pathTimeout {
+		if granted || !s.headSent || !s.withinRouteLimits(s.possibleRuns, s.attempts) || s.clock.Now().Sub(start) >= pathTimeout {
 			return false
 		}
 		select {
 		case <-ctx.Done():
 			return false
+		case <-s.wait.granted():
+			granted = true
 		case <-s.clock.After(pathPollInterval):
 		}
 	}
@@ -126,16 +130,16 @@
 	lastProgress time.Time // when progress was last reported to the planner
 }
 
-// awaitDestination waits up to pathTimeout for a destination. A new stream does not wait for
-// the end of a pause.
+// awaitDestination waits up to pathTimeout for a destination. A new stream waits neither
+// for engines that are full nor for the end of a pause.
 func (s *relay) awaitDestination(ctx context.Context) (destination, error) {
 	start := s.arrival
 	if s.headSent {
 		start = s.clock.Now()
 	}
 	for {
-		t, err := s.chooseDestination()
-		if err == nil || s.clock.Now().Sub(start) >= pathTimeout {
+		t, err := s.chooseDestination(s.headSent || s.headers.HasLastEvent)
+		if err == nil || s.refusedAsFull(err) || s.clock.Now().Sub(start) >= pathTimeout {
 			return t, err
 		}
 		if !s.headSent && errors.Is(err, errWithheld) {
@@ -309,7 +313,11 @@
 			s.outcome = "clientGone"
 			return true, answered, errors.Wrap(err, "write to client")
 		}
-		s.timing.record(s.clock.Now().Sub(s.arrival))
+		at := s.clock.Now().Sub(s.arrival)
+		s.timing.record(at)
+		if !e.comment {
+			s.recordStarted(at)
+		}
 	}
 }
 
@@ -362,6 +370,7 @@
 		return
 	}
 	s.headSent = true
+	s.recordStarted(s.clock.Now().Sub(s.arrival))
 	s.mediaType = mediaType(p)
 	s.status = p.StatusCode
 	copyHeaders(s.w.Header(), p.Header)
--- a/internal/gateway/path/path.go
+++ b/internal/gateway/path/path.go
@@ -18,7 +18,6 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/registry"
-	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
 	"github.com/bilberryrock/bilberryrock/internal/release"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 )
@@ -94,6 +93,7 @@
 	Incarnation fleet.Incarnation
 	Address     string
 	Layers      upstream.LayerRange
+	size        float64 // size of the stream, in streams of mean size
 }
 
 // Planner chooses paths for one pool. It is safe for concurrent use.
@@ -115,15 +115,23 @@
 	// average of requests per second.
 	arrivals    int
 	arrivalRate float64
+	crossings   crossingLimiter // of a pool under admission control
+	anticipated anticipation    // of a pool under admission control
 }
 
 type engine struct {
 	entry           registry.Entry
 	secondsPerLayer float64   // time of a request of average size per layer
-	streamCapacity  float64   // number of requests of average size that fit into the memory
+	streamCapacity  float64   // memoryCapacity, or the slots of a first engine if they are fewer
+	memoryCapacity  float64   // number of requests of average size that fit into the memory
 	active          int       // requests of this gateway in progress
 	fleetActive     int       // requests of all gateways, according to the newest sums
 	chosenSince     int       // requests of this gateway since the newest sums
+	size            float64   // size of the requests counted in active
+	fleetSize       float64   // size of the requests counted in fleetActive
+	anticipated     float64   // assumed requests of other gateways since the newest sums
+	stepFactor      float64   // step time of its card relative to the fastest card
+	chosenSizeSince float64   // size of the requests counted in chosenSince
 	failures        int       // consecutive failures
 	lastOwnFailure  time.Time // last failure seen by this gateway
 	slowdown        float64   // factor by which it is slower than its card
@@ -132,6 +140,7 @@
 	lastOwnProgress time.Time // last progress of a request of this gateway
 	lastProgress    time.Time // last sums in which requests of some gateway made progress
 	excludedUntil   time.Time
+	refusedUntil    time.Time // end of the exclusion for a refusal, under admission control
 	lastOwnRefusal  time.Time // last refusal of this gateway for lack of memory
 	lastRefusal     time.Time // last sums with a refusal of some gateway
 }
@@ -153,10 +162,6 @@
 	p.admission = on
 }
 
-// Room returns the capacity of all data centres that hold the whole model, and its use by
-// all gateways.
-func (p *Planner) Room() Room { return Room{} }
-
 // Refresh replaces the engines that may be used. The state of an engine is kept as long
 // as its incarnation stays the same. gateways is the number of gateways in all data
 // centres.
@@ -178,8 +183,10 @@
 		}
 		k.entry = e
 		k.secondsPerLayer = secondsPerLayer(m, c)
-		k.streamCapacity = streamCapacity(m, c, e.Layers.Len())
-		if e.Layers.From == 0 && e.Slots > 0 {
+		k.stepFactor = c.StepFactor
+		k.memoryCapacity = streamCapacity(m, c, e.Layers.Len())
+		k.streamCapacity = k.memoryCapacity
+		if k.limitedBySlots() {
 			// The first engine of a path queues requests beyond its slots.
 			k.streamCapacity = min(k.streamCapacity, float64(e.Slots))
 		}
@@ -189,8 +196,14 @@
 	}
 	slices.Sort(bounds)
 	p.layerBounds = slices.Compact(bounds)
+	p.crossings.rate = crossingRate(m, gateways)
+	p.resetAnticipation()
 }
 
+// limitedBySlots reports whether the slots of an engine limit the requests on it, since it
+// can be the first engine of a path.
+func (e *engine) limitedBySlots() bool { return e.entry.Layers.From == 0 && e.entry.Slots > 0 }
+
 // secondsPerLayer returns the time of a request of average size per layer.
 func secondsPerLayer(m *release.Engine, c release.Card) float64 {
 	decode := float64(m.MeanAnswerTokens) * m.StepMS * c.StepFactor / 1e3
@@ -220,16 +233,6 @@
 	return max(freeBytes/bytesPerStream, 1)
 }
 
-// partialPath is the cheapest path for the layers before a bound whose last engine is in
-// one data centre.
-type partialPath struct {
-	cost       float64
-	hop        Hop
-	prev       *partialPath
-	length     int
-	dataCentre fleet.DataCentreID
-}
-
 // Constraints restrict the choice of a path.
 type Constraints struct {
 	// Avoid lists engines that must not be used.
@@ -238,267 +241,113 @@
 	// the first.
 	First []fleet.UpstreamID
 	// Exclude, if not nil, reports whether an engine must not be used. It is called only
-	// for engines that are usable otherwise, and must not call the Planner.
+	// for engines that are usable otherwise, and must not call the Planner. It may be called
+	// several times for an engine, and must then give the same answer. An excluded engine
+	// still holds its layers, like one that is full.
 	Exclude func(id fleet.UpstreamID, n fleet.Incarnation) bool
 	// Continues is set for a stream whose client already has a part of the response.
 	Continues bool
 	// Size is the memory that the stream needs, in streams of mean size. Zero counts as 1.
+	// Planner.Size computes it.
 	Size float64
-}
-
-// Room is the capacity of the engines of a pool and its use, in streams of mean size.
-type Room struct {
-	Capacity, Active float64
+	// ignoreFull allows engines that are full or have refused a request, and crossings
+	// without a token.
+	ignoreFull bool
 }
 
 // Choose returns the cheapest path within the constraints. The caller must call Done
-// with the path when the request ends. The error is of kind refusal.NoUpstream.
+// with the path when the request ends. The error is of kind refusal.NoUpstream or, under
+// admission control, of kind refusal.Overloaded if there is no path because engines are
+// full.
 func (p *Planner) Choose(l Constraints) ([]Hop, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.model == nil {
 		return nil, refusal.New(refusal.NoUpstream, "no engine is known")
 	}
-	usable, costs := p.usable(l)
-	p.arrivals++
-	hops := p.search(usable, costs, l.First)
-	if hops == nil {
-		return nil, refusal.New(refusal.NoUpstream, "%d usable engines of %d do not hold all %d layers",
-			len(usable), len(p.engines), p.model.Layers)
-	}
-	for _, h := range hops {
-		p.byID[h.ID].active++
-		p.byID[h.ID].chosenSince++
+	hops, limited, err := p.find(l)
+	if limited {
+		p.crossings.take(p.countCrossings(hops))
 	}
-	return hops, nil
-}
-
-// usable returns the engines that may be chosen now, and the cost of one layer on each.
-func (p *Planner) usable(l Constraints) ([]*engine, []float64) {
-	now := p.clock.Now()
-	var es []*engine
-	var costs []float64
-	for _, e := range p.engines {
-		stale := now.Sub(e.entry.LastHeartbeat) > p.heartbeatTimeout && now.Sub(e.lastProgress) > maxProgressAge && now.Sub(e.lastOwnProgress) > maxProgressAge
-		if stale || now.Before(e.excludedUntil) || slices.Contains(l.Avoid, e.entry.ID) {
-			continue
-		}
-		if l.Exclude != nil && l.Exclude(e.entry.ID, e.entry.Incarnation) {
-			continue
-		}
-		es = append(es, e)
-		utilization := min(p.load(e, now)/e.streamCapacity, maxUtilization)
-		if now.Sub(e.lastRefusal) < maxRefusalAge {
-			utilization = maxUtilization
-		}
-		costs = append(costs, e.secondsPerLayer*e.currentSlowdown(now)/(1-utilization)*(1+costJitter*p.random()))
+	// Under admission control refused requests are no sign of load on the engines.
+	if err == nil || !p.admission {
+		p.arrivals++
 	}
-	return es, costs
-}
-
-// currentSlowdown returns the factor by which the engine is slower than its card, or 1
-// if there is no recent report.
-func (e *engine) currentSlowdown(now time.Time) float64 {
-	if e.slowdown <= 1 || now.Sub(e.slowdownTime) > maxSlowdownAge {
-		return 1
+	if err != nil {
+		return nil, err
 	}
-	return e.slowdown
-}
-
-// SetSlowdown records the factor by which an engine reports to be slower than its card.
-func (p *Planner) SetSlowdown(id fleet.UpstreamID, slowdown float64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if e := p.byID[id]; e != nil {
-		now := p.clock.Now()
-		e.slowdown, e.slowdownTime, e.ownSlowdownTime = slowdown, now, now
+	size := l.Size
+	if size <= 0 {
+		size = 1
 	}
-}
-
-// SlowdownDue returns the hops whose engines no gateway has recently asked for their
-// slowdown. The caller must ask them: they are not returned again for
-// maxSlowdownReportAge.
-func (p *Planner) SlowdownDue(hops []Hop) []Hop {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	var due []Hop
-	for _, h := range hops {
-		if e := p.byID[h.ID]; e != nil && now.Sub(e.slowdownTime) > maxSlowdownReportAge {
-			e.slowdownTime = now // keeps other streams from asking as well
-			due = append(due, h)
-		}
+	for i := range hops {
+		hops[i].size = size
+		e := p.byID[hops[i].ID]
+		e.active++
+		e.chosenSince++
+		e.size += size
+		e.chosenSizeSince += size
 	}
-	return due
+	return hops, nil
 }
 
-// load estimates the requests of all gateways on an engine.
-func (p *Planner) load(e *engine, now time.Time) float64 {
-	if now.Sub(p.sumsTime) > maxSumAge {
-		return float64(e.active) * p.sharingGateways
+// find returns the path that Choose returns within the constraints, and whether it takes
+// tokens of the limiter of crossings.
+func (p *Planner) find(l Constraints) (hops []Hop, limited bool, err error) {
+	if p.admission {
+		return p.findWithinCapacity(l)
 	}
-	return float64(e.fleetActive) + float64(e.chosenSince)*p.contenders(now)
-}
-
-// contenders returns the number of gateways that are assumed to choose the same engines
-// as this one since the newest sums.
-func (p *Planner) contenders(now time.Time) float64 {
-	base := min(p.sharingGateways, baseContenders)
-	excess := float64(p.arrivals) - arrivalAllowance - p.arrivalRate*now.Sub(p.sumsTime).Seconds()
-	if excess <= 0 {
-		return base
+	usable, costs := p.usable(p.engines, l)
+	if hops = p.search(usable, costs, l.First, crossingRule{}); hops == nil {
+		return nil, false, p.errMissingLayers(len(usable))
 	}
-	return base + (p.sharingGateways-base)*excess/float64(p.arrivals)
+	return hops, false, nil
 }
 
-// updateArrivalRate adds the requests since the previous sums to the moving average.
-func (p *Planner) updateArrivalRate(now time.Time) {
-	if d := now.Sub(p.sumsTime); !p.sumsTime.IsZero() && d > 0 {
-		weight := 1 - math.Exp(-d.Seconds()/arrivalRateTimeConstant.Seconds())
-		p.arrivalRate += weight * (float64(p.arrivals)/d.Seconds() - p.arrivalRate)
-	}
-	p.arrivals, p.sumsTime = 0, now
+func (p *Planner) errMissingLayers(usable int) error {
+	return refusal.New(refusal.NoUpstream, "%d usable engines of %d do not hold all %d layers",
+		usable, len(p.engines), p.model.Layers)
 }
 
-// Stats returns, for each engine with requests in progress or recent events, what this
-// gateway reports to the controller.
-func (p *Planner) Stats() []usage.UpstreamStats {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	var us []usage.UpstreamStats
-	for _, e := range p.engines {
-		failed := now.Sub(e.lastOwnFailure) < maxFailureReportAge
-		served := now.Sub(e.lastOwnProgress) < maxProgressAge
-		slowdown := 0.0
-		if now.Sub(e.ownSlowdownTime) < maxSlowdownReportAge {
-			slowdown = e.slowdown
-		}
-		full := now.Sub(e.lastOwnRefusal) < maxRefusalReportAge
-		if e.active > 0 || failed || served || full || slowdown > 0 {
-			us = append(us, usage.UpstreamStats{ID: e.entry.ID, Active: e.active, Failed: failed, Served: served, OutOfMemory: full, Slowdown: slowdown})
-		}
-	}
-	return us
+// available reports whether an engine is neither lost nor excluded.
+func (p *Planner) available(e *engine, now time.Time) bool {
+	stale := now.Sub(e.entry.LastHeartbeat) > p.heartbeatTimeout && now.Sub(e.lastProgress) > maxProgressAge && now.Sub(e.lastOwnProgress) > maxProgressAge
+	return !stale && !now.Before(e.excludedUntil)
 }
 
-// SetFleetStats applies the sums over all gateways. Engines that failed for several
-// gateways are excluded here as well.
-func (p *Planner) SetFleetStats(us []usage.UpstreamStats) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// usable returns those of some engines that may be chosen now, and the cost of one layer on
+// each.
+func (p *Planner) usable(from []*engine, l Constraints) ([]*engine, []float64) {
 	now := p.clock.Now()
-	p.updateArrivalRate(now)
-	for _, e := range p.engines {
-		e.fleetActive, e.chosenSince = 0, 0
-	}
-	for _, u := range us {
-		e := p.byID[u.ID]
-		if e == nil {
+	es := make([]*engine, 0, len(from))
+	costs := make([]float64, 0, len(from))
+	for _, e := range from {
+		if !p.available(e, now) || slices.Contains(l.Avoid, e.entry.ID) {
 			continue
 		}
-		e.fleetActive = u.Active
-		if u.Served {
-			e.lastProgress = now
-		}
-		if u.OutOfMemory {
-			e.lastRefusal = now
-		}
-		if u.Slowdown > 0 {
-			e.slowdown, e.slowdownTime = u.Slowdown, now
-		}
-		if u.Failed && !now.Before(e.excludedUntil) {
-			p.exclude(e, now)
-		}
-	}
-}
-
-// search finds the cheapest path by dynamic programming. It visits the layer bounds in
-// order and keeps the cheapest partial path for each bound and data centre.
-func (p *Planner) search(es []*engine, costs []float64, first []fleet.UpstreamID) []Hop {
-	best := make([]map[fleet.DataCentreID]*partialPath, len(p.layerBounds))
-	best[0] = map[fleet.DataCentreID]*partialPath{p.dataCentre: {dataCentre: p.dataCentre}}
-	firstHopCost := make(map[fleet.DataCentreID]float64)
-	for _, e := range es {
-		if _, ok := firstHopCost[e.entry.DataCentre]; !ok {
-			firstHopCost[e.entry.DataCentre] = firstHopCrossingCost.Seconds() * (1 + firstHopCrossingJitter*p.random())
-		}
-	}
-	firstHopCost[p.dataCentre] = 0
-	for i := range p.layerBounds[:len(p.layerBounds)-1] {
-		for _, s := range best[i] {
-			for k, e := range es {
-				if s.length == 0 && len(first) > 0 && !slices.Contains(first, e.entry.ID) {
-					continue
-				}
-				p.extend(best, i, s, e, costs[k], firstHopCost)
+		var utilization float64
+		if p.admission {
+			if now.Before(e.refusedUntil) && !l.ignoreFull {
+				continue
 			}
+			utilization = p.utilization(e, now)
+			if utilization >= 1 && !l.Continues && !l.ignoreFull {
+				continue
+			}
+		} else {
+			utilization = p.load(e, now) / e.streamCapacity
 		}
-	}
-	var end *partialPath
-	for _, s := range best[len(best)-1] {
-		if end == nil || s.cost < end.cost {
-			end = s
-		}
-	}
-	if end == nil {
-		return nil
-	}
-	hops := make([]Hop, end.length)
-	for s := end; s.prev != nil; s = s.prev {
-		hops[s.length-1] = s.hop
-	}
-	return hops
-}
-
-// extend adds an engine to a partial path that ends at bound i, once for each later bound
-// up to which the engine holds the layers.
-func (p *Planner) extend(best []map[fleet.DataCentreID]*partialPath, i int, s *partialPath, e *engine, cost float64, firstHopCost map[fleet.DataCentreID]float64) {
-	from := p.layerBounds[i]
-	if int(e.entry.Layers.From) > from || int(e.entry.Layers.To) <= from || s.length >= maxHops || visits(s, e) {
-		return
-	}
-	start := s.cost + p.transferCost(s, e, firstHopCost)
-	d := e.entry.DataCentre
-	for j := i + 1; j < len(p.layerBounds) && p.layerBounds[j] <= int(e.entry.Layers.To); j++ {
-		c := start + cost*float64(p.layerBounds[j]-from)
-		if old := best[j][d]; old != nil && old.cost <= c {
+		if l.Exclude != nil && l.Exclude(e.entry.ID, e.entry.Incarnation) {
 			continue
 		}
-		if best[j] == nil {
-			best[j] = make(map[fleet.DataCentreID]*partialPath)
-		}
-		best[j][d] = &partialPath{
-			cost: c, prev: s, length: s.length + 1, dataCentre: d,
-			hop: Hop{
-				ID: e.entry.ID, Incarnation: e.entry.Incarnation, Address: e.entry.Address,
-				Layers: upstream.LayerRange{From: fleet.Layer(from), To: fleet.Layer(p.layerBounds[j])},
-			},
-		}
-	}
-}
-
-// visits reports whether a partial path already contains an engine. Engines reject paths
-// in which they appear twice.
-func visits(s *partialPath, e *engine) bool {
-	for ; s.prev != nil; s = s.prev {
-		if s.hop.ID == e.entry.ID {
-			return true
+		es = append(es, e)
+		utilization = min(utilization, maxUtilization)
+		if now.Sub(e.lastRefusal) < maxRefusalAge {
+			utilization = maxUtilization
 		}
+		costs = append(costs, e.secondsPerLayer*e.currentSlowdown(now)/(1-utilization)*(1+costJitter*p.random()))
 	}
-	return false
-}
-
-// transferCost returns the cost in seconds of the transfer to the next engine of a path.
-// firstHopCost holds the cost of a first engine in each data centre.
-func (p *Planner) transferCost(s *partialPath, e *engine, firstHopCost map[fleet.DataCentreID]float64) float64 {
-	switch {
-	case s.length == 0:
-		return firstHopCost[e.entry.DataCentre]
-	case s.dataCentre != e.entry.DataCentre:
-		return midPathCrossingCost.Seconds()
-	}
-	return float64(p.model.MeanAnswerTokens) * hopDelay.Seconds()
+	return es, costs
 }
 
 // Done records the end of a request on a path. ok reports that all engines completed
@@ -512,57 +361,12 @@
 			continue
 		}
 		e.active = max(0, e.active-1)
+		e.size = max(0, e.size-h.size)
+		if e.active == 0 {
+			e.size = 0 // drops the rounding errors of the sum
+		}
 		if ok && e.failures > 0 {
 			e.failures, e.excludedUntil = 0, time.Time{}
 		}
 	}
 }
-
-// NoteProgress records that a request made progress on a path.
-func (p *Planner) NoteProgress(hops []Hop) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	for _, h := range hops {
-		if e := p.byID[h.ID]; e != nil {
-			e.lastOwnProgress = now
-		}
-	}
-}
-
-// MarkFailed excludes the engine at an address temporarily.
-func (p *Planner) MarkFailed(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	for _, e := range p.engines {
-		if e.entry.Address != address || now.Before(e.excludedUntil) {
-			continue
-		}
-		e.lastOwnFailure = now
-		p.exclude(e, now)
-	}
-}
-
-// exclude keeps an engine from being chosen, for longer with each consecutive failure.
-func (p *Planner) exclude(e *engine, now time.Time) {
-	d := time.Duration(float64(minExclusion) * math.Pow(2, float64(e.failures)))
-	e.excludedUntil = now.Add(min(d, maxExclusion))
-	e.failures++
-}
-
-// MarkFull excludes the engine at an address until some of its requests may have ended.
-func (p *Planner) MarkFull(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	for _, e := range p.engines {
-		if e.entry.Address != address {
-			continue
-		}
-		e.lastOwnRefusal = now
-		if !now.Before(e.excludedUntil) {
-			e.excludedUntil = now.Add(refusalExclusion)
-		}
-	}
-}
--- a/internal/registry/feed/codec.go
+++ b/internal/registry/feed/codec.go
@@ -1,10 +1,12 @@
 package feed
 
 import (
+	"math"
 	"time"
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
 	"github.com/bilberryrock/bilberryrock/internal/admission/budget"
+	"github.com/bilberryrock/bilberryrock/internal/admission/quota"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/registry"
 	"github.com/bilberryrock/bilberryrock/internal/registry/quarantine"
@@ -12,10 +14,16 @@
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
 )
 
+// sizeUnits is the number of units of UpstreamUse.size in a request of mean size.
+const sizeUnits = 100
+
 func statsToProto(us []usage.UpstreamStats) []*peerv1.UpstreamUse {
 	ps := make([]*peerv1.UpstreamUse, len(us))
 	for i, u := range us {
-		ps[i] = &peerv1.UpstreamUse{Id: string(u.ID), Active: uint32(u.Active), Failed: u.Failed, Served: u.Served, Full: u.OutOfMemory, Pace: float32(u.Slowdown)}
+		ps[i] = &peerv1.UpstreamUse{
+			Id: string(u.ID), Active: uint32(u.Active), Failed: u.Failed, Served: u.Served, Full: u.OutOfMemory, Pace: float32(u.Slowdown),
+			Size: uint32(math.Round(u.Size * sizeUnits)),
+		}
 	}
 	return ps
 }
@@ -23,7 +31,10 @@
 func statsFromProto(ps []*peerv1.UpstreamUse) []usage.UpstreamStats {
 	us := make([]usage.UpstreamStats, len(ps))
 	for i, p := range ps {
-		us[i] = usage.UpstreamStats{ID: fleet.UpstreamID(p.GetId()), Active: int(p.GetActive()), Failed: p.GetFailed(), Served: p.GetServed(), OutOfMemory: p.GetFull(), Slowdown: float64(p.GetPace())}
+		us[i] = usage.UpstreamStats{
+			ID: fleet.UpstreamID(p.GetId()), Active: int(p.GetActive()), Failed: p.GetFailed(), Served: p.GetServed(), OutOfMemory: p.GetFull(),
+			Slowdown: float64(p.GetPace()), Size: float64(p.GetSize()) / sizeUnits,
+		}
 	}
 	return us
 }
@@ -44,6 +55,33 @@
 	return attempts
 }
 
+func demandsToProto(demands map[fleet.PoolID]quota.Demand) []*peerv1.PoolDemand {
+	var ps []*peerv1.PoolDemand
+	for id, d := range demands {
+		p := &peerv1.PoolDemand{Pool: string(id), Finished: uint32(d.Finished), Levels: make([]*peerv1.LevelDemand, 0, len(d.Pairs))}
+		for k, c := range d.Pairs {
+			p.Levels = append(p.Levels, &peerv1.LevelDemand{
+				Account: string(k.Account), Level: uint32(k.Level), Offered: uint32(c.Offered), Admitted: uint32(c.Admitted),
+			})
+		}
+		ps = append(ps, p)
+	}
+	return ps
+}
+
+func demandsFromProto(ps []*peerv1.PoolDemand) map[fleet.PoolID]quota.Demand {
+	demands := make(map[fleet.PoolID]quota.Demand, len(ps))
+	for _, p := range ps {
+		d := quota.Demand{Finished: int(p.GetFinished()), Pairs: make(map[quota.Pair]quota.Count, len(p.GetLevels()))}
+		for _, l := range p.GetLevels() {
+			k := quota.Pair{Account: fleet.AccountID(l.GetAccount()), Level: quota.Level(l.GetLevel())}
+			d.Pairs[k] = quota.Count{Offered: int(l.GetOffered()), Admitted: int(l.GetAdmitted())}
+		}
+		demands[fleet.PoolID(p.GetPool())] = d
+	}
+	return demands
+}
+
 func entryToProto(e registry.Entry, now time.Time) *peerv1.UpstreamEntry {
 	return &peerv1.UpstreamEntry{
 		Id: string(e.ID), Born: uint64(e.Incarnation), Sequence: e.Sequence, Pool: string(e.Pool),
--- a/internal/registry/feed/feed_test.go
+++ b/internal/registry/feed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
+	"github.com/bilberryrock/bilberryrock/internal/admission/quota"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/fakeclock"
 	"github.com/bilberryrock/bilberryrock/internal/registry"
@@ -151,6 +153,29 @@
 	}
 }
 
+// Guards against sums without the sizes that gateways report, and against sums in which a
+// gateway that reports none counts as nothing.
+func TestSumsHoldSizes(t *testing.T) {
+	is := is.New(t)
+	r := newHarness()
+	f, other := r.follow(t, "g1"), r.follow(t, "g2")
+	r.next(f)
+	r.next(other)
+	f.requests <- &peerv1.FollowRequest{Stamp: 2, Uses: []*peerv1.UpstreamUse{{Id: "e1", Active: 3, Size: 129}}}
+	other.requests <- &peerv1.FollowRequest{Stamp: 2, Uses: []*peerv1.UpstreamUse{{Id: "e1", Active: 2}}}
+	for start := r.clock.Now(); ; {
+		is.True(r.clock.Now().Sub(start) < 8*feed.Interval) // the sums never hold both reports
+		u := r.next(f)
+		if len(u.GetSums()) == 0 {
+			continue
+		}
+		if us := decodeSums(t, u).GetUses(); len(us) > 0 && us[0].GetActive() == 5 {
+			is.Equal(us[0].GetSize(), uint32(329))
+			return
+		}
+	}
+}
+
 // Guards against a follower that applies the renewal of other content to an entry. It
 // would keep the outdated content permanently.
 func TestRenewalOfOtherContent(t *testing.T) {
@@ -212,3 +237,45 @@
 	is.Equal(len(r.next(late).GetPrompts()), 0)
 	is.Equal(len(r.next(other).GetPrompts()), 0)
 }
+
+// Guards against the counts of offered streams that do not reach the other gateways, and
+// against sums of unknown age for a gateway that was paused.
+func TestDemandsReachAllGateways(t *testing.T) {
+	is := is.New(t)
+	r := newHarness()
+	f, other := r.follow(t, "g1"), r.follow(t, "g2")
+	r.next(f)
+	is.Equal(r.next(other).GetReceivedStamp(), uint64(1))
+	f.requests <- &peerv1.FollowRequest{Stamp: 7, Demands: []*peerv1.PoolDemand{
+		{Pool: "p", Finished: 3, Levels: []*peerv1.LevelDemand{{Account: "acme", Level: 2, Offered: 9, Admitted: 4}}},
+	}}
+	var demands []*peerv1.PoolDemand
+	for len(demands) == 0 {
+		demands = decodeSums(t, r.next(other)).GetDemands()
+	}
+	is.Equal(len(demands), 1)
+	is.Equal(demands[0].GetPool(), "p")
+	is.Equal(demands[0].GetFinished(), uint32(3))
+	is.Equal(len(demands[0].GetLevels()), 1)
+	l := demands[0].GetLevels()[0]
+	is.Equal(l.GetAccount(), "acme")
+	is.Equal([]uint32{l.GetLevel(), l.GetOffered(), l.GetAdmitted()}, []uint32{2, 9, 4})
+	is.Equal(r.next(f).GetReceivedStamp(), uint64(7))
+}
+
+// Guards against reports and sums of offered streams that burden the links of gateways. A
+// gateway with 3 requests per second reports at most a few pairs, the sums of 24 accounts
+// at 3 levels have 72, and no message has more than quota.MaxPairs.
+func TestDemandsAreSmall(t *testing.T) {
+	for _, c := range []struct{ pairs, limit int }{{3, 100}, {72, 2 << 10}, {quota.MaxPairs, 16 << 10}} {
+		d := &peerv1.PoolDemand{Pool: "service-1234", Finished: 300}
+		for i := range c.pairs {
+			d.Levels = append(d.Levels, &peerv1.LevelDemand{
+				Account: fmt.Sprintf("account-%05d", i), Level: uint32(i % 3), Offered: 300, Admitted: 200,
+			})
+		}
+		n := proto.Size(&peerv1.Sums{Demands: []*peerv1.PoolDemand{d}})
+		t.Logf("%d pairs have %d bytes", c.pairs, n)
+		is.New(t).True(n <= c.limit)
+	}
+}
--- a/internal/registry/usage/usage.go
+++ b/internal/registry/usage/usage.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/admission/budget"
+	"github.com/bilberryrock/bilberryrock/internal/admission/quota"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 )
 
@@ -29,6 +30,9 @@
 type UpstreamStats struct {
 	ID     fleet.UpstreamID
 	Active int
+	// Size is the size of the requests in Active, in requests of mean size. Zero means that
+	// it is not known, as in pools without admission control.
+	Size float64
 	// Failed is set if requests recently failed there, and Served if requests recently
 	// made progress.
 	Failed, Served bool
@@ -39,6 +43,14 @@
 	Slowdown float64
 }
 
+// SizeOrActive returns Size, or the number of active requests if the size is not known.
+func (u UpstreamStats) SizeOrActive() float64 {
+	if u.Size > 0 {
+		return u.Size
+	}
+	return float64(u.Active)
+}
+
 // Report is the report of one gateway, or the sums of several.
 type Report struct {
 	// Gateways is the number of gateways in the sums.
@@ -46,6 +58,8 @@
 	Upstreams []UpstreamStats
 	// Attempts holds the recent first attempts and retries of each pool.
 	Attempts map[fleet.PoolID]budget.Count
+	// Demands holds the recently offered streams of each pool under admission control.
+	Demands map[fleet.PoolID]quota.Demand
 	// ComputedAt is when the sums were computed. It is zero in the report of one gateway.
 	ComputedAt time.Time
 }
@@ -142,7 +156,7 @@
 }
 
 func (t *Table) aggregate(all bool, now time.Time) Report {
-	sum := Report{Attempts: make(map[fleet.PoolID]budget.Count), ComputedAt: now}
+	sum := Report{Attempts: make(map[fleet.PoolID]budget.Count), Demands: make(map[fleet.PoolID]quota.Demand), ComputedAt: now}
 	stats := make(map[fleet.UpstreamID]UpstreamStats)
 	for g, k := range t.gateways {
 		if now.Sub(k.received) > maxReportAge {
@@ -161,6 +175,9 @@
 	if all {
 		t.aggregatePeers(&sum, stats, now)
 	}
+	for id, d := range sum.Demands {
+		sum.Demands[id] = d.Limit()
+	}
 	sum.Upstreams = make([]UpstreamStats, 0, len(stats))
 	for id, u := range stats {
 		u.ID = id
@@ -193,8 +210,14 @@
 	for id, c := range o.Attempts {
 		r.Attempts[id] = r.Attempts[id].Add(c)
 	}
+	for id, d := range o.Demands {
+		r.Demands[id] = r.Demands[id].Add(d)
+	}
 	for _, n := range o.Upstreams {
 		u := stats[n.ID]
+		if u.Size > 0 || n.Size > 0 {
+			u.Size = u.SizeOrActive() + n.SizeOrActive()
+		}
 		u.Active += n.Active
 		u.Served = u.Served || n.Served
 		u.OutOfMemory = u.OutOfMemory || n.OutOfMemory
