--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -92,7 +92,7 @@
 		Retries: budget.Limit{Share: s.RetryRatio * retryBudgetShare, Extra: s.RetryExtra * retryBudgetShare, Window: s.RetryWindow},
 	}, client, log, state.WithAdmission(admission))
 	registry := newRegistry(out)
-	registry.MustRegister(gatewayState.Prompts().Collector(), gatewayState.AdmissionCollector())
+	registry.MustRegister(gatewayState.Prompts().Collector(), gatewayState.Notices().Collector(), gatewayState.AdmissionCollector())
 	handler := forward.New(clock, gatewayState, client, platform.Headers{}, platform.Engines{Client: client},
 		forward.NewMetrics(registry), log)
 	follower := feed.NewClient(s.Instance, clock, gatewayState, log, feed.WithSeeds(s.PeerSeeds...), feed.WithDataCentre(s.DataCentre),
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -70,7 +70,9 @@
 
 // Prober requests state reports from engines.
 type Prober interface {
-	Report(ctx context.Context, id fleet.UpstreamID, address string) (placement.Report, error)
+	// Probe returns the report of an engine and the headers of its response. The headers
+	// are valid also if an error is returned.
+	Probe(ctx context.Context, id fleet.UpstreamID, address string) (placement.Report, gateway.ResponseHeaders, error)
 }
 
 // Handler forwards requests. It is safe for concurrent use.
@@ -90,7 +92,7 @@
 func New(clock state.Clock, s *state.State, c *exchange.Client, d gateway.HeaderCodec, p Prober, m *Metrics, l *zap.Logger) *Handler {
 	return &Handler{
 		clock: clock, state: s, client: c, codec: d, metrics: m, logger: l.Named("forward"),
-		probes: &probeCache{clock: clock, prober: p, probes: make(map[string]*probe)},
+		probes: &probeCache{clock: clock, prober: p, notices: s.Notices(), probes: make(map[string]*probe)},
 	}
 }
 
@@ -318,7 +320,7 @@
 }
 
 // upstreamRequest builds the request for an upstream.
-func (q *request) upstreamRequest(s gateway.UpstreamHeaders) exchange.Request {
+func (q *request) upstreamRequest(d destination, s gateway.UpstreamHeaders) exchange.Request {
 	header := q.r.Header.Clone()
 	removeHopByHopHeaders(header)
 	header.Del("Content-Length")
@@ -336,14 +338,14 @@
 			now := q.clock.Now()
 			s.Remaining = q.deadline.Sub(now)
 			q.codec.EncodeUpstream(h, s)
-			return q.checkBeforeSend(now.Sub(selected), s.Remaining)
+			return q.checkBeforeSend(d, now.Sub(selected), s.Remaining)
 		},
 	}
 }
 
 // checkBeforeSend repeats the checks that allowed an attempt, right before the request
 // is written. The process may have been paused since the upstream was selected.
-func (q *request) checkBeforeSend(sinceSelection, remaining time.Duration) error {
+func (q *request) checkBeforeSend(d destination, sinceSelection, remaining time.Duration) error {
 	if remaining <= 0 {
 		return refusal.New(refusal.NoUpstream, "request deadline has passed")
 	}
@@ -353,6 +355,9 @@
 	if err := q.checkPrompt(); err != nil {
 		return err
 	}
+	if err := q.checkNotices(d); err != nil {
+		return err
+	}
 	if q.account == nil || q.possibleRuns > 0 {
 		return nil
 	}
--- a/internal/gateway/forward/metrics.go
+++ b/internal/gateway/forward/metrics.go
@@ -14,6 +14,7 @@
 	stalls        prometheus.Counter
 	retriesDenied prometheus.Counter
 	crashes       prometheus.Counter
+	withheldSends prometheus.Counter
 	retryWaiting  prometheus.Gauge
 	retryWaits    *prometheus.HistogramVec
 }
@@ -41,6 +42,9 @@
 	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "bilberryrock_gateway_prompt_crashes_total", Help: "Attempts whose engine crashed before it responded to a prompt that may be the cause.",
 	})
+	m.withheldSends = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "bilberryrock_gateway_withheld_sends_total", Help: "Attempts that were not sent because an upstream was paused or began to leave after it was selected.",
+	})
 	m.retryWaiting = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "bilberryrock_gateway_streams_awaiting_retry", Help: "Started streams that wait for the retry budget of all gateways.",
 	})
@@ -48,7 +52,7 @@
 		Name: "bilberryrock_gateway_retry_wait_seconds", Help: "Time that started streams waited for the retry budget, by how the wait ended.",
 		Buckets: prometheus.ExponentialBuckets(0.02, 2, 8),
 	}, []string{"end"})
-	r.MustRegister(m.requests, m.refusals, m.latency, m.stalls, m.retriesDenied, m.crashes, m.retryWaiting, m.retryWaits)
+	r.MustRegister(m.requests, m.refusals, m.latency, m.stalls, m.retriesDenied, m.crashes, m.withheldSends, m.retryWaiting, m.retryWaits)
 	return m
 }
 
@@ -65,6 +69,8 @@
 
 func (m *Metrics) crashed() { m.crashes.Inc() }
 
+func (m *Metrics) withheld() { m.withheldSends.Inc() }
+
 func (m *Metrics) retryWaitStarted() { m.retryWaiting.Inc() }
 
 // retryWaitEnded records the wait of a started stream. late reports whether the client
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,7 +2,8 @@
 // clients to upstreams, and the interface to the header format of a platform.
 //
 // Package forward handles the requests, package exchange implements HTTP/1.1 to
-// upstreams, and package path selects the engines of a stream.
+// upstreams, package path selects the engines of a stream, and package notice keeps which
+// upstreams have said that they are leaving or ask for a pause.
 package gateway
 
 import (
@@ -60,6 +61,14 @@
 	// At is the address of the engine of the path that could not serve the
 	// request, or empty.
 	At string
+	// Misdirected reports whether the request reached another upstream than the one that
+	// must handle it, or an engine that does not hold its part of the path.
+	Misdirected bool
+	// Leaving reports whether the upstream that sent the response is leaving and must get
+	// no further requests.
+	Leaving bool
+	// Pause is the time for which the upstream asks for no requests, or 0.
+	Pause time.Duration
 }
 
 // HeaderCodec converts between the headers of a platform and these types.
--- a/internal/gateway/path/links.go
+++ b/internal/gateway/path/links.go
@@ -53,26 +53,33 @@
 	updated time.Time
 }
 
-// take takes the tokens for a path with n crossings and reports whether it may be used.
-// A path needs one token, and the others are taken in advance. If force is set, it may be
-// used without a token.
-func (c *crossingLimiter) take(n int, force bool, now time.Time, random func() float64) bool {
+// allows reports whether a path may take tokens. A path needs one token, and the others are
+// taken in advance. If force is set, it may be used without a token.
+func (c *crossingLimiter) allows(force bool, now time.Time, random func() float64) bool {
 	if math.IsInf(c.rate, 1) {
 		return true
 	}
-	capacity := max(1, c.rate*maxCrossingBurst.Seconds())
 	if d := now.Sub(c.updated); c.updated.IsZero() || d > crossingIdleTime {
 		c.tokens = 1 - random()
 	} else {
-		c.tokens = min(capacity, c.tokens+c.rate*d.Seconds())
+		c.tokens = min(c.capacity(), c.tokens+c.rate*d.Seconds())
 	}
 	c.updated = now
-	if c.tokens < 1 && !force {
-		return false
+	return c.tokens >= 1 || force
+}
+
+// take takes the tokens for a path with n crossings, which allows has allowed.
+func (c *crossingLimiter) take(n int) {
+	if math.IsInf(c.rate, 1) {
+		return
 	}
 	// The bound keeps new streams from waiting long after the loss of many engines.
-	c.tokens = max(c.tokens-float64(n), -capacity)
-	return true
+	c.tokens = max(c.tokens-float64(n), -c.capacity())
+}
+
+// capacity returns the most tokens that the limiter holds.
+func (c *crossingLimiter) capacity() float64 {
+	return max(1, c.rate*maxCrossingBurst.Seconds())
 }
 
 // countCrossings returns the number of transfers of a path between data centres.
@@ -86,25 +93,27 @@
 	return n
 }
 
-// chooseWithinCapacity returns the cheapest path within a group that holds all layers. If
+// findWithinCapacity returns the cheapest path within a group that holds all layers. If
 // there is no such group, or for a started stream, it returns the cheapest path of all
 // usable engines otherwise. That path makes a crossing only if there is none without, and
-// not from a data centre that holds all layers.
-func (p *Planner) chooseWithinCapacity(l Constraints) ([]Hop, error) {
+// not from a data centre that holds all layers. limited reports whether the path takes tokens
+// of the limiter of crossings.
+func (p *Planner) findWithinCapacity(l Constraints) (hops []Hop, limited bool, err error) {
 	now := p.clock.Now()
 	p.anticipate(now)
 	gs := p.groups(now)
 	if hops := p.cheapestGroup(gs, l).hops(); hops != nil {
-		return hops, nil
+		return hops, false, nil
 	}
 	noneComplete := !slices.ContainsFunc(gs, (*group).holdsAllLayers)
 	usable, costs := p.usable(p.engines, l)
 	if noneComplete || l.Continues {
 		if hops := p.search(usable, costs, l.First, crossingRule{none: true}); hops != nil {
-			return hops, nil
+			return hops, false, nil
 		}
 	}
-	// Engines that are full or to be avoided still hold their layers.
+	// Engines that are full, to be avoided or excluded by the constraints still hold their
+	// layers.
 	complete := make(map[fleet.DataCentreID]bool)
 	incomplete := false
 	for _, g := range gs {
@@ -113,17 +122,17 @@
 	}
 	if incomplete {
 		hops := p.search(usable, costs, l.First, crossingRule{complete: complete})
-		if hops != nil && p.crossings.take(p.countCrossings(hops), l.Continues, now, p.random) {
-			return hops, nil
+		if hops != nil && p.crossings.allows(l.Continues || l.ignoreFull, now, p.random) {
+			return hops, true, nil
 		}
 		if hops != nil && noneComplete {
-			return nil, refusal.New(refusal.NoUpstream, "no data centre holds all %d layers, and the links between them are used up", p.model.Layers)
+			return nil, false, refusal.New(refusal.NoUpstream, "no data centre holds all %d layers, and the links between them are used up", p.model.Layers)
 		}
 	}
 	if noneComplete && !total(gs).holdsAllLayers() {
-		return nil, p.errMissingLayers(len(usable))
+		return nil, false, p.errMissingLayers(len(usable))
 	}
-	return nil, refusal.New(refusal.Overloaded, "%d engines of %d are usable and not full, and do not hold all %d layers",
+	return nil, false, refusal.New(refusal.Overloaded, "%d engines of %d are usable and not full, and do not hold all %d layers",
 		len(usable), len(p.engines), p.model.Layers)
 }
 
--- a/internal/gateway/path/path.go
+++ b/internal/gateway/path/path.go
@@ -240,11 +240,19 @@
 	// First lists the engines that the path may begin at. If empty, any engine may be
 	// the first.
 	First []fleet.UpstreamID
+	// Exclude, if not nil, reports whether an engine must not be used. It is called only
+	// for engines that are usable otherwise, and must not call the Planner. It may be called
+	// several times for an engine, and must then give the same answer. An excluded engine
+	// still holds its layers, like one that is full.
+	Exclude func(id fleet.UpstreamID, n fleet.Incarnation) bool
 	// Continues is set for a stream whose client already has a part of the response.
 	Continues bool
 	// Size is the memory that the stream needs, in streams of mean size. Zero counts as 1.
 	// Planner.Size computes it.
 	Size float64
+	// ignoreFull allows engines that are full or have refused a request, and crossings
+	// without a token.
+	ignoreFull bool
 }
 
 // Choose returns the cheapest path within the constraints. The caller must call Done
@@ -257,15 +265,9 @@
 	if p.model == nil {
 		return nil, refusal.New(refusal.NoUpstream, "no engine is known")
 	}
-	var hops []Hop
-	var err error
-	if p.admission {
-		hops, err = p.chooseWithinCapacity(l)
-	} else {
-		usable, costs := p.usable(p.engines, l)
-		if hops = p.search(usable, costs, l.First, crossingRule{}); hops == nil {
-			err = p.errMissingLayers(len(usable))
-		}
+	hops, limited, err := p.find(l)
+	if limited {
+		p.crossings.take(p.countCrossings(hops))
 	}
 	// Under admission control refused requests are no sign of load on the engines.
 	if err == nil || !p.admission {
@@ -289,6 +291,19 @@
 	return hops, nil
 }
 
+// find returns the path that Choose returns within the constraints, and whether it takes
+// tokens of the limiter of crossings.
+func (p *Planner) find(l Constraints) (hops []Hop, limited bool, err error) {
+	if p.admission {
+		return p.findWithinCapacity(l)
+	}
+	usable, costs := p.usable(p.engines, l)
+	if hops = p.search(usable, costs, l.First, crossingRule{}); hops == nil {
+		return nil, false, p.errMissingLayers(len(usable))
+	}
+	return hops, false, nil
+}
+
 func (p *Planner) errMissingLayers(usable int) error {
 	return refusal.New(refusal.NoUpstream, "%d usable engines of %d do not hold all %d layers",
 		usable, len(p.engines), p.model.Layers)
@@ -312,16 +327,19 @@
 		}
 		var utilization float64
 		if p.admission {
-			if now.Before(e.refusedUntil) {
+			if now.Before(e.refusedUntil) && !l.ignoreFull {
 				continue
 			}
 			utilization = p.utilization(e, now)
-			if !l.Continues && utilization >= 1 {
+			if utilization >= 1 && !l.Continues && !l.ignoreFull {
 				continue
 			}
 		} else {
 			utilization = p.load(e, now) / e.streamCapacity
 		}
+		if l.Exclude != nil && l.Exclude(e.entry.ID, e.entry.Incarnation) {
+			continue
+		}
 		es = append(es, e)
 		utilization = min(utilization, maxUtilization)
 		if now.Sub(e.lastRefusal) < maxRefusalAge {
--- a/internal/gateway/path/path_test.go
+++ b/internal/gateway/path/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -86,6 +87,8 @@
 				return b.String()
 			case "choose":
 				return choose(t, p, d)
+			case "possible":
+				return fmt.Sprintf("%t\n", p.Possible(constraints(t, d)))
 			case "stats":
 				p.SetFleetStats(parseStats(t, d))
 				return ""
@@ -145,12 +148,20 @@
 			d.Fatalf(t, "%v", err)
 		}
 	}
+	var excluded []string // id/incarnation
 	for _, a := range d.CmdArgs {
 		switch a.Key {
 		case "avoid":
 			l.Avoid = append(l.Avoid, fleet.UpstreamID(a.Vals[0]))
 		case "first":
 			l.First = append(l.First, fleet.UpstreamID(a.Vals[0]))
+		case "exclude":
+			excluded = append(excluded, a.Vals[0])
+		}
+	}
+	if len(excluded) > 0 {
+		l.Exclude = func(id fleet.UpstreamID, n fleet.Incarnation) bool {
+			return slices.Contains(excluded, fmt.Sprintf("%s/%d", id, n))
 		}
 	}
 	return l
