--- a/internal/entry/listener/bench_test.go
+++ b/internal/entry/listener/bench_test.go
@@ -28,8 +28,8 @@
 		b.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
-	request := "POST /stream/1 HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\nX-Request-Id: bench\r\nX-Budget-Ms: 1000\r\nX-Token-Counts: 775,100\r\n" +
-		"X-Prompt-Prefix: a:1,b:2,c:3\r\nContent-Type: application/json\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("x", 1000)
+	request := "POST /stream/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k1\r\nRequest-Id: bench\r\nBudget-Ms: 1000\r\nToken-Counts: 775,100\r\n" +
+		"Prompt-Parts: a:1,b:2,c:3\r\nContent-Type: application/json\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("x", 1000)
 	r := bufio.NewReader(c)
 	b.ReportAllocs()
 	for b.Loop() {
