--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -24,8 +24,8 @@
 	cases := map[string]func(*rig) (bool, error){
 		"departure":    departure,
 		"lateHead":     lateHead,
-		"legalHead":    legalHead,
 		"deadlyPrompt": deadlyPrompt,
+		"deadlyStream": deadlyStream,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig2 CASE FOLDER")
--- a/review/rig2/prompt.go
+++ b/review/rig2/prompt.go
@@ -25,7 +25,10 @@
 // pool is a set of stand-ins of engines that hold a part of the model each and pass
 // requests on along their paths.
 type pool struct {
-	rig *rig
+	rig  *rig
+	card string // kind of the engines
+	// firstEvents is the number of events that a worker writes before it crashes.
+	firstEvents int
 
 	mu      sync.Mutex
 	engines map[string]*engine // by address, those that run
@@ -79,7 +82,7 @@
 			e.sequence++
 			said := map[string]any{
 				"service": "scribe", "address": e.address, "zone": zoneName(1), "version": "v1", "slots": 192, "state": "ready",
-				"cold-remaining-ms": 0, "sequence": e.sequence, "born": e.born, "route-type": "l4", "stage": "both",
+				"cold-remaining-ms": 0, "sequence": e.sequence, "born": e.born, "route-type": p.card, "stage": "both",
 				"models": []any{map[string]any{"name": "daka510000", "version": 1, "adapters": []any{}}},
 			}
 			if from, to := e.held(); to > from {
@@ -262,6 +265,9 @@
 		last = next
 	}
 	time.Sleep(20 * time.Millisecond) // the prompt is read
+	if deadly && p.firstEvents > 0 {
+		e.crashWriting(rw, r, id)
+	}
 	if deadly {
 		last.crash(id)
 		if last != e && e.wait(r, id, last.address) {
@@ -272,6 +278,23 @@
 	e.stream(rw, r, id, path)
 }
 
+// crashWriting writes the first events of an answer and crashes.
+func (e *engine) crashWriting(rw http.ResponseWriter, r *http.Request, id string) {
+	rw.Header().Set("X-Response-Seal", "3e1b."+id)
+	rw.Header().Set("Content-Type", "text/event-stream")
+	next := 1
+	if n, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		next = n + 1
+	}
+	for n := range e.pool.firstEvents {
+		_, _ = fmt.Fprintf(rw, "id: %d\ndata: piece %d of %s\n\n", next+n, next+n, id)
+		_ = http.NewResponseController(rw).Flush()
+	}
+	time.Sleep(30 * time.Millisecond)
+	e.crash(id)
+	panic(http.ErrAbortHandler)
+}
+
 // wait stalls a request that depends on a dead worker, and reports whether the request is
 // still there afterwards.
 func (e *engine) wait(r *http.Request, id, address string) bool {
@@ -357,7 +380,13 @@
 
 // deadlyPrompt: a part of prompts crashes the worker that begins to write the answer, which
 // is the last one of a path.
-func deadlyPrompt(r *rig) (bool, error) {
+func deadlyPrompt(r *rig) (bool, error) { return playPrompts(r, "l4", 0) }
+
+// deadlyStream: the same on paths of a single worker, which crashes once it has written the
+// first event of the answer.
+func deadlyStream(r *rig) (bool, error) { return playPrompts(r, "a100s", 1) }
+
+func playPrompts(r *rig, card string, firstEvents int) (bool, error) {
 	const engines = 6
 	for z := 1; z <= 3; z++ {
 		r.add(fmt.Sprintf("core-%s-1", zoneName(z)), "controller", z, 0)
@@ -372,7 +401,7 @@
 	if err := r.configure(); err != nil {
 		return false, err
 	}
-	p := &pool{rig: r, engines: make(map[string]*engine)}
+	p := &pool{rig: r, card: card, firstEvents: firstEvents, engines: make(map[string]*engine)}
 	for range engines {
 		if err := p.start(fmt.Sprintf("%s.1.200:0", r.base)); err != nil {
 			return false, err
--- a/review/rig2/heads.go
+++ b/review/rig2/stop.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"syscall"
 	"time"
 )
@@ -51,47 +50,6 @@
 	return gs, ws, nil
 }
 
-// legalHead: requests inside the limits whose heads consist of many short lines.
-func legalHead(r *rig) (bool, error) {
-	const requests = 20
-	gs, _, err := r.small(2, 0, 2)
-	if err != nil {
-		return false, err
-	}
-	denied := 0
-	for n := range requests {
-		g := gs[n%len(gs)]
-		a := answer{id: r.nextID()}
-		h := strings.Replace(head(http.MethodPost, "/order/2f", a.id, 0), "20000", "1500", 1)
-		if r.trouble {
-			for i := 0; len(h) < maxHeadSize-400; i++ {
-				h += fmt.Sprintf("x%x:\r\n", i%16)
-			}
-		}
-		h += "\r\n"
-		c, err := net.DialTimeout("tcp", g.front(), time.Second)
-		if err != nil {
-			return false, err
-		}
-		_, err = io.WriteString(c, h)
-		if err != nil {
-			return false, err
-		}
-		a = readAnswer(c, a)
-		_ = c.Close()
-		r.note("client: order %s at %s, head of %d bytes (limit %d): %v %s", a.id, g.name, len(h), maxHeadSize, a, strings.TrimSpace(a.body))
-		if a.status >= 400 && a.status < 500 && a.status != 429 && a.status != 408 && a.status != 421 {
-			denied++
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	if denied > 5+requests/500 {
-		r.note("BROKEN: DENIED: %d of %d proper requests were refused with a 4xx", denied, requests)
-		return true, nil
-	}
-	return false, nil
-}
-
 // lateHead: requests whose head began within 3 s after SIGTERM and is completed later.
 func lateHead(r *rig) (bool, error) {
 	gs, ws, err := r.small(2, 2, 0)
@@ -136,5 +94,9 @@
 	r.note("client: request %s sent whole %.3f s later: %v", a.id, a.sent.Sub(start).Seconds(), err)
 	a = readAnswer(c, a)
 	r.note("client: request %s ended after %.3f s: %v, %d events", a.id, a.at.Sub(start).Seconds(), a, a.pieces())
-	return a.status != http.StatusServiceUnavailable && !a.complete, nil
+	if a.status == http.StatusServiceUnavailable || a.complete {
+		return false, nil
+	}
+	r.note("BROKEN: LOST: a request that was read whole and passed on has no complete answer")
+	return true, nil
 }
