--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -23,7 +23,8 @@
 func main() {
 	cases := map[string]func(*rig) (bool, error){
 		"departure":    departure,
-		"lateHead":     lateHead,
+		"lostDisk":     lostDisk,
+		"successors":   successors,
 		"deadlyPrompt": deadlyPrompt,
 		"deadlyStream": deadlyStream,
 	}
