--- a/review/rig2/departure.go
+++ b/review/rig2/departure.go
@@ -19,6 +19,7 @@
 func departure(r *rig) (bool, error) {
 	const (
 		restartDelay = 300 * time.Millisecond
+		linger       = 7 * time.Second // from the acknowledgement to the worker's exit
 		perGateway   = 6
 	)
 	for z := 1; z <= 3; z++ {
@@ -59,7 +60,8 @@
 	var mu sync.Mutex
 	sent := make(map[string]time.Time)
 	by := make(map[string]string)
-	open := func(g *machine) {
+	answers := make(map[string]answer)
+	open := func(g *machine, path string) {
 		streams.Go(func() {
 			id := r.nextID()
 			c, err := net.DialTimeout("tcp", g.front(), time.Second)
@@ -70,12 +72,15 @@
 			mu.Lock()
 			sent[id], by[id] = time.Now(), g.name
 			mu.Unlock()
-			_, _ = io.WriteString(c, head(http.MethodPost, "/scribe/2f", id, 0)+"\r\n")
+			_, _ = io.WriteString(c, head(http.MethodPost, path, id, 0)+"\r\n")
 			closed := make(chan struct{})
 			go func() {
 				defer close(closed)
 				a := readAnswer(c, answer{id: id})
-				r.note("client: request %s at %s ended: status %d, %d events", id, g.name, a.status, a.pieces())
+				mu.Lock()
+				answers[id] = a
+				mu.Unlock()
+				r.note("client: request %s at %s ended: status %d, %d events, complete %t", id, g.name, a.status, a.pieces(), a.complete)
 			}()
 			select {
 			case <-quit:
@@ -85,10 +90,10 @@
 			<-closed
 		})
 	}
-	// The long streams before the departure.
+	// The long streams before the departure may be resumed, those after it may not.
 	for end := time.Now().Add(readyWait); ; time.Sleep(100 * time.Millisecond) {
 		for _, g := range gateways {
-			open(g)
+			open(g, "/scribe/2f")
 		}
 		time.Sleep(500 * time.Millisecond)
 		leaver.mu.Lock()
@@ -130,11 +135,14 @@
 	from := time.Now()
 	for range perGateway {
 		for _, g := range gateways {
-			open(g)
+			open(g, "/draft/2f")
 		}
 	}
-	time.Sleep(1500 * time.Millisecond)
-	broken := 0
+	time.Sleep(time.Until(acked.Add(linger)))
+	r.note("worker %s exits, %.1f s after its departure was acknowledged", leaver.id, time.Since(acked).Seconds())
+	_ = leaver.server.Close()
+	time.Sleep(time.Duration(leaver.events)*leaver.pause - 2*time.Second)
+	broken, lost := 0, 0
 	for _, w := range workers {
 		w.mu.Lock()
 		for _, a := range w.arrivals {
@@ -148,9 +156,15 @@
 			if w == leaver {
 				broken++
 				r.note("BROKEN: DRAIN: that is %.3f s after the acknowledged departure, drain-ms is 2000", a.at.Sub(acked).Seconds())
+				mu.Lock()
+				if c, ended := answers[a.id]; ended && !c.complete {
+					lost++
+				}
+				mu.Unlock()
 			}
 		}
 		w.mu.Unlock()
 	}
+	r.note("%d streams reached the worker that had left, and %d of them were lost with it", broken, lost)
 	return broken > 0, nil
 }
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -294,6 +294,7 @@
 		"version": version,
 		"routes": []any{
 			route("r-stream", "/scribe/", "streaming", "scribe", 20000, 500, 2, stream),
+			route("r-draft", "/draft/", "streaming", "scribe", 20000, 500, 2, map[string]any{"sticky": true, "gap-target-ms": 200}),
 			route("r-order", "/order/", "non_idempotent", "desk", 800, 150, 1, nil),
 			route("r-lookup", "/lookup/", "idempotent", "desk", 800, 150, 2, nil),
 		},
