Discard answers whose status line is invalid

What callers saw: answers with a status that HTTP does not have (600, 999), and answers that an upstream never gave. A status of 000 was not forwarded itself, but the bytes of its body were read as the next answer and forwarded with 200.

Cause: http.ReadResponse takes any three digits for a status. The exchange took every status below 200 for an interim response, skipped its head alone and read on. The same held for 101, after which a connection carries no HTTP.

Change: internal/upstream/head checks heads as their bytes arrive, in answers, in skipped answers and after interim ones. A status outside of 100 to 599, 101, or another version than HTTP/1 ends the attempt at its line end, so that an attempt also no longer waits for the rest until its deadline.

--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -27,6 +27,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/gateway/state"
 	"github.com/bilberryrock/bilberryrock/internal/registry/feed"
 	"github.com/bilberryrock/bilberryrock/internal/report/output"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/head"
 	"github.com/bilberryrock/bilberryrock/platform"
 )
 
@@ -86,12 +87,12 @@
 // runGateway serves clients until SIGTERM.
 func runGateway(s platform.Settings, admission quota.Mode, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
 	clock := systemclock.NewBootClock()
-	client := exchange.New(clock)
+	registry := newRegistry(out)
+	client := exchange.New(clock, exchange.WithMonitor(head.NewMonitor(registry, log)))
 	gatewayState := state.New(clock, s.DataCentre, platform.Configuration{}, state.Limits{
 		HeartbeatTimeout: maxMissedHeartbeats * s.HeartbeatInterval, KeyLease: s.RevocationTimeout - keyLeaseMargin, ReadinessTimeout: readinessTimeout,
 		Retries: budget.Limit{Share: s.RetryRatio * retryBudgetShare, Extra: s.RetryExtra * retryBudgetShare, Window: s.RetryWindow},
 	}, client, log, state.WithAdmission(admission))
-	registry := newRegistry(out)
 	registry.MustRegister(gatewayState.Prompts().Collector(), gatewayState.Notices().Collector(), gatewayState.AdmissionCollector())
 	handler := forward.New(clock, gatewayState, client, platform.Headers{}, platform.Engines{Client: client},
 		forward.NewMetrics(registry), log)
@@ -147,14 +148,15 @@
 // runController serves the operator, the workers and the other daemons until SIGTERM.
 func runController(s platform.Settings, admission quota.Mode, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
 	clock := systemclock.NewBootClock()
+	registry := newRegistry(out)
+	client := exchange.New(clock, exchange.WithMonitor(head.NewMonitor(registry, log)))
 	c, err := controller.New(controller.Settings{
 		Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerAddress, Folder: s.DataDir, Bootstrap: s.Bootstrap, Seeds: s.PeerSeeds, FaultTolerance: s.FaultTolerance,
 		HeartbeatTimeout: maxMissedHeartbeats * s.HeartbeatInterval, DialOptions: dialOptions(), Admission: admission,
-	}, platform.Configuration{}, platform.Engines{Client: exchange.New(clock)}, clock, log)
+	}, platform.Configuration{}, platform.Engines{Client: client}, clock, log)
 	if err != nil {
 		return err
 	}
-	registry := newRegistry(out)
 	registry.MustRegister(c.Collector())
 	group := newServerGroup(s, clock, registry, log)
 	controlServer := newServer(platform.Control(c, log))
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -29,6 +29,7 @@
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/excerpt"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/head"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
@@ -46,7 +47,7 @@
 	// tcpUserTimeout closes a connection whose sent bytes are not acknowledged.
 	tcpUserTimeout = 2 * time.Second
 	// maxResponses bounds the number of responses that are read in search of the
-	// matching one: responses to earlier requests and interim (1xx) responses are skipped.
+	// matching one, and of interim (1xx) responses before each of them.
 	maxResponses = 3
 	// maxSkippedBodyBytes bounds the body of a skipped response.
 	maxSkippedBodyBytes = 256 << 10
@@ -57,8 +58,6 @@
 	// them. Many short header lines take up to 40 times their length in memory, so a
 	// higher limit would strain small machines.
 	maxHeaderBytes = 32 << 10
-	// unlimited is the conn.readLimit for bodies, whose readers have their own limit.
-	unlimited = -1
 	// maxDrainBytes and drainTimeout bound the reading of a body whose content is not
 	// used. A refusal has less than 1 KiB, which is sent together with its headers.
 	// Waiting for a longer or later body would delay the request by more than opening
@@ -67,10 +66,6 @@
 	drainTimeout  = 100 * time.Millisecond
 )
 
-// errHeaderTooLarge is returned if the status line and headers of a response exceed
-// maxHeaderBytes.
-var errHeaderTooLarge = errors.Errorf("response header exceeds %d bytes", maxHeaderBytes)
-
 // Target is the upstream that a request goes to.
 type Target struct {
 	ID      fleet.UpstreamID
@@ -151,8 +146,9 @@
 // Client sends requests and keeps idle connections to all upstreams for reuse. It is
 // safe for concurrent use.
 type Client struct {
-	clock fleet.Clock
-	dial  Dial
+	clock   fleet.Clock
+	dial    Dial
+	monitor *head.Monitor
 
 	mu      sync.Mutex
 	idle    map[Target][]*conn
@@ -164,24 +160,29 @@
 	net.Conn
 	reader       *bufio.Reader
 	idleDeadline time.Time // the connection is not reused after it
-	// readLimit is the number of bytes that may still be read, or unlimited.
-	readLimit int
+	head         head.Scanner
 }
 
-// Read implements net.Conn. Bytes that were buffered before readLimit was set are not
-// counted.
+// Read implements net.Conn. It fails at the first byte that makes the head of a response
+// invalid.
 func (k *conn) Read(b []byte) (int, error) {
-	if k.readLimit == unlimited {
-		return k.Conn.Read(b)
-	}
-	if k.readLimit == 0 {
-		return 0, errHeaderTooLarge
+	n, err := k.Conn.Read(b)
+	if invalid := k.head.Scan(b[:n]); invalid != nil {
+		return 0, invalid
 	}
-	n, err := k.Conn.Read(b[:min(len(b), k.readLimit)])
-	k.readLimit -= n
 	return n, err
 }
 
+// startHead begins the head of a response, of which the reader may hold a part.
+func (k *conn) startHead() error {
+	k.head.Start()
+	b, err := k.reader.Peek(k.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return k.head.Scan(b)
+}
+
 // Dial opens a connection to an address.
 type Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -191,6 +192,9 @@
 // WithDial sets the function that opens connections.
 func WithDial(d Dial) Option { return func(c *Client) { c.dial = d } }
 
+// WithMonitor sets the monitor of invalid responses.
+func WithMonitor(m *head.Monitor) Option { return func(c *Client) { c.monitor = m } }
+
 // DialTCP opens a TCP connection with the timeouts of this package.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: setUserTimeout}
@@ -201,7 +205,7 @@
 func New(clock fleet.Clock, options ...Option) *Client {
 	c := &Client{
 		clock: clock, dial: DialTCP, idle: make(map[Target][]*conn),
-		maxIdle: func(Target) int { return math.MaxInt },
+		maxIdle: func(Target) int { return math.MaxInt }, monitor: &head.Monitor{},
 	}
 	for _, o := range options {
 		o(c)
@@ -250,11 +254,13 @@
 	if err == nil {
 		var p *http.Response
 		if p, err = k.readResponse(r, fresh); err == nil {
-			return &Exchange{Response: p, Fresh: fresh, client: c, target: t, conn: k, dedicated: r.DedicatedConn, stop: stop}, nil
+			x := &Exchange{Response: p, Fresh: fresh, client: c, target: t, conn: k, dedicated: r.DedicatedConn, stop: stop}
+			return x, nil
 		}
 	}
 	stop()
 	_ = k.Close()
+	c.monitor.Record(t.ID, t.Address, err)
 	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
@@ -278,7 +284,7 @@
 	if err != nil {
 		return nil, false, errors.Wrapf(err, "connect to upstream %s", t.ID)
 	}
-	k := &conn{Conn: n, readLimit: unlimited}
+	k := &conn{Conn: n, head: head.Scanner{Limit: maxHeaderBytes}}
 	k.reader = bufio.NewReaderSize(k, readBufferBytes)
 	return k, true, nil
 }
@@ -340,14 +346,9 @@
 // earlier requests.
 func (k *conn) readResponse(r Request, fresh bool) (*http.Response, error) {
 	for range maxResponses {
-		k.readLimit = maxHeaderBytes
-		p, err := http.ReadResponse(k.reader, &http.Request{Method: r.Method})
-		k.readLimit = unlimited
+		p, err := k.readHead(r)
 		if err != nil {
-			return nil, errors.Wrap(excerpt.Error(err), "read response")
-		}
-		if p.StatusCode < http.StatusOK {
-			continue
+			return nil, err
 		}
 		match, err := r.matches(p.Header, fresh)
 		if err != nil {
@@ -366,6 +367,24 @@
 	return nil, errors.Errorf("no matching response among the first %d", maxResponses)
 }
 
+// readHead reads the head of the next response that is not an interim (1xx) response.
+func (k *conn) readHead(r Request) (*http.Response, error) {
+	err := k.startHead()
+	for range maxResponses {
+		var p *http.Response
+		if err == nil {
+			p, err = http.ReadResponse(k.reader, &http.Request{Method: r.Method})
+		}
+		if err != nil {
+			return nil, errors.Wrap(excerpt.Error(err), "read response")
+		}
+		if p.StatusCode >= http.StatusOK {
+			return p, nil
+		}
+	}
+	return nil, errors.Errorf("more than %d interim responses", maxResponses-1)
+}
+
 // beforeWrite calls BeforeWrite. It returns an error if the request must not be sent.
 func (r Request) beforeWrite(ctx context.Context) error {
 	if ctx.Err() != nil || r.BeforeWrite == nil {
--- /dev/null
+++ b/internal/upstream/head/head.go
@@ -0,0 +1,168 @@
+// Package head checks the heads of HTTP/1.1 responses that upstreams send, while their
+// bytes arrive. net/http accepts heads that RFC 9110 and RFC 9112 call invalid, and
+// derives another body from them than their sender may have meant.
+//
+//	s := head.Scanner{Limit: limit}
+//	s.Start()
+//	for s.Active() {
+//		n, err := conn.Read(buffer)
+//		...
+//		if err := s.Scan(buffer[:n]); err != nil {
+//			return err // a *head.Error
+//		}
+//	}
+//
+// A Scanner goes on after interim (1xx) responses up to the end of the final head. It
+// ignores the bytes after that until the next Start.
+package head
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+//go:generate ../../../bin/stringer -type=Fault -linecomment -output=fault_string.go
+
+// Fault is what is wrong with a head.
+type Fault int
+
+// The faults of heads.
+const (
+	// FaultStatus is a malformed status line, a status outside of 100 to 599, or a change
+	// of the protocol, which is never requested.
+	FaultStatus Fault = iota // status
+	// FaultSize is a head above the limit.
+	FaultSize // size
+)
+
+// Error is returned for an invalid head or trailer.
+type Error struct {
+	Fault  Fault
+	detail string
+}
+
+// Error implements error.
+func (e *Error) Error() string { return "invalid response head: " + e.detail }
+
+func newError(f Fault, format string, args ...any) *Error {
+	return &Error{Fault: f, detail: fmt.Sprintf(format, args...)}
+}
+
+// part is the part of a head that the next byte belongs to.
+type part int
+
+const (
+	statusLine part = iota
+	fieldName       // or the empty line that ends the head
+	fieldValue
+)
+
+const (
+	// maxStatus is the highest status code of HTTP (RFC 9110, section 15).
+	maxStatus = 599
+	// maxTextBytes is how much of a line is kept: the status code is shorter.
+	maxTextBytes = 24
+)
+
+// Scanner checks the head of one response after another.
+type Scanner struct {
+	// Limit is the maximum size of a head in bytes, including interim responses.
+	Limit int
+
+	active       bool
+	bytes, lines int // since Start
+	part         part
+	// endsInCR reports whether the latest byte is a carriage return.
+	endsInCR bool
+	// text is the beginning of the status line or of the name, of textLength bytes.
+	text       [maxTextBytes]byte
+	textLength int
+	status     int // of the latest status line
+}
+
+// Start makes the next byte the first one of a head.
+func (s *Scanner) Start() { *s = Scanner{Limit: s.Limit, active: true} }
+
+// Active reports whether the end of the head is still to come.
+func (s *Scanner) Active() bool { return s.active }
+
+// Size returns the number of bytes and of lines since Start.
+func (s *Scanner) Size() (bytes, lines int) { return s.bytes, s.lines }
+
+// Scan checks the next bytes up to the end of the head. Errors are of type *Error.
+func (s *Scanner) Scan(b []byte) error {
+	for _, c := range b {
+		if !s.active {
+			return nil
+		}
+		if err := s.scanByte(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Scanner) scanByte(c byte) error {
+	s.bytes++
+	if s.bytes > s.Limit {
+		return newError(FaultSize, "it exceeds %d bytes", s.Limit)
+	}
+	s.endsInCR = c == '\r'
+	switch {
+	case s.endsInCR:
+		return nil
+	case c == '\n':
+		return s.endLine()
+	case s.part == statusLine:
+		s.appendText(c)
+	case s.part == fieldName && c == ':':
+		s.part = fieldValue
+	case s.part == fieldName:
+		s.appendText(c)
+	}
+	return nil
+}
+
+func (s *Scanner) endLine() error {
+	switch {
+	case s.part == statusLine:
+		if err := s.parseStatusLine(); err != nil {
+			return err
+		}
+	case s.part == fieldName && s.textLength == 0 && s.status < http.StatusOK:
+		s.part = statusLine // an interim response
+		return nil
+	case s.part == fieldName && s.textLength == 0:
+		s.active = false
+		return nil
+	}
+	s.lines++
+	s.part, s.textLength = fieldName, 0
+	return nil
+}
+
+// parseStatusLine checks a status line in the form "HTTP/1.1 200 OK".
+func (s *Scanner) parseStatusLine() error {
+	line := s.lineText()
+	version, rest, _ := strings.Cut(line, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	_, _, isHTTP := http.ParseHTTPVersion(version)
+	status, err := strconv.ParseUint(code, 10, 16)
+	valid := isHTTP && strings.HasPrefix(version, "HTTP/1.") && err == nil && len(code) == 3 && status >= http.StatusContinue && status <= maxStatus
+	if !valid || status == http.StatusSwitchingProtocols {
+		return newError(FaultStatus, "status line %q", line)
+	}
+	s.status = int(status)
+	return nil
+}
+
+func (s *Scanner) appendText(c byte) {
+	if s.textLength < len(s.text) {
+		s.text[s.textLength] = c
+	}
+	s.textLength++
+}
+
+func (s *Scanner) lineText() string { return string(s.text[:min(s.textLength, len(s.text))]) }
