Discard answers with an invalid field in the head

What callers saw: an answer in whose head the name of a field held a blank was forwarded as an answer. With "Content-Length : 4" or "Transfer-Encoding : chunked" its body was not the upstream's: chunk sizes were part of it, or bytes behind its end. A line that begins with a blank was joined with the line before it, and a line of blanks was dropped.

Cause: net/textproto accepts blanks in names and continued lines (RFC 9112, sections 5.1 and 5.2, let a client reject both). A name with a blank is another name for http.ReadResponse, which then takes the end of the connection for the end of the body.

Change: the scanner of heads requires a token as the name of each field, a colon right behind it, and no control bytes in values.

Control bytes in names and values, empty names and lines without a colon were rejected before by net/textproto; their cases stay.

--- a/internal/upstream/head/fault_string.go
+++ b/internal/upstream/head/fault_string.go
@@ -9,12 +9,13 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[FaultStatus-0]
-	_ = x[FaultSize-1]
+	_ = x[FaultField-1]
+	_ = x[FaultSize-2]
 }
 
-const _Fault_name = "statussize"
+const _Fault_name = "statusfieldsize"
 
-var _Fault_index = [...]uint8{0, 6, 10}
+var _Fault_index = [...]uint8{0, 6, 11, 15}
 
 func (i Fault) String() string {
 	idx := int(i) - 0
--- a/internal/upstream/head/head.go
+++ b/internal/upstream/head/head.go
@@ -21,6 +21,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 //go:generate ../../../bin/stringer -type=Fault -linecomment -output=fault_string.go
@@ -33,6 +35,9 @@
 	// FaultStatus is a malformed status line, a status outside of 100 to 599, or a change
 	// of the protocol, which is never requested.
 	FaultStatus Fault = iota // status
+	// FaultField is a line that is no field: its name is empty or has a byte that names
+	// must not have, its value has a control byte, or it continues the line before it.
+	FaultField // field
 	// FaultSize is a head above the limit.
 	FaultSize // size
 )
@@ -109,6 +114,9 @@
 	if s.bytes > s.Limit {
 		return newError(FaultSize, "it exceeds %d bytes", s.Limit)
 	}
+	if s.endsInCR && c != '\n' {
+		return newError(FaultField, "carriage return inside of line %d", s.lines+1)
+	}
 	s.endsInCR = c == '\r'
 	switch {
 	case s.endsInCR:
@@ -119,8 +127,14 @@
 		s.appendText(c)
 	case s.part == fieldName && c == ':':
 		s.part = fieldValue
+		return s.checkName()
 	case s.part == fieldName:
+		if !httpguts.IsTokenRune(rune(c)) {
+			return newError(FaultField, "byte %q in the name of the field after %q", c, s.lineText())
+		}
 		s.appendText(c)
+	case c < ' ' && c != '\t' || c == 0x7f:
+		return newError(FaultField, "byte %q in the value of the field %q", c, s.lineText())
 	}
 	return nil
 }
@@ -137,6 +151,8 @@
 	case s.part == fieldName && s.textLength == 0:
 		s.active = false
 		return nil
+	case s.part == fieldName:
+		return newError(FaultField, "line %q has no colon", s.lineText())
 	}
 	s.lines++
 	s.part, s.textLength = fieldName, 0
@@ -158,6 +174,14 @@
 	return nil
 }
 
+// checkName checks that the response may have the field whose name was read.
+func (s *Scanner) checkName() error {
+	if s.textLength == 0 {
+		return newError(FaultField, "line %d has no name", s.lines+1)
+	}
+	return nil
+}
+
 func (s *Scanner) appendText(c byte) {
 	if s.textLength < len(s.text) {
 		s.text[s.textLength] = c
