Discard answers with framing that their status or version rules out

What callers saw: an HTTP/1.0 answer with chunks was forwarded with the sizes of its chunks in the body. Behind an interim answer with a length, the bytes of its body were taken for the answer.

Cause: http.ReadResponse ignores Transfer-Encoding in HTTP/1.0 and reads up to the end of the connection, where RFC 9112, section 6.1, calls the framing faulty. It also ignores the length and the coding of interim answers, which must have neither.

Change: the scanner of heads rejects Transfer-Encoding in HTTP/1.0 and with the statuses 1xx and 204, and Content-Length with 1xx.

--- a/internal/upstream/head/fault_string.go
+++ b/internal/upstream/head/fault_string.go
@@ -10,12 +10,13 @@
 	var x [1]struct{}
 	_ = x[FaultStatus-0]
 	_ = x[FaultField-1]
-	_ = x[FaultSize-2]
+	_ = x[FaultFraming-2]
+	_ = x[FaultSize-3]
 }
 
-const _Fault_name = "statusfieldsize"
+const _Fault_name = "statusfieldframingsize"
 
-var _Fault_index = [...]uint8{0, 6, 11, 15}
+var _Fault_index = [...]uint8{0, 6, 11, 18, 22}
 
 func (i Fault) String() string {
 	idx := int(i) - 0
--- a/internal/upstream/head/head.go
+++ b/internal/upstream/head/head.go
@@ -38,6 +38,8 @@
 	// FaultField is a line that is no field: its name is empty or has a byte that names
 	// must not have, its value has a control byte, or it continues the line before it.
 	FaultField // field
+	// FaultFraming is a length or a transfer coding that the response must not have.
+	FaultFraming // framing
 	// FaultSize is a head above the limit.
 	FaultSize // size
 )
@@ -67,7 +69,8 @@
 const (
 	// maxStatus is the highest status code of HTTP (RFC 9110, section 15).
 	maxStatus = 599
-	// maxTextBytes is how much of a line is kept: the status code is shorter.
+	// maxTextBytes is how much of a line is kept: the status code and the names that are
+	// compared are shorter.
 	maxTextBytes = 24
 )
 
@@ -84,7 +87,8 @@
 	// text is the beginning of the status line or of the name, of textLength bytes.
 	text       [maxTextBytes]byte
 	textLength int
-	status     int // of the latest status line
+	// minorVersion and status are those of the latest status line.
+	minorVersion, status int
 }
 
 // Start makes the next byte the first one of a head.
@@ -164,20 +168,26 @@
 	line := s.lineText()
 	version, rest, _ := strings.Cut(line, " ")
 	code, _, _ := strings.Cut(rest, " ")
-	_, _, isHTTP := http.ParseHTTPVersion(version)
+	_, minor, isHTTP := http.ParseHTTPVersion(version)
 	status, err := strconv.ParseUint(code, 10, 16)
 	valid := isHTTP && strings.HasPrefix(version, "HTTP/1.") && err == nil && len(code) == 3 && status >= http.StatusContinue && status <= maxStatus
 	if !valid || status == http.StatusSwitchingProtocols {
 		return newError(FaultStatus, "status line %q", line)
 	}
-	s.status = int(status)
+	s.minorVersion, s.status = minor, int(status)
 	return nil
 }
 
 // checkName checks that the response may have the field whose name was read.
 func (s *Scanner) checkName() error {
-	if s.textLength == 0 {
+	name := s.lineText()
+	switch {
+	case name == "":
 		return newError(FaultField, "line %d has no name", s.lines+1)
+	case strings.EqualFold(name, "Transfer-Encoding") && (s.minorVersion == 0 || s.status < http.StatusOK || s.status == http.StatusNoContent):
+		return newError(FaultFraming, "transfer coding in a response with HTTP/1.%d and status %d", s.minorVersion, s.status)
+	case strings.EqualFold(name, "Content-Length") && s.status < http.StatusOK:
+		return newError(FaultFraming, "length in a response with status %d", s.status)
 	}
 	return nil
 }
