Discard answers with an invalid name in the trailer

What callers saw: a chunked answer whose trailer had a field name with a blank was forwarded as complete.

Cause: as for heads, net/textproto accepts such names. Trailers are read by the body of http.ReadResponse, behind the head that the scanner checks.

Change: the body of a chunked answer fails at its end if a name in the trailer is no token. A whole answer is not forwarded then; a stream is continued by another upstream, or cut off if it may run once.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -255,6 +255,7 @@
 		var p *http.Response
 		if p, err = k.readResponse(r, fresh); err == nil {
 			x := &Exchange{Response: p, Fresh: fresh, client: c, target: t, conn: k, dedicated: r.DedicatedConn, stop: stop}
+			x.checkTrailer()
 			return x, nil
 		}
 	}
--- a/internal/upstream/head/head.go
+++ b/internal/upstream/head/head.go
@@ -200,3 +200,14 @@
 }
 
 func (s *Scanner) lineText() string { return string(s.text[:min(s.textLength, len(s.text))]) }
+
+// CheckTrailer returns an error if a trailer has a field with an invalid name. net/http has
+// checked the values.
+func CheckTrailer(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return newError(FaultField, "name %.64q in the trailer", name)
+		}
+	}
+	return nil
+}
