bilberryrockd: discard responses that are no valid HTTP

What callers saw: bilberryrockd passed on responses of services with statuses from 600 to 999, with invalid field names and with bodies that include the framing. At a status below 100 it recorded the response of an order and then panicked in WriteHeader, so that the caller got no response; at 101 it returned what followed as the body.

Change: the connections of the dialer check the head of each response with the scanner that gateways use. It starts when the transport has chosen the connection for a call. Names in trailers are checked after the body. Such a response is upstreamFailed: the call may have run. It is counted and logged as at gateways.

Responses cut off at any byte of their head, body or chunks were errors already.

--- a/internal/entry/daemon/decisions.go
+++ b/internal/entry/daemon/decisions.go
@@ -20,6 +20,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/quiet/governor"
 	"github.com/bilberryrock/bilberryrock/internal/routing/dispatch"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/engine"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/head"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/roster"
 )
 
@@ -67,7 +68,7 @@
 	}
 	c := &controllers{
 		roster:   r,
-		dialer:   engine.NewDialer(),
+		dialer:   engine.NewDialer(engine.WithMonitor(head.NewMonitor(d.metrics, d.base))),
 		limiter:  share.New(d.settings.Instance.FleetSize),
 		governor: governor.New(maxClockError),
 	}
--- a/internal/upstream/engine/call.go
+++ b/internal/upstream/engine/call.go
@@ -15,6 +15,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet/excerpt"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/head"
 )
 
 // send sends one request and returns the status, header and body of the response,
@@ -25,7 +26,10 @@
 	defer cancel()
 	connected, reused := false, false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) { connected, reused = true, i.Reused },
+		GotConn: func(i httptrace.GotConnInfo) {
+			connected, reused = true, i.Reused
+			i.Conn.(*checkedConn).expectHead()
+		},
 	})
 	id := string(fleet.NewRequestID())
 	request, err := p.newRequest(ctx, method, path, header, body, id)
@@ -34,6 +38,7 @@
 	}
 	response, err := p.transport.RoundTrip(request)
 	if err != nil {
+		p.dialer.monitor.Record(p.id, p.address, err)
 		return 0, nil, nil, p.transportError(ctx, err, connected)
 	}
 	defer response.Body.Close()
@@ -41,6 +46,10 @@
 		return 0, nil, nil, err
 	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err == nil {
+		err = head.CheckTrailer(response.Trailer)
+		p.dialer.monitor.Record(p.id, p.address, err)
+	}
 	if err != nil {
 		return 0, nil, nil, p.transportError(ctx, err, true)
 	}
--- a/internal/upstream/engine/engine.go
+++ b/internal/upstream/engine/engine.go
@@ -24,6 +24,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/board"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/head"
 )
 
 // Defaults of a Dialer.
@@ -49,6 +50,7 @@
 	dialTimeout      time.Duration
 	callTimeout      time.Duration
 	maxResponseBytes int64
+	monitor          *head.Monitor
 
 	pools board.ShardedMap[fleet.UpstreamID, *pool]
 
@@ -58,6 +60,7 @@
 
 // pool is the connection pool of one upstream at one address.
 type pool struct {
+	id        fleet.UpstreamID
 	address   string
 	transport *http.Transport
 	dialer    *Dialer
@@ -85,12 +88,18 @@
 	return func(x *Dialer) { x.maxResponseBytes = n }
 }
 
+// WithMonitor sets the monitor of invalid responses.
+func WithMonitor(m *head.Monitor) Option {
+	return func(x *Dialer) { x.monitor = m }
+}
+
 // NewDialer returns a Dialer with the given options.
 func NewDialer(options ...Option) *Dialer {
 	d := &Dialer{
 		dialTimeout:      DefaultDialTimeout,
 		callTimeout:      DefaultCallTimeout,
 		maxResponseBytes: DefaultMaxResponseBytes,
+		monitor:          &head.Monitor{},
 		lastSweep:        time.Now(),
 	}
 	for _, o := range options {
@@ -130,7 +139,7 @@
 	var current, old *pool
 	d.pools.Update(u.ID, func(p *pool, ok bool) (*pool, bool) {
 		if !ok || p.address != u.Address {
-			old, p = p, d.newPool(u.Address)
+			old, p = p, d.newPool(u.ID, u.Address)
 		}
 		p.lastUsed = now
 		current = p
@@ -143,14 +152,19 @@
 	return current
 }
 
-func (d *Dialer) newPool(address string) *pool {
+func (d *Dialer) newPool(id fleet.UpstreamID, address string) *pool {
 	dialer := &net.Dialer{Timeout: d.dialTimeout, KeepAlive: 15 * time.Second}
 	return &pool{
+		id:      id,
 		address: address,
 		dialer:  d,
 		transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
-				return dialer.DialContext(ctx, network, address)
+				c, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return newCheckedConn(c), nil
 			},
 			MaxIdleConns:        maxIdleConns,
 			MaxIdleConnsPerHost: maxIdleConns,
