--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -292,7 +292,9 @@
 	p, err := http.DefaultClient.Do(r)
 	is.New(t).NoErr(err)
 	defer func() { _ = p.Body.Close() }()
+	w.mu.Lock()
 	w.connectionClosed = p.Close
+	w.mu.Unlock()
 	b, err := io.ReadAll(p.Body)
 	return p.StatusCode, p.Header, string(b), err == nil
 }
