Limit the memory of all answers of upstreams together

What callers saw (an operators' report): upstreams in trouble sent bytes without end, the machine that had called them ran out of memory, and the requests of other clients ended with it.

Cause: each head, body and event had a limit of its own (32 KiB, 1 MiB, 64 KiB), but their sum had none. Some hundred answers that stop shortly before their limits, or that clients don't read, take more than a small machine has; a head of 31 KiB in short lines takes about a megabyte.

Heads are charged while they are read, by the cost that the listeners charge for heads of clients, whole bodies twice their bytes until the client has them, and the buffers of events. If the budget is exhausted, the largest answers are aborted, not the ones that arrive next, so that ordinary answers still fit. An aborted attempt counts as one that may have run: 502, or the next upstream. If the client does not read a whole answer, its connection is closed. Metrics tell the charge and the aborts. Gateways and controllers use it.

TestHeldAnswersLeaveRoomForOthers fails without the budget.

--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"runtime/debug"
@@ -27,6 +28,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/gateway/state"
 	"github.com/bilberryrock/bilberryrock/internal/registry/feed"
 	"github.com/bilberryrock/bilberryrock/internal/report/output"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/buffer"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/head"
 	"github.com/bilberryrock/bilberryrock/platform"
 )
@@ -88,7 +90,7 @@
 func runGateway(s platform.Settings, admission quota.Mode, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
 	clock := systemclock.NewBootClock()
 	registry := newRegistry(out)
-	client := exchange.New(clock, exchange.WithMonitor(head.NewMonitor(registry, log)))
+	client := newUpstreamClient(s, clock, registry, log)
 	gatewayState := state.New(clock, s.DataCentre, platform.Configuration{}, state.Limits{
 		HeartbeatTimeout: maxMissedHeartbeats * s.HeartbeatInterval, KeyLease: s.RevocationTimeout - keyLeaseMargin, ReadinessTimeout: readinessTimeout,
 		Retries: budget.Limit{Share: s.RetryRatio * retryBudgetShare, Extra: s.RetryExtra * retryBudgetShare, Window: s.RetryWindow},
@@ -149,7 +151,7 @@
 func runController(s platform.Settings, admission quota.Mode, signals lifecycle.Signals, out *output.Writer, log *zap.Logger) error {
 	clock := systemclock.NewBootClock()
 	registry := newRegistry(out)
-	client := exchange.New(clock, exchange.WithMonitor(head.NewMonitor(registry, log)))
+	client := newUpstreamClient(s, clock, registry, log)
 	c, err := controller.New(controller.Settings{
 		Instance: s.Instance, DataCentre: s.DataCentre, Address: s.PeerAddress, Folder: s.DataDir, Bootstrap: s.Bootstrap, Seeds: s.PeerSeeds, FaultTolerance: s.FaultTolerance,
 		HeartbeatTimeout: maxMissedHeartbeats * s.HeartbeatInterval, DialOptions: dialOptions(), Admission: admission,
@@ -191,6 +193,13 @@
 	}
 }
 
+// newUpstreamClient returns a client whose responses stay within the memory of the machine.
+func newUpstreamClient(s platform.Settings, c fleet.Clock, r *prometheus.Registry, log *zap.Logger) *exchange.Client {
+	budget := buffer.NewBudget(cmp.Or(s.MemoryBytes, listener.DefaultMemoryBytes))
+	r.MustRegister(budget)
+	return exchange.New(c, exchange.WithMonitor(head.NewMonitor(r, log)), exchange.WithBudget(budget))
+}
+
 func newRegistry(out *output.Writer) *prometheus.Registry {
 	r := prometheus.NewRegistry()
 	r.MustRegister(out.Collector(), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/entry/listener/head.go
+++ b/internal/entry/listener/head.go
@@ -1,6 +1,10 @@
 package listener
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/bilberryrock/bilberryrock/internal/upstream/head"
+)
 
 const (
 	// maxHeadLines is the maximum number of lines of a head. The largest head that the
@@ -12,13 +16,6 @@
 	// headMargin is how many bytes a head may exceed its limit by until the connection
 	// is closed. Within it the handler refuses the request with its own response.
 	headMargin = 4 << 10
-	// lineCost is the memory of a parsed header line in bytes, besides its text: an entry
-	// of the map with its spare room, a name, a slice and garbage of the map's growth. Lines
-	// of six bytes with different names were measured to allocate 146 bytes each.
-	lineCost = 192
-	// textCost is the memory of one byte of a head: the buffers of a long line, which
-	// grow, and the string.
-	textCost = 3
 	// minLineBytes is the length of the shortest header line.
 	minLineBytes = 3
 	// parseBufferBytes is the size of the buffer in which net/http may hold bytes of the
@@ -68,10 +65,10 @@
 }
 
 // cost returns the memory of the head in bytes.
-func (h *headCounter) cost() int64 { return int64(h.bytes)*textCost + int64(h.lines)*lineCost }
+func (h *headCounter) cost() int64 { return head.Cost(h.bytes, h.lines) }
 
 // carriedCost returns the most memory that bytes cost which net/http has read ahead and
 // which may be the beginning of a head.
 func carriedCost(bytes int) int64 {
-	return int64(bytes)*textCost + int64(bytes/minLineBytes)*lineCost
+	return head.Cost(bytes, bytes/minLineBytes)
 }
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -29,6 +29,7 @@
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/excerpt"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/buffer"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/head"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -149,6 +150,7 @@
 	clock   fleet.Clock
 	dial    Dial
 	monitor *head.Monitor
+	budget  *buffer.Budget
 
 	mu      sync.Mutex
 	idle    map[Target][]*conn
@@ -195,6 +197,9 @@
 // WithMonitor sets the monitor of invalid responses.
 func WithMonitor(m *head.Monitor) Option { return func(c *Client) { c.monitor = m } }
 
+// WithBudget sets the budget for the memory of responses. The default has no limit.
+func WithBudget(b *buffer.Budget) Option { return func(c *Client) { c.budget = b } }
+
 // DialTCP opens a TCP connection with the timeouts of this package.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: setUserTimeout}
@@ -233,6 +238,7 @@
 	client    *Client
 	target    Target
 	conn      *conn
+	charge    *buffer.Charge
 	dedicated bool
 	stop      func() bool
 	released  bool
@@ -250,18 +256,22 @@
 		return nil, &Error{cause: errors.Wrapf(err, "upstream %s at %s", t.ID, t.Address)}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = k.Close() })
+	charge := c.budget.Open(func() { _ = k.Close() })
+	k.head.Grow = charge.Add
 	n, err := k.Write(r.encode())
 	if err == nil {
 		var p *http.Response
 		if p, err = k.readResponse(r, fresh); err == nil {
-			x := &Exchange{Response: p, Fresh: fresh, client: c, target: t, conn: k, dedicated: r.DedicatedConn, stop: stop}
-			x.checkTrailer()
+			x := &Exchange{Response: p, Fresh: fresh, client: c, target: t, conn: k, charge: charge, dedicated: r.DedicatedConn, stop: stop}
+			x.wrapBody()
 			return x, nil
 		}
 	}
 	stop()
 	_ = k.Close()
 	c.monitor.Record(t.ID, t.Address, err)
+	err = charge.Err(err)
+	charge.Release()
 	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
@@ -412,7 +422,7 @@
 	if x.Response.ContentLength > limit && x.Response.Body != http.NoBody {
 		return nil, errors.Errorf("response body has %d bytes, limit is %d", x.Response.ContentLength, limit)
 	}
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, limit+1))
+	body, err := io.ReadAll(io.LimitReader(chargedReader{x.Response.Body, x}, limit+1))
 	if err == nil && int64(len(body)) > limit {
 		err = errors.Errorf("response body exceeds %d bytes", limit)
 	}
@@ -443,7 +453,7 @@
 func (x *Exchange) Keep() {
 	p := x.Response
 	idleDeadline, ok := x.client.connDeadline(p)
-	if !x.stop() || x.dedicated || p.Close || !ok || x.conn.reader.Buffered() > 0 {
+	if !x.stop() || x.charge.OnAbort(func() {}) != nil || x.dedicated || p.Close || !ok || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		x.released = true
 		return
@@ -474,9 +484,25 @@
 	return c.clock.Now().Add(timeout - idleMargin), timeout > idleMargin
 }
 
-// Close closes the connection unless Keep was called.
+// Charge adds a number of bytes to the memory of the response until Close.
+func (x *Exchange) Charge(bytes int64) error { return x.charge.Add(bytes) }
+
+// Detach returns the charge for the memory of the response, which its caller must release.
+// The body must have been read. The error is that of an aborted response.
+func (x *Exchange) Detach() (*buffer.Charge, error) {
+	if err := x.charge.OnAbort(func() {}); err != nil {
+		return nil, err
+	}
+	c := x.charge
+	x.charge = nil
+	return c, nil
+}
+
+// Close closes the connection unless Keep was called, and releases the memory of the
+// response unless Detach was called.
 func (x *Exchange) Close() {
 	x.stop()
+	x.charge.Release()
 	if !x.released {
 		x.released = true
 		_ = x.conn.Close()
--- a/internal/gateway/forward/endless_test.go
+++ b/internal/gateway/forward/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -35,6 +36,51 @@
 	}
 }
 
+// Guards against upstreams whose long answers use up the memory for answers, upon which
+// other requests fail. The longest answers are given up: their requests may have run.
+func TestHeldAnswersLeaveRoomForOthers(t *testing.T) {
+	const (
+		held = 8 // more than the least budget holds
+		// failures is the least number of them that don't fit.
+		failures = 2
+	)
+	is := is.New(t)
+	release := make(chan struct{})
+	w := newTestGateway(t, 1, func(n int, rw http.ResponseWriter, r *http.Request) {
+		if n > held {
+			respond(rw, "done")
+			return
+		}
+		rw.Header().Set("Content-Length", strconv.Itoa(maxBufferedBytes))
+		respond(rw, strings.Repeat("x", maxBufferedBytes-1))
+		_ = http.NewResponseController(rw).Flush()
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+		abort()
+	})
+	statuses := make(chan int, held)
+	for range held {
+		go func() {
+			status, _, _, _ := w.post(t, "/once/", "k1")
+			statuses <- status
+		}()
+	}
+	for range failures {
+		is.Equal(<-statuses, http.StatusBadGateway)
+	}
+	status, _, body, complete := w.post(t, "/once/", "k1")
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "done")
+	is.True(complete)
+	close(release)
+	for range held - failures {
+		is.Equal(<-statuses, http.StatusBadGateway)
+	}
+	is.Equal(len(w.receivedHeaders()), held+1)
+}
+
 // Guards against the rest of a long body that is read as the response to the next
 // request on the same connection.
 func TestConnectionWithRestOfBodyIsNotKept(t *testing.T) {
--- a/internal/gateway/forward/events.go
+++ b/internal/gateway/forward/events.go
@@ -31,6 +31,8 @@
 type eventReader struct {
 	source *bufio.Reader
 	buffer []byte
+	// grow is called with the number of bytes by which the buffer grows.
+	grow func(bytes int64) error
 }
 
 // next returns the next whole event, including blank lines before it. The error is
@@ -44,7 +46,13 @@
 	isEvent := false // a field of the event stream format has been read
 	for {
 		part, err := s.source.ReadSlice('\n')
+		size := cap(s.buffer)
 		s.buffer = append(s.buffer, part...)
+		if grown := cap(s.buffer) - size; grown > 0 {
+			if err := s.grow(int64(grown)); err != nil {
+				return event{}, err
+			}
+		}
 		if len(s.buffer) > maxEventBytes {
 			return event{}, errors.Errorf("event exceeds %d bytes", maxEventBytes)
 		}
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -34,6 +34,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/release"
 	"github.com/bilberryrock/bilberryrock/internal/release/store"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/buffer"
 )
 
 // headerCodec implements gateway.HeaderCodec with a minimal set of headers.
@@ -219,7 +220,7 @@
 			(*f)()
 		}
 		return exchange.DialTCP(ctx, address)
-	}))
+	}), exchange.WithBudget(buffer.NewBudget(0)))
 	st := state.New(clock, "dc1", decoder{&w.current}, state.Limits{HeartbeatTimeout: time.Hour, KeyLease: configLease, ReadinessTimeout: time.Hour, Retries: retries}, client, zap.NewNop(), os...)
 	w.state = st
 	command, err := store.Command(1, nil)
--- a/internal/gateway/forward/plain.go
+++ b/internal/gateway/forward/plain.go
@@ -4,11 +4,13 @@
 	"context"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/gateway"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
 	"github.com/bilberryrock/bilberryrock/internal/release"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/buffer"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
@@ -23,11 +25,28 @@
 	earlyTimeoutNum, earlyTimeoutDen = 3, 2
 )
 
-// response is a complete response of an upstream.
+// response is a complete response of an upstream. It must be released.
 type response struct {
 	status int
 	header http.Header
 	body   []byte
+	memory *buffer.Charge
+}
+
+// newResponse returns the response of an exchange whose body was read.
+func newResponse(x *exchange.Exchange, body []byte) (*response, error) {
+	memory, err := x.Detach()
+	if err != nil {
+		return nil, err
+	}
+	return &response{status: x.Response.StatusCode, header: x.Response.Header, body: body, memory: memory}, nil
+}
+
+// release releases the memory of a response, which may be nil.
+func (a *response) release() {
+	if a != nil {
+		a.memory.Release()
+	}
 }
 
 // result is the outcome of one attempt.
@@ -47,6 +66,7 @@
 // serveUnary forwards a request whose response is a single message.
 func (q *request) serveUnary(ctx context.Context) {
 	var buffered *response
+	defer func() { buffered.release() }()
 	for q.allowAttempt(ctx) {
 		d, err := q.chooseDestination(false)
 		if err != nil {
@@ -69,6 +89,7 @@
 			q.possibleRuns++
 		}
 		if res == answered || res == upstreamError {
+			buffered.release()
 			buffered = a
 			q.state.Prompts().RecordProgress(q.poolID, q.headers.SharedParts)
 		}
@@ -135,7 +156,10 @@
 	if err := q.checkPromise(x.Response.StatusCode, t); err != nil {
 		return nil, unknownOutcome, err
 	}
-	a := &response{status: x.Response.StatusCode, header: x.Response.Header, body: body}
+	a, err := newResponse(x, body)
+	if err != nil {
+		return nil, unknownOutcome, errors.Wrapf(err, "response of upstream %s", t.ID)
+	}
 	if a.status >= http.StatusInternalServerError {
 		return a, upstreamError, refusal.New(refusal.UpstreamFailed, "upstream %s responded with status %d", t.ID, a.status)
 	}
@@ -171,8 +195,14 @@
 	return unknownOutcome
 }
 
-// deliver forwards a complete response to the client.
+// deliver forwards a complete response to the client. If its memory is needed meanwhile,
+// the connection of the client is closed.
 func (q *request) deliver(a *response) {
+	controller := http.NewResponseController(q.w)
+	if err := a.memory.OnAbort(func() { _ = controller.SetWriteDeadline(time.Now()) }); err != nil {
+		q.refuse(refusal.WithCause(refusal.UpstreamFailed, err, "response of upstream %s", q.lastUpstream))
+		return
+	}
 	q.status, q.outcome = a.status, "answered"
 	copyHeaders(q.w.Header(), a.header)
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -55,6 +55,7 @@
 // serveStream forwards a request whose response is an event stream.
 func (q *request) serveStream(ctx context.Context) {
 	s := &relay{request: q, lastEvent: q.headers.LastEvent, hasLastEvent: q.headers.HasLastEvent}
+	defer func() { s.failedResponse.release() }()
 	for s.backOff(ctx); s.awaitAttempt(ctx); s.backOff(ctx) {
 		if s.runAttempt(ctx) {
 			return
@@ -255,11 +256,16 @@
 	if err := s.checkPromise(x.Response.StatusCode, t.target); err != nil {
 		return false, unknownOutcome, err
 	}
-	a := &response{status: x.Response.StatusCode, header: x.Response.Header, body: body}
+	a, err := newResponse(x, body)
+	if err != nil {
+		return false, unknownOutcome, errors.Wrapf(err, "response of upstream %s", t.target.ID)
+	}
 	if a.status < http.StatusInternalServerError && !s.headSent {
+		defer a.release()
 		s.deliver(a)
 		return true, answered, nil
 	}
+	s.failedResponse.release()
 	s.failedResponse = a
 	return false, upstreamError, refusal.New(refusal.UpstreamFailed, "upstream %s responded with status %d", t.target.ID, a.status)
 }
@@ -270,7 +276,7 @@
 	if err := s.checkContentType(x.Response); err != nil {
 		return false, unknownOutcome, err
 	}
-	reader := eventReader{source: bufio.NewReaderSize(x.Response.Body, 2<<10)}
+	reader := eventReader{source: bufio.NewReaderSize(x.Response.Body, 2<<10), grow: x.Charge}
 	controller := http.NewResponseController(s.w)
 	receivedBefore := s.received
 	for {
--- a/internal/upstream/head/head.go
+++ b/internal/upstream/head/head.go
@@ -78,6 +78,9 @@
 type Scanner struct {
 	// Limit is the maximum size of a head in bytes, including interim responses.
 	Limit int
+	// Grow, if not nil, is called with the memory in bytes that net/http takes for what was
+	// scanned. Scan returns its error.
+	Grow func(bytes int64) error
 
 	active       bool
 	bytes, lines int // since Start
@@ -92,7 +95,7 @@
 }
 
 // Start makes the next byte the first one of a head.
-func (s *Scanner) Start() { *s = Scanner{Limit: s.Limit, active: true} }
+func (s *Scanner) Start() { *s = Scanner{Limit: s.Limit, Grow: s.Grow, active: true} }
 
 // Active reports whether the end of the head is still to come.
 func (s *Scanner) Active() bool { return s.active }
@@ -100,16 +103,21 @@
 // Size returns the number of bytes and of lines since Start.
 func (s *Scanner) Size() (bytes, lines int) { return s.bytes, s.lines }
 
-// Scan checks the next bytes up to the end of the head. Errors are of type *Error.
+// Scan checks the next bytes up to the end of the head. Errors for an invalid head are of
+// type *Error.
 func (s *Scanner) Scan(b []byte) error {
+	before := Cost(s.bytes, s.lines)
 	for _, c := range b {
 		if !s.active {
-			return nil
+			break
 		}
 		if err := s.scanByte(c); err != nil {
 			return err
 		}
 	}
+	if grown := Cost(s.bytes, s.lines) - before; s.Grow != nil && grown > 0 {
+		return s.Grow(grown)
+	}
 	return nil
 }
 
