Answer the requests that a stop would cut off

What callers saw (an operators' report): in a planned stop of a gateway, requests whose head was complete late in the grace period were passed on to an upstream and cut off at its end with no response, among them requests that may not be repeated.

Cause: the listener rightly waits for heads of which a part has come, but the handler passed these requests on however little time was left. At the end all connections were closed, also those of requests that no upstream had answered.

Change: - Once no more connections are accepted, streams and requests that may run only once are refused with 503 "stopping" and a short Retry-After if their deadline is later than the end. They have not run, and another gateway can serve them. Requests that may be repeated and those with an earlier deadline are served as before. - 200 ms before the end, requests whose response has not begun get 504, or 503 if no upstream may have run them. Only streams whose head the client has can still be cut off.

--- a/cmd/bilberryrock-platform/run.go
+++ b/cmd/bilberryrock-platform/run.go
@@ -60,6 +60,11 @@
 	// for the last requests to complete.
 	drainDelay        = 2600 * time.Millisecond
 	completionDivisor = 4
+	// responseReserve is the time before the end of a graceful shutdown at which requests
+	// that wait for an upstream get an error. If little time is left after the drain, it is
+	// that time divided by responseReserveDivisor.
+	responseReserve        = 200 * time.Millisecond
+	responseReserveDivisor = 4
 	// headerTimeout is the longest time for reading the header of a request, bodyTimeout
 	// that for its body, and idleTimeout that between two requests of a connection. A
 	// body of 4 MiB takes 3.4 s at 10 Mbit/s. Clients reuse connections for a shorter
@@ -122,8 +127,13 @@
 	defer cancel()
 	handler.StartDrain()
 	clientListener.Drain()
+	last := end - min(responseReserve, (end-drain)/responseReserveDivisor)
+	lastResponse := clock.Now().Add(last)
+	endWaiting := time.AfterFunc(last, handler.EndWaiting)
+	defer endWaiting.Stop()
 	logAndFlush(log, "The gateway drains.", zap.Int64("requests", handler.Active()), zap.Duration("grace", s.GracePeriod))
 	time.Sleep(drain)
+	handler.StopAccepting(lastResponse)
 	logAndFlush(log, "The gateway stops accepting connections.", zap.Int64("requests", handler.Active()))
 	return firstError(firstErr, clientListener.Stop(ctx), log)
 }
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -68,6 +68,10 @@
 	maxPriority = 9
 )
 
+// errStopping is the cause of the end of requests that wait for an upstream when the gateway
+// stops.
+var errStopping = errors.New("the gateway stops")
+
 // Prober requests state reports from engines.
 type Prober interface {
 	// Probe returns the report of an engine and the headers of its response. The headers
@@ -86,20 +90,36 @@
 	logger         *zap.Logger
 	draining       atomic.Bool
 	activeRequests atomic.Int64
+	// lastResponse is the time until which late requests must have their response, or nil
+	// while connections are accepted.
+	lastResponse atomic.Pointer[time.Time]
+	// stop is canceled to end the requests that wait for an upstream.
+	stop       context.Context
+	cancelStop context.CancelFunc
 }
 
 // New returns a Handler.
 func New(clock state.Clock, s *state.State, c *exchange.Client, d gateway.HeaderCodec, p Prober, m *Metrics, l *zap.Logger) *Handler {
-	return &Handler{
+	h := &Handler{
 		clock: clock, state: s, client: c, codec: d, metrics: m, logger: l.Named("forward"),
 		probes: &probeCache{clock: clock, prober: p, notices: s.Notices(), probes: make(map[string]*probe)},
 	}
+	h.stop, h.cancelStop = context.WithCancel(context.Background())
+	return h
 }
 
 // StartDrain starts to drain the gateway: responses close their connections, so that the
 // platform routes the new connections of clients to other gateways.
 func (h *Handler) StartDrain() { h.draining.Store(true) }
 
+// StopAccepting must be called when no more connections are accepted. Requests that arrive
+// after it are refused if they may run only once, or are streams, and may last longer than
+// until. Other gateways can serve them.
+func (h *Handler) StopAccepting(until time.Time) { h.lastResponse.Store(&until) }
+
+// EndWaiting ends all requests whose response has not begun, with an error.
+func (h *Handler) EndWaiting() { h.cancelStop() }
+
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int64 { return h.activeRequests.Load() }
 
@@ -173,6 +193,10 @@
 		q.refuse(err)
 		return
 	}
+	if err := q.checkStop(); err != nil {
+		q.refuse(err)
+		return
+	}
 	if q.route.Type == release.Stream && q.underAdmissionControl() {
 		if err := q.admit(); err != nil {
 			q.refuse(err)
@@ -182,6 +206,13 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), q.deadline.Sub(h.clock.Now()))
 	defer cancel()
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	defer context.AfterFunc(h.stop, func() {
+		if !q.started() {
+			stop(errStopping)
+		}
+	})()
 	q.setWriteDeadline()
 	q.pool.RetryBudget.Deposit()
 	if q.route.Type == release.Stream {
@@ -191,6 +222,16 @@
 	q.serveUnary(ctx)
 }
 
+// checkStop returns an error for a late request that might be cut off, or have an unknown
+// outcome, at the end of the grace period.
+func (q *request) checkStop() error {
+	until := q.lastResponse.Load()
+	if until == nil || q.route.Type == release.Idempotent || !q.deadline.After(*until) {
+		return nil
+	}
+	return refusal.New(refusal.Stopping, "the gateway stops %s before the deadline of the request", q.deadline.Sub(*until).Round(time.Millisecond))
+}
+
 // setWriteDeadline makes writes fail if the client does not read the response.
 // net/http clears the write deadline after the request.
 func (q *request) setWriteDeadline() {
@@ -494,6 +535,8 @@
 		// Without this, net/http would send an empty response with status 200, which a
 		// client that has closed only its own direction of the connection receives.
 		panic(http.ErrAbortHandler)
+	case q.possibleRuns == 0 && errors.Is(context.Cause(ctx), errStopping):
+		q.refuse(refusal.WithCause(refusal.Stopping, q.lastErr, "no upstream accepted the request before the gateway stopped"))
 	case q.possibleRuns == 0 && ctx.Err() != nil:
 		q.refuse(refusal.WithCause(refusal.NoUpstream, q.lastErr, "no upstream accepted the request before the deadline"))
 	case q.possibleRuns == 0 && (refusal.KindOf(q.lastErr) == refusal.Quarantined || refusal.KindOf(q.lastErr) == refusal.Overloaded):
@@ -501,7 +544,7 @@
 	case q.possibleRuns == 0:
 		q.refuse(refusal.WithCause(refusal.NoUpstream, q.lastErr, "no upstream accepted the request"))
 	case ctx.Err() != nil:
-		q.refuse(refusal.WithCause(refusal.Deadline, q.lastErr, "no response before the deadline"))
+		q.refuse(refusal.WithCause(refusal.Deadline, q.lastErr, "no response before the deadline or the end of the gateway"))
 	default:
 		q.refuse(refusal.WithCause(refusal.UpstreamFailed, q.lastErr, "no upstream returned a valid response"))
 	}
