bilberryrockd: limit the memory of all responses together

What callers saw: services in trouble that send bytes without end take a daemon beyond its memory, and the requests of other callers end with it.

Cause: a response may have 64 MiB and a head 64 KiB, and nothing limited their sum.

Change: the dialer charges heads, bodies and what decoding them takes to a budget (internal/upstream/buffer) of a quarter of limits.memory above 32 MiB, and the API of callers charges for a response of a service while it is written. The largest responses are aborted when the budget is exhausted: upstreamFailed, the call may have run.

--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -28,6 +28,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/pipeline"
 	"github.com/bilberryrock/bilberryrock/internal/report"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/buffer"
 )
 
 // Lookups runs idempotent calls to plain services. It may try several upstreams
@@ -63,6 +64,7 @@
 	defaultDeadline time.Duration
 	maxDeadline     time.Duration
 	observe         func(code string, duration time.Duration)
+	budget          *buffer.Budget
 }
 
 // Option configures an API.
@@ -85,6 +87,10 @@
 	return func(a *API) { a.observe = observe }
 }
 
+// WithBudget sets the budget for the memory of responses of services. The default has no
+// limit.
+func WithBudget(b *buffer.Budget) Option { return func(a *API) { a.budget = b } }
+
 // New returns an API that uses deps.
 func New(deps Dependencies, options ...Option) *API {
 	a := &API{
--- a/internal/entry/caller/service.go
+++ b/internal/entry/caller/service.go
@@ -6,6 +6,7 @@
 	"path"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 
@@ -53,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	return writeResponse(w, response)
+	return a.writeResponse(w, response)
 }
 
 func findPool(r *http.Request, q *request) (document.Pool, error) {
@@ -123,7 +124,15 @@
 	"Trailer", "Transfer-Encoding", "Upgrade", "X-Request-Id",
 }
 
-func writeResponse(w http.ResponseWriter, response upstream.Response) error {
+// writeResponse writes the response of a service. If its memory is needed meanwhile, the
+// connection of the caller is closed.
+func (a *API) writeResponse(w http.ResponseWriter, response upstream.Response) error {
+	controller := http.NewResponseController(w)
+	memory := a.budget.Open(func() { _ = controller.SetWriteDeadline(time.Now()) })
+	defer memory.Release()
+	if err := memory.Add(int64(len(response.Body))); err != nil {
+		return refusal.WithCause(refusal.UpstreamFailed, err, "the call ran, its response could not be kept")
+	}
 	header := w.Header()
 	for name, values := range response.Header {
 		if !slices.Contains(excludedResponseHeaders, textproto.CanonicalMIMEHeaderKey(name)) {
--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet/settings"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/systemclock"
 	"github.com/bilberryrock/bilberryrock/internal/membership/packet"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/buffer"
 )
 
 const (
@@ -50,6 +51,8 @@
 	clock   fleet.Clock
 	health  platform.Health
 	metrics *prometheus.Registry
+	// answers limits the memory of the responses of upstreams.
+	answers *buffer.Budget
 
 	credentials peer.Credentials
 	peers       *peer.Connections
--- a/internal/entry/daemon/decisions.go
+++ b/internal/entry/daemon/decisions.go
@@ -19,6 +19,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/pipeline/speeds"
 	"github.com/bilberryrock/bilberryrock/internal/quiet/governor"
 	"github.com/bilberryrock/bilberryrock/internal/routing/dispatch"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/buffer"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/engine"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/head"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/roster"
@@ -66,9 +67,11 @@
 	if err != nil {
 		return errors.Wrap(err, "create upstream roster")
 	}
+	d.answers = buffer.NewBudget(d.settings.Limits.WithDefaults().MemoryBytes)
+	d.metrics.MustRegister(d.answers)
 	c := &controllers{
 		roster:   r,
-		dialer:   engine.NewDialer(engine.WithMonitor(head.NewMonitor(d.metrics, d.base))),
+		dialer:   engine.NewDialer(engine.WithMonitor(head.NewMonitor(d.metrics, d.base)), engine.WithBudget(d.answers)),
 		limiter:  share.New(d.settings.Instance.FleetSize),
 		governor: governor.New(maxClockError),
 	}
--- a/internal/fleet/settings/keys.go
+++ b/internal/fleet/settings/keys.go
@@ -135,7 +135,7 @@
 		duration(section, "writeTimeout", entry.DefaultWriteTimeout.String(), time.Second, time.Hour, "greatest time to write 64 KiB of an answer", func(s *Settings) *time.Duration { return &s.Limits.WriteTimeout }),
 		duration(section, "idleTimeout", entry.DefaultIdleTimeout.String(), time.Second, time.Hour, "greatest time between requests of a connection", func(s *Settings) *time.Duration { return &s.Limits.IdleTimeout }),
 		number(section, "maxConnections", strconv.Itoa(entry.DefaultMaxConnections), 1, 1000000, "greatest number of open connections of a listener", func(s *Settings) *int { return &s.Limits.MaxConnections }),
-		size(section, "memory", "256MiB", 64<<20, 1<<40, "memory that the daemon may use; above 32 MiB, a sixth is for heads and a quarter for bodies of requests", func(s *Settings) *int64 { return &s.Limits.MemoryBytes }),
+		size(section, "memory", "256MiB", 64<<20, 1<<40, "memory that the daemon may use; above 32 MiB, a sixth is for heads and a quarter for bodies of requests, and a quarter for responses of upstreams", func(s *Settings) *int64 { return &s.Limits.MemoryBytes }),
 		number(section, "maxDescriptors", strconv.Itoa(entry.DefaultMaxDescriptors), 128, 10000000, "descriptors that the daemon may open; nearly half is for connections of clients", func(s *Settings) *int { return &s.Limits.MaxDescriptors }),
 	}
 }
--- a/internal/gateway/exchange/body.go
+++ b/internal/gateway/exchange/body.go
@@ -9,10 +9,6 @@
 	"github.com/bilberryrock/bilberryrock/internal/upstream/head"
 )
 
-// bodyCost is the memory of one byte of a body that is read whole: io.ReadAll has up to two
-// buffers while it grows one.
-const bodyCost = 2
-
 // body is the body of a response. It fails at its end if the trailer is invalid.
 type body struct {
 	io.ReadCloser
@@ -38,18 +34,3 @@
 	}
 	return n, x.charge.Err(err)
 }
-
-// chargedReader charges for the bytes that it reads.
-type chargedReader struct {
-	io.Reader
-	exchange *Exchange
-}
-
-// Read implements io.Reader.
-func (r chargedReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	if full := r.exchange.charge.Add(int64(n) * bodyCost); full != nil {
-		return n, full
-	}
-	return n, err
-}
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -422,7 +422,7 @@
 	if x.Response.ContentLength > limit && x.Response.Body != http.NoBody {
 		return nil, errors.Errorf("response body has %d bytes, limit is %d", x.Response.ContentLength, limit)
 	}
-	body, err := io.ReadAll(io.LimitReader(chargedReader{x.Response.Body, x}, limit+1))
+	body, err := buffer.ReadAll(io.LimitReader(x.Response.Body, limit+1), x.charge)
 	if err == nil && int64(len(body)) > limit {
 		err = errors.Errorf("response body exceeds %d bytes", limit)
 	}
--- a/internal/trial/processes/processes.go
+++ b/internal/trial/processes/processes.go
@@ -33,7 +33,8 @@
 	// APIKey is the key of the client account that tests use.
 	APIKey = "caller-key"
 
-	upstreamToken = "upstream-token"
+	// UpstreamToken is the token of upstreams.
+	UpstreamToken = "upstream-token"
 	gossipSecret  = "gossip-secret-of-a-trial"
 
 	// firstPort and lastPort lie below the ephemeral port range of the kernel, so
@@ -65,7 +66,7 @@
 func New(bin, dir string) (*Fleet, error) {
 	f := &Fleet{bin: bin, dir: dir, port: firstPort + os.Getpid()%(lastPort-firstPort)}
 	for name, content := range map[string]string{
-		"upstream.token": upstreamToken,
+		"upstream.token": UpstreamToken,
 		"gossip.secret":  gossipSecret,
 		"operator.token": Token,
 	} {
--- a/internal/trial/processes/standin.go
+++ b/internal/trial/processes/standin.go
@@ -31,7 +31,7 @@
 	s := &Standin{ID: id, Address: address, recordPath: f.Path(id + ".record"), fleet: f}
 	s.args = append([]string{
 		"--id", id, "--listen", address, "--dataCentre", dataCentre,
-		"--announce", f.announceURLs(dataCentre), "--token", upstreamToken, "--record", s.recordPath,
+		"--announce", f.announceURLs(dataCentre), "--token", UpstreamToken, "--record", s.recordPath,
 	}, args...)
 	f.standins = append(f.standins, s)
 	return s, s.Start()
--- a/internal/upstream/engine/call.go
+++ b/internal/upstream/engine/call.go
@@ -15,48 +15,70 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet/excerpt"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/buffer"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/head"
 )
 
-// send sends one request and returns the status, header and body of the response,
-// with a body of at most limit bytes. The transport never retries a request that may
-// have been written.
-func (p *pool) send(ctx context.Context, method, path string, header http.Header, body []byte, limit int64) (int, http.Header, []byte, error) {
+// response is a whole response. Its memory must be released.
+type response struct {
+	status int
+	header http.Header
+	body   []byte
+	memory *buffer.Charge
+}
+
+// send sends one request and returns the response, with a body of at most limit bytes. The
+// transport never retries a request that may have been written.
+func (p *pool) send(ctx context.Context, method, path string, header http.Header, body []byte, limit int64) (response, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.dialer.callTimeout)
 	defer cancel()
+	memory := p.dialer.budget.Open(cancel)
+	r, err := p.roundTrip(ctx, method, path, header, body, limit, memory)
+	if err == nil {
+		err = memory.OnAbort(func() {})
+	}
+	if err != nil {
+		memory.Release()
+		return response{}, err
+	}
+	return r, nil
+}
+
+// roundTrip is send with the memory of the response.
+func (p *pool) roundTrip(ctx context.Context, method, path string, header http.Header, body []byte, limit int64, memory *buffer.Charge) (response, error) {
 	connected, reused := false, false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			connected, reused = true, i.Reused
-			i.Conn.(*checkedConn).expectHead()
+			i.Conn.(*checkedConn).expectHead(memory.Add)
 		},
 	})
 	id := string(fleet.NewRequestID())
 	request, err := p.newRequest(ctx, method, path, header, body, id)
 	if err != nil {
-		return 0, nil, nil, err
+		return response{}, err
 	}
-	response, err := p.transport.RoundTrip(request)
+	r, err := p.transport.RoundTrip(request)
 	if err != nil {
 		p.dialer.monitor.Record(p.id, p.address, err)
-		return 0, nil, nil, p.transportError(ctx, err, connected)
+		return response{}, p.transportError(ctx, memory.Err(err), connected)
 	}
-	defer response.Body.Close()
-	if err := p.checkCallID(response, id, reused); err != nil {
-		return 0, nil, nil, err
+	defer r.Body.Close()
+	if err := p.checkCallID(r, id, reused); err != nil {
+		return response{}, err
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	data, err := buffer.ReadAll(io.LimitReader(r.Body, limit+1), memory)
 	if err == nil {
-		err = head.CheckTrailer(response.Trailer)
+		err = head.CheckTrailer(r.Trailer)
 		p.dialer.monitor.Record(p.id, p.address, err)
 	}
 	if err != nil {
-		return 0, nil, nil, p.transportError(ctx, err, true)
+		return response{}, p.transportError(ctx, err, true)
 	}
 	if int64(len(data)) > limit {
-		return 0, nil, nil, refusal.New(refusal.UpstreamFailed, "answer of upstream at %s is larger than %d bytes", p.address, limit)
+		return response{}, refusal.New(refusal.UpstreamFailed, "answer of upstream at %s is larger than %d bytes", p.address, limit)
 	}
-	return response.StatusCode, response.Header, data, nil
+	return response{status: r.StatusCode, header: r.Header, body: data, memory: memory}, nil
 }
 
 // checkCallID returns an error if the response does not belong to the call with the
@@ -110,8 +132,9 @@
 }
 
 // callJSON sends in as JSON and decodes the response into out. Either may be nil. The
-// response body has at most limit bytes.
-func (p *pool) callJSON(ctx context.Context, method, path string, in, out any, limit int64) error {
+// response body has at most limit bytes, each of which takes up to cost bytes of memory once
+// it is decoded.
+func (p *pool) callJSON(ctx context.Context, method, path string, in, out any, limit, cost int64) error {
 	var body []byte
 	if in != nil {
 		encoded, err := json.Marshal(in)
@@ -120,17 +143,21 @@
 		}
 		body = encoded
 	}
-	status, _, data, err := p.send(ctx, method, path, jsonHeader, body, min(limit, p.dialer.maxResponseBytes))
+	r, err := p.send(ctx, method, path, jsonHeader, body, min(limit, p.dialer.maxResponseBytes))
 	if err != nil {
 		return err
 	}
-	if status != http.StatusOK {
-		return p.responseError(status, data)
+	defer r.memory.Release()
+	if r.status != http.StatusOK {
+		return p.responseError(r.status, r.body)
 	}
 	if out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(data, out); err != nil {
+	if err := r.memory.Add(int64(len(r.body)) * cost); err != nil {
+		return refusal.WithCause(refusal.UpstreamFailed, err, "answer of engine at %s", p.address)
+	}
+	if err := json.Unmarshal(r.body, out); err != nil {
 		return refusal.WithCause(refusal.UpstreamFailed, excerpt.Error(err), "answer of engine at %s", p.address)
 	}
 	return nil
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -20,6 +20,11 @@
 	// maxOutputBytes is the size of one output of a step in JSON: 20 digits, a comma,
 	// and space for indentation.
 	maxOutputBytes = 32
+	// listDecodeCost is the memory of one byte of a response that contains a list, while it
+	// is decoded: an entry of three bytes becomes an event of 24 bytes, in a slice that
+	// grows. dataDecodeCost is that of a response with one field in base64.
+	listDecodeCost = 16
+	dataDecodeCost = 1
 )
 
 // maxStepResponseBytes bounds the response to a step, which has one output for each
@@ -37,7 +42,7 @@
 // of kind refusal.UpstreamFailed, after which the same step may be sent again.
 func (c *Client) Step(ctx context.Context, s upstream.Step) (upstream.StepResult, error) {
 	var result upstream.StepResult
-	if err := c.pool.callJSON(ctx, http.MethodPost, "/v1/steps", s, &result, maxStepResponseBytes(s)); err != nil {
+	if err := c.pool.callJSON(ctx, http.MethodPost, "/v1/steps", s, &result, maxStepResponseBytes(s), listDecodeCost); err != nil {
 		return upstream.StepResult{}, err
 	}
 	if result.Request != s.Request || result.Epoch != s.Epoch || result.Position != s.Position {
@@ -54,19 +59,19 @@
 
 // Cancel cancels a request and frees its memory.
 func (c *Client) Cancel(ctx context.Context, r fleet.RequestID) error {
-	return c.pool.callJSON(ctx, http.MethodPost, requestPath(r)+"/cancel", nil, nil, maxShortResponseBytes)
+	return c.pool.callJSON(ctx, http.MethodPost, requestPath(r)+"/cancel", nil, nil, maxShortResponseBytes, 0)
 }
 
 // CancelEpoch implements upstream.EpochCanceller.
 func (c *Client) CancelEpoch(ctx context.Context, r fleet.RequestID, e fleet.Epoch) error {
 	path := requestPath(r) + "/cancel?epoch=" + strconv.FormatUint(uint64(e), 10)
-	return c.pool.callJSON(ctx, http.MethodPost, path, nil, nil, maxShortResponseBytes)
+	return c.pool.callJSON(ctx, http.MethodPost, path, nil, nil, maxShortResponseBytes, 0)
 }
 
 // Export returns the KV cache of a request.
 func (c *Client) Export(ctx context.Context, r fleet.RequestID) (upstream.KVCache, error) {
 	var kv upstream.KVCache
-	if err := c.pool.callJSON(ctx, http.MethodGet, requestPath(r)+"/kv", nil, &kv, c.pool.dialer.maxResponseBytes); err != nil {
+	if err := c.pool.callJSON(ctx, http.MethodGet, requestPath(r)+"/kv", nil, &kv, c.pool.dialer.maxResponseBytes, dataDecodeCost); err != nil {
 		return upstream.KVCache{}, err
 	}
 	if kv.Request != r {
@@ -79,18 +84,18 @@
 // Import loads a KV cache under epoch e.
 func (c *Client) Import(ctx context.Context, e fleet.Epoch, kv upstream.KVCache) error {
 	path := requestPath(kv.Request) + "/kv?epoch=" + strconv.FormatUint(uint64(e), 10)
-	return c.pool.callJSON(ctx, http.MethodPut, path, kv, nil, maxShortResponseBytes)
+	return c.pool.callJSON(ctx, http.MethodPut, path, kv, nil, maxShortResponseBytes, 0)
 }
 
 // Command sends a command to the engine.
 func (c *Client) Command(ctx context.Context, command upstream.Command) error {
-	return c.pool.callJSON(ctx, http.MethodPost, "/v1/commands", command, nil, maxShortResponseBytes)
+	return c.pool.callJSON(ctx, http.MethodPost, "/v1/commands", command, nil, maxShortResponseBytes, 0)
 }
 
 // Describe returns the current description of the engine.
 func (c *Client) Describe(ctx context.Context) (upstream.Announcement, error) {
 	var a upstream.Announcement
-	err := c.pool.callJSON(ctx, http.MethodGet, "/v1/description", nil, &a, maxShortResponseBytes)
+	err := c.pool.callJSON(ctx, http.MethodGet, "/v1/description", nil, &a, maxShortResponseBytes, listDecodeCost)
 	return a, err
 }
 
@@ -98,7 +103,7 @@
 func (c *Client) CacheEvents(ctx context.Context, after uint64) (upstream.CacheEvents, error) {
 	var events upstream.CacheEvents
 	path := "/v1/cache-events?after=" + strconv.FormatUint(after, 10)
-	err := c.pool.callJSON(ctx, http.MethodGet, path, nil, &events, c.pool.dialer.maxResponseBytes)
+	err := c.pool.callJSON(ctx, http.MethodGet, path, nil, &events, c.pool.dialer.maxResponseBytes, listDecodeCost)
 	return events, err
 }
 
@@ -113,9 +118,10 @@
 
 // Call sends c once and returns the whole response, whatever its status.
 func (s *serviceClient) Call(ctx context.Context, c upstream.Call) (upstream.Response, error) {
-	status, header, body, err := s.pool.send(ctx, c.Method, c.Path, c.Header, c.Body, s.pool.dialer.maxResponseBytes)
+	r, err := s.pool.send(ctx, c.Method, c.Path, c.Header, c.Body, s.pool.dialer.maxResponseBytes)
 	if err != nil {
 		return upstream.Response{}, err
 	}
-	return upstream.Response{Status: status, Header: header, Body: body}, nil
+	r.memory.Release() // the receiver charges for the response while it uses it
+	return upstream.Response{Status: r.status, Header: r.header, Body: r.body}, nil
 }
--- a/internal/upstream/engine/conn.go
+++ b/internal/upstream/engine/conn.go
@@ -11,24 +11,28 @@
 // response invalid.
 type checkedConn struct {
 	net.Conn
-	// headExpected reports whether the next byte begins the head of a response. The
-	// transport reads and writes in different goroutines.
-	headExpected atomic.Bool
-	head         head.Scanner // used only by Read
+	// expected is set if the next byte begins the head of a response. Its value is called
+	// with the memory of the head. The transport reads and writes in different goroutines.
+	expected atomic.Pointer[func(bytes int64) error]
+	head     head.Scanner // used only by Read
 }
 
 func newCheckedConn(c net.Conn) *checkedConn {
 	return &checkedConn{Conn: c, head: head.Scanner{Limit: maxHeaderBytes}}
 }
 
-// expectHead must be called before a request is written.
-func (c *checkedConn) expectHead() { c.headExpected.Store(true) }
+// expectHead must be called before a request is written. grow is called with the memory that
+// the head of the response takes.
+func (c *checkedConn) expectHead(grow func(bytes int64) error) { c.expected.Store(&grow) }
 
 // Read implements net.Conn.
 func (c *checkedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 && c.headExpected.Swap(false) {
-		c.head.Start()
+	if n > 0 {
+		if grow := c.expected.Swap(nil); grow != nil {
+			c.head.Grow = *grow
+			c.head.Start()
+		}
 	}
 	if invalid := c.head.Scan(b[:n]); invalid != nil {
 		return 0, invalid
--- a/internal/upstream/engine/engine.go
+++ b/internal/upstream/engine/engine.go
@@ -24,6 +24,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/board"
 	"github.com/bilberryrock/bilberryrock/internal/upstream"
+	"github.com/bilberryrock/bilberryrock/internal/upstream/buffer"
 	"github.com/bilberryrock/bilberryrock/internal/upstream/head"
 )
 
@@ -51,6 +52,7 @@
 	callTimeout      time.Duration
 	maxResponseBytes int64
 	monitor          *head.Monitor
+	budget           *buffer.Budget
 
 	pools board.ShardedMap[fleet.UpstreamID, *pool]
 
@@ -93,6 +95,11 @@
 	return func(x *Dialer) { x.monitor = m }
 }
 
+// WithBudget sets the budget for the memory of responses. The default has no limit.
+func WithBudget(b *buffer.Budget) Option {
+	return func(x *Dialer) { x.budget = b }
+}
+
 // NewDialer returns a Dialer with the given options.
 func NewDialer(options ...Option) *Dialer {
 	d := &Dialer{
