Discard answers behind an invalid trailer

What callers saw: an answer that followed an answer to another request was forwarded although the trailer of the first one had an invalid name, so that it is unclear where that one ends.

Cause: bodies that are skipped are read by the exchange itself, without the check of the trailer.

Change: the exchange checks the trailer of a skipped answer too.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -374,6 +374,9 @@
 		if n, err := io.Copy(io.Discard, io.LimitReader(p.Body, maxSkippedBodyBytes)); err != nil || n == maxSkippedBodyBytes {
 			return nil, errors.New("response belongs to another request")
 		}
+		if err := head.CheckTrailer(p.Trailer); err != nil {
+			return nil, err
+		}
 	}
 	return nil, errors.Errorf("no matching response among the first %d", maxResponses)
 }
