--- a/internal/entry/daemon/daemon.go
+++ b/internal/entry/daemon/daemon.go
@@ -51,8 +51,8 @@
 	clock   fleet.Clock
 	health  platform.Health
 	metrics *prometheus.Registry
-	// answers limits the memory of the responses of upstreams.
-	answers *buffer.Budget
+	// responses limits the memory of the responses of upstreams.
+	responses *buffer.Budget
 
 	credentials peer.Credentials
 	peers       *peer.Connections
--- a/internal/entry/daemon/decisions.go
+++ b/internal/entry/daemon/decisions.go
@@ -67,11 +67,11 @@
 	if err != nil {
 		return errors.Wrap(err, "create upstream roster")
 	}
-	d.answers = buffer.NewBudget(d.settings.Limits.WithDefaults().MemoryBytes)
-	d.metrics.MustRegister(d.answers)
+	d.responses = buffer.NewBudget(d.settings.Limits.WithDefaults().MemoryBytes)
+	d.metrics.MustRegister(d.responses)
 	c := &controllers{
 		roster:   r,
-		dialer:   engine.NewDialer(engine.WithMonitor(head.NewMonitor(d.metrics, d.base)), engine.WithBudget(d.answers)),
+		dialer:   engine.NewDialer(engine.WithMonitor(head.NewMonitor(d.metrics, d.base)), engine.WithBudget(d.responses)),
 		limiter:  share.New(d.settings.Instance.FleetSize),
 		governor: governor.New(maxClockError),
 	}
--- a/internal/entry/daemon/requests.go
+++ b/internal/entry/daemon/requests.go
@@ -50,7 +50,7 @@
 		caller.WithLimits(s.Limits),
 		caller.WithDeadlines(s.Requests.DefaultDeadline, s.Requests.MaxDeadline),
 		caller.WithObserver(newRequestMetrics(d.metrics).observe),
-		caller.WithBudget(d.answers),
+		caller.WithBudget(d.responses),
 	).Handler()
 	r.operators = operator.New(operator.Dependencies{
 		Documents:   d.state.register,
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -204,15 +204,8 @@
 		}
 		defer func() { q.pool.Admission.Done(q.possibleRuns > 0 || q.timing.events > 0) }()
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), q.deadline.Sub(h.clock.Now()))
+	ctx, cancel := q.withDeadline()
 	defer cancel()
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
-	defer context.AfterFunc(h.stop, func() {
-		if !q.started() {
-			stop(errStopping)
-		}
-	})()
 	q.setWriteDeadline()
 	q.pool.RetryBudget.Deposit()
 	if q.route.Type == release.Stream {
@@ -222,6 +215,22 @@
 	q.serveUnary(ctx)
 }
 
+// withDeadline returns the context of the request, which ends at its deadline, or when the
+// gateway stops and the client has no part of a response yet.
+func (q *request) withDeadline() (context.Context, context.CancelFunc) {
+	timed, cancelTimer := context.WithTimeout(q.r.Context(), q.deadline.Sub(q.clock.Now()))
+	ctx, cancel := context.WithCancelCause(timed)
+	unregister := context.AfterFunc(q.stop, func() {
+		if !q.started() {
+			cancel(errStopping)
+		}
+	})
+	return ctx, func() {
+		unregister()
+		cancelTimer()
+	}
+}
+
 // checkStop returns an error for a late request that might be cut off, or have an unknown
 // outcome, at the end of the grace period.
 func (q *request) checkStop() error {
@@ -543,8 +552,10 @@
 		q.refuse(q.lastErr)
 	case q.possibleRuns == 0:
 		q.refuse(refusal.WithCause(refusal.NoUpstream, q.lastErr, "no upstream accepted the request"))
+	case errors.Is(context.Cause(ctx), errStopping):
+		q.refuse(refusal.WithCause(refusal.Deadline, q.lastErr, "no response before the gateway stopped"))
 	case ctx.Err() != nil:
-		q.refuse(refusal.WithCause(refusal.Deadline, q.lastErr, "no response before the deadline or the end of the gateway"))
+		q.refuse(refusal.WithCause(refusal.Deadline, q.lastErr, "no response before the deadline"))
 	default:
 		q.refuse(refusal.WithCause(refusal.UpstreamFailed, q.lastErr, "no upstream returned a valid response"))
 	}
--- a/internal/upstream/head/monitor.go
+++ b/internal/upstream/head/monitor.go
@@ -8,8 +8,8 @@
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 )
 
-// Monitor counts and logs the invalid heads that a process receives. The zero value does
-// neither. It is safe for concurrent use.
+// Monitor counts and logs the invalid heads and trailers that a process receives. The zero
+// value does neither. It is safe for concurrent use.
 type Monitor struct {
 	faults *prometheus.CounterVec
 	log    *zap.Logger
