bilberryrockd: answer the requests that a stop would cut off

What callers saw: requests in progress whose upstreams did not respond were cut off at the stop timeout (two minutes by default) without a response, among them orders.

Cause: as at gateways, the stop waited for the requests until its time was over, and then closed their connections.

Change: 200 ms before the end the API ends the requests in progress, which get 504 "deadline". That kind does not say that the request was not run. An order goes on without its caller until the end, as at its deadline, and streams get their error event. Late requests were refused before.

The exit status stays 1, since the outcome of the order is not known.

--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -65,6 +65,9 @@
 	maxDeadline     time.Duration
 	observe         func(code string, duration time.Duration)
 	budget          *buffer.Budget
+	// stop is canceled to end the requests in progress.
+	stop       context.Context
+	cancelStop context.CancelFunc
 }
 
 // Option configures an API.
@@ -100,12 +103,17 @@
 		maxDeadline:     10 * time.Minute,
 		observe:         func(string, time.Duration) {},
 	}
+	a.stop, a.cancelStop = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(a)
 	}
 	return a
 }
 
+// EndRequests ends all requests in progress with an error. Orders go on without their
+// callers.
+func (a *API) EndRequests() { a.cancelStop() }
+
 // Handler returns the HTTP handler for all paths of the API.
 func (a *API) Handler() http.Handler {
 	r := chi.NewRouter()
--- a/internal/entry/caller/request.go
+++ b/internal/entry/caller/request.go
@@ -96,9 +96,25 @@
 	if err := a.readBody(w, r, q); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), q.deadline.Sub(a.deps.Clock.Now()))
-	defer cancel()
-	return h(w, r.WithContext(ctx), q)
+	timed, cancelTimer := context.WithTimeout(r.Context(), q.deadline.Sub(a.deps.Clock.Now()))
+	defer cancelTimer()
+	ctx, cancel := context.WithCancelCause(timed)
+	defer context.AfterFunc(a.stop, func() { cancel(errStopping) })()
+	return asStopError(ctx, h(w, r.WithContext(ctx), q))
+}
+
+// errStopping is the cause of the end of requests when the instance stops.
+var errStopping = errors.New("the instance stops")
+
+// asStopError returns an error of kind Deadline if err was caused by the end of the instance,
+// unless err says that the request was not run or the caller has its response. Otherwise it
+// returns err.
+func asStopError(ctx context.Context, err error) error {
+	var broken *brokenStreamError
+	if err == nil || !errors.Is(context.Cause(ctx), errStopping) || refusal.KindOf(err).Response().NotRun || errors.As(err, &broken) {
+		return err
+	}
+	return refusal.WithCause(refusal.Deadline, err, "the instance stopped before the response")
 }
 
 // authenticate sets the configuration and the client account of the API key.
--- a/internal/entry/daemon/requests.go
+++ b/internal/entry/daemon/requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -26,6 +27,7 @@
 type requests struct {
 	daemon    *Daemon
 	desk      *desk.Executor
+	api       *caller.API
 	callers   http.Handler
 	operators http.Handler
 	upstreams http.Handler
@@ -36,7 +38,7 @@
 	r := &requests{daemon: d, desk: desk.New(d.state.ledger, d.clock, d.settings.Instance.ID, d.base)}
 	d.requests = r
 	s := d.settings
-	r.callers = caller.New(caller.Dependencies{
+	r.api = caller.New(caller.Dependencies{
 		Instance: s.Instance.ID,
 		Config:   d.activeConfig,
 		Gate:     d.controllers.gate,
@@ -51,7 +53,8 @@
 		caller.WithDeadlines(s.Requests.DefaultDeadline, s.Requests.MaxDeadline),
 		caller.WithObserver(newRequestMetrics(d.metrics).observe),
 		caller.WithBudget(d.responses),
-	).Handler()
+	)
+	r.callers = r.api.Handler()
 	r.operators = operator.New(operator.Dependencies{
 		Documents:   d.state.register,
 		Finder:      r,
@@ -105,9 +108,25 @@
 	return nil
 }
 
-// drain refuses new requests and waits for those in progress.
+// responseReserve is the time before the end of a stop at which requests in progress get an
+// error.
+const responseReserve = 200 * time.Millisecond
+
+// drain refuses new requests and waits for those in progress. Shortly before ctx ends, it
+// ends them with an error, so that their callers get a response.
 func (r *requests) drain(ctx context.Context) error {
-	if err := r.daemon.controllers.gate.Close(ctx); err != nil {
+	gate := r.daemon.controllers.gate
+	wait, cancel := ctx, context.CancelFunc(func() {})
+	if end, ok := ctx.Deadline(); ok {
+		wait, cancel = context.WithDeadline(ctx, end.Add(-responseReserve))
+	}
+	defer cancel()
+	err := gate.Close(wait)
+	if err != nil {
+		r.api.EndRequests()
+		err = gate.Close(ctx)
+	}
+	if err != nil {
 		return errors.Wrap(err, "drain requests")
 	}
 	return errors.Wrap(r.desk.Close(ctx), "drain orders")
--- a/internal/trial/processes/daemon.go
+++ b/internal/trial/processes/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"net/http"
 	"os"
@@ -19,10 +20,15 @@
 	// Voter is the voter number. Zero means that the daemon is no voter and has no
 	// durable state.
 	Voter int
+	// StopTimeout is the greatest time of a graceful stop. Zero means 20 s.
+	StopTimeout time.Duration
 	// ExtraSettings is appended to the settings file.
 	ExtraSettings string
 }
 
+// defaultStopTimeout is the StopTimeout of a DaemonSpec that has none.
+const defaultStopTimeout = 20 * time.Second
+
 // Daemon is a bilberryrockd process.
 type Daemon struct {
 	*Process
@@ -64,8 +70,8 @@
 
 func (f *Fleet) settings(d *Daemon) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[instance]\nid = %s\ndataCentre = %s\nfleetSize = %d\ndrainDelay = 300ms\nstopTimeout = 20s\n",
-		d.Spec.ID, d.Spec.DataCentre, f.dataCentreSize(d.Spec.DataCentre))
+	fmt.Fprintf(&b, "[instance]\nid = %s\ndataCentre = %s\nfleetSize = %d\ndrainDelay = 300ms\nstopTimeout = %s\n",
+		d.Spec.ID, d.Spec.DataCentre, f.dataCentreSize(d.Spec.DataCentre), cmp.Or(d.Spec.StopTimeout, defaultStopTimeout))
 	if d.Spec.Voter != 0 {
 		fmt.Fprintf(&b, "dataFolder = %s\nvotes = true\n", d.DataFolder())
 	}
