--- a/internal/gateway/forward/answers_test.go
+++ b/internal/gateway/forward/answers_test.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/datadriven"
 )
 
-// TestAnswersOfUpstreamsInTrouble guards against answers that are no valid HTTP and reach a
+// TestInvalidAnswers guards against answers that are no valid HTTP and reach a
 // client, in part or framed as whole. The input of a case is the answer that the first
 // upstream writes before it closes the connection, with the escapes of Go; line ends are
 // written out. The next upstream gives a proper answer. Each case is run on all kinds of
@@ -23,7 +23,7 @@
 //	cuts    the outcomes if the answer ends after each number of bytes but the last
 //
 // The output is one of the outcomes below, or what the clients got instead.
-func TestAnswersOfUpstreamsInTrouble(t *testing.T) {
+func TestInvalidAnswers(t *testing.T) {
 	datadriven.Walk(t, "testdata/answers", func(t *testing.T, file string) {
 		datadriven.RunTest(t, file, func(t *testing.T, d *datadriven.TestData) string {
 			answer, err := strconv.Unquote(`"` + strings.ReplaceAll(strings.ReplaceAll(d.Input, `"`, `\"`), "\n", "") + `"`)
