bilberryrockd: give the error of an aborted response its kind

A response that was aborted for lack of memory right after its last byte ended a lookup with an error without a kind, so with 500 "internal" and no second attempt. It was found by reading; the window is some microseconds, and no test hits it. The error is now made where those of the transport are, upstreamFailed. The wait of a stop is written more simply.

--- a/internal/entry/daemon/requests.go
+++ b/internal/entry/daemon/requests.go
@@ -112,14 +112,12 @@
 // error.
 const responseReserve = 200 * time.Millisecond
 
-// drain refuses new requests and waits for those in progress. Shortly before ctx ends, it
-// ends them with an error, so that their callers get a response.
+// drain refuses new requests and waits for those in progress. Shortly before the deadline of
+// ctx, it ends them with an error, so that their callers get a response.
 func (r *requests) drain(ctx context.Context) error {
 	gate := r.daemon.controllers.gate
-	wait, cancel := ctx, context.CancelFunc(func() {})
-	if end, ok := ctx.Deadline(); ok {
-		wait, cancel = context.WithDeadline(ctx, end.Add(-responseReserve))
-	}
+	end, _ := ctx.Deadline()
+	wait, cancel := context.WithDeadline(ctx, end.Add(-responseReserve))
 	defer cancel()
 	err := gate.Close(wait)
 	if err != nil {
--- a/internal/upstream/engine/call.go
+++ b/internal/upstream/engine/call.go
@@ -34,17 +34,13 @@
 	defer cancel()
 	memory := p.dialer.budget.Open(cancel)
 	r, err := p.roundTrip(ctx, method, path, header, body, limit, memory)
-	if err == nil {
-		err = memory.OnAbort(func() {})
-	}
 	if err != nil {
 		memory.Release()
-		return response{}, err
 	}
-	return r, nil
+	return r, err
 }
 
-// roundTrip is send with the memory of the response.
+// roundTrip is send with the charge for the memory of the response.
 func (p *pool) roundTrip(ctx context.Context, method, path string, header http.Header, body []byte, limit int64, memory *buffer.Charge) (response, error) {
 	connected, reused := false, false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -68,6 +64,9 @@
 		return response{}, err
 	}
 	data, err := buffer.ReadAll(io.LimitReader(r.Body, limit+1), memory)
+	if err == nil {
+		err = memory.OnAbort(func() {}) // the response is complete
+	}
 	if err == nil {
 		err = head.CheckTrailer(r.Trailer)
 		p.dialer.monitor.Record(p.id, p.address, err)
