Test: cut answers with fewer ports, ignore requests of other tests

Two faults of TestInvalidAnswers/cuts, traced; the product is not concerned.

With a log line for requests with a foreign Host, 3 processes of the test beside the tests of the packages with gRPC failed in 2 of 60 planned runs: clients of gRPC of other tests ("PRI * HTTP/2.0") reconnect to a port that was theirs and is that of a test server now. The upstreams of the test gateway now close connections with a foreign Host and don't count them.

The test opened some 3,000 gateways with 7 servers each. The gateways now cut at every ninth byte and before the last one. Cuts at each byte move to TestResponseEndsEarly of package exchange, where an early end is found, with two more forms (trailers, interim answers).

--- a/internal/gateway/exchange/endless_test.go
+++ b/internal/gateway/exchange/endless_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -109,6 +110,52 @@
 	}
 }
 
+// Guards against a response that is taken as complete although its upstream closed the
+// connection inside of the head, the body or the chunks.
+func TestResponseEndsEarly(t *testing.T) {
+	var cut atomic.Pointer[string]
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, *cut.Load())
+			}
+			_ = c.Close()
+		}
+	}()
+	client, target := exchange.New(systemclock.Clock{}), exchange.Target{ID: "u1", Address: l.Addr().String()}
+	for _, whole := range []string{
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nId: 1\r\n\r\nbody",
+		"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", // any end after the head is that of the body
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA: 1\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nA: 1\r\n\r\nHTTP/1.1 204 No Content\r\nId: 1\r\n\r\n",
+		response("9", "late") + response("1", "body"),
+	} {
+		for n := range len(whole) + 1 {
+			text := whole[:n]
+			cut.Store(&text)
+			r := request("1")
+			r.DedicatedConn = true
+			x, err := client.Send(context.Background(), target, r)
+			if err == nil {
+				_, err = x.ReadBody(100)
+				x.Close()
+			}
+			if complete := n == len(whole); complete != (err == nil) {
+				t.Errorf("%q: error %v", text, err)
+			}
+		}
+	}
+}
+
 // Guards against a header limit that also counts the bytes of bodies, or of earlier
 // responses on the same connection.
 func TestHeaderLimitExcludesBodies(t *testing.T) {
--- a/internal/gateway/forward/answers_test.go
+++ b/internal/gateway/forward/answers_test.go
@@ -20,7 +20,7 @@
 // routes and as the continuation of a broken stream. Commands:
 //
 //	answer  the outcome on new and on reused connections
-//	cuts    the outcomes if the answer ends after each number of bytes but the last
+//	cuts    the outcomes if the answer ends early, at every cutStep bytes and before the last
 //
 // The output is one of the outcomes below, or what the clients got instead.
 func TestInvalidAnswers(t *testing.T) {
@@ -42,22 +42,31 @@
 	})
 }
 
-// outcomesOfCuts returns the outcomes for the beginnings of an answer, by the range of their
+// cutStep is the step between the lengths of the beginnings of an answer. Each gateway takes
+// ports that stay in use for a minute, so that other tests would run out of them if there
+// were one for each byte. TestResponseEndsEarly of package exchange cuts at each byte.
+const cutStep = 9
+
+// outcomesOfCuts returns the outcomes for beginnings of an answer, by the range of their
 // lengths.
 func outcomesOfCuts(t *testing.T, answer string) string {
+	var lengths []int
+	for n := 0; n < len(answer)-1; n += cutStep {
+		lengths = append(lengths, n)
+	}
+	lengths = append(lengths, len(answer)-1)
 	var out strings.Builder
-	last, from := "", 0
-	for n := range len(answer) {
+	last, from, to := "", 0, 0
+	for _, n := range lengths {
 		var o string
 		t.Run(strconv.Itoa(n), func(t *testing.T) { o = outcomeOf(t, answer[:n], false) })
-		if o != last {
-			if n > 0 {
-				fmt.Fprintf(&out, "%d to %d bytes: %s", from, n-1, last)
-			}
-			last, from = o, n
+		if o != last && last != "" {
+			fmt.Fprintf(&out, "%d to %d bytes: %s", from, to, last)
+			from = n
 		}
+		last, to = o, n
 	}
-	fmt.Fprintf(&out, "%d to %d bytes: %s", from, len(answer)-1, last)
+	fmt.Fprintf(&out, "%d to %d bytes: %s", from, to, last)
 	return out.String()
 }
 
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -256,6 +256,10 @@
 
 func (w *testGateway) upstreamHandler(b upstreamFunc) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.Host != "h" {
+			// A client of another test, whose server had this port before.
+			abort()
+		}
 		w.mu.Lock()
 		w.received = append(w.received, r.Header.Clone())
 		n := len(w.received)
