--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -5,7 +5,7 @@
 //	c, err := controller.New(settings, decoder, commander, clock, logger)
 //	err = c.Submit(ctx, content)
 //	content, err := c.Read(ctx)
-//	err = c.Heartbeat(entry)
+//	err = c.Heartbeat(ctx, entry)
 //	err = c.Stop(ctx)
 package controller
 
@@ -19,6 +19,7 @@
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
 	"github.com/bilberryrock/bilberryrock/internal/admission/quota"
+	"github.com/bilberryrock/bilberryrock/internal/controller/configgroup"
 	"github.com/bilberryrock/bilberryrock/internal/controller/tenure"
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
@@ -28,6 +29,7 @@
 	"github.com/bilberryrock/bilberryrock/internal/quorum/voter"
 	"github.com/bilberryrock/bilberryrock/internal/registry"
 	"github.com/bilberryrock/bilberryrock/internal/registry/catalog"
+	"github.com/bilberryrock/bilberryrock/internal/registry/departure"
 	"github.com/bilberryrock/bilberryrock/internal/registry/feed"
 	"github.com/bilberryrock/bilberryrock/internal/registry/usage"
 	"github.com/bilberryrock/bilberryrock/internal/release"
@@ -85,12 +87,14 @@
 	logger   *zap.Logger
 	store    *store.Store
 	catalog  *catalog.Catalog
-	voter    *voter.Voter
-	feed     *feed.Server
-	placer   *placer.Placer
-	server   *grpc.Server
-	cancel   context.CancelFunc
-	wait     sync.WaitGroup
+	// departures holds the departures of upstreams that a majority has stored.
+	departures *departure.Log
+	voter      *voter.Voter
+	feed       *feed.Server
+	placer     *placer.Placer
+	server     *grpc.Server
+	cancel     context.CancelFunc
+	wait       sync.WaitGroup
 
 	tenure *tenure.Tenure
 
@@ -111,6 +115,7 @@
 		dataCentres: make(map[string]fleet.DataCentreID),
 	}
 	c.catalog = catalog.New(clock, catalog.WithKnownPools(c.knowsPool))
+	c.departures = departure.New(c.mergeDeparture)
 	v, err := voter.New(c.voterOptions(l)...)
 	if err != nil {
 		return nil, err
@@ -167,7 +172,7 @@
 	s := c.settings
 	os := []voter.Option{
 		voter.Instance(s.Instance, s.Address), voter.Folder(s.Folder), voter.Clock(c.clock),
-		voter.Group(quorum.ConfigGroup, c.store), voter.DialOptions(s.DialOptions...), voter.Logger(l),
+		voter.Group(quorum.ConfigGroup, configgroup.New(c.store, c.departures)), voter.DialOptions(s.DialOptions...), voter.Logger(l),
 		voter.Contacts(contacts(s.Seeds)...), voter.AllowJoin(),
 	}
 	if s.FaultTolerance > 0 {
@@ -263,9 +268,10 @@
 	}
 }
 
-// Heartbeat processes a heartbeat of an upstream. An error of kind refusal.NotReady asks
-// the upstream to send it to another controller.
-func (c *Controller) Heartbeat(e registry.Entry) error {
+// Heartbeat processes a heartbeat of an upstream. If the upstream is leaving, a nil error
+// means that a majority has stored that. After an error the upstream should send the
+// heartbeat to another controller.
+func (c *Controller) Heartbeat(ctx context.Context, e registry.Entry) error {
 	e.LastHeartbeat = c.clock.Now()
 	if c.catalog.Put(e, true) {
 		c.logger.Info("Upstream changed.", zap.String("upstream", string(e.ID)), zap.Stringer("state", e.State),
@@ -275,15 +281,50 @@
 	if e.State == registry.Ready {
 		return nil
 	}
-	return c.checkMajority()
+	return c.recordDeparture(ctx, e)
 }
 
-// Leave removes an upstream that announces its shutdown. incarnation is 0 if it is
-// unknown.
-func (c *Controller) Leave(id fleet.UpstreamID, incarnation fleet.Incarnation) error {
-	known := c.catalog.Remove(id, incarnation)
-	c.logger.Info("Upstream left.", zap.String("upstream", string(id)), zap.Bool("known", known))
-	return c.checkMajority()
+// Leave removes an upstream that announces its shutdown. incarnation is 0 if the upstream
+// does not state it. A nil error means that a majority has stored the departure. After an
+// error the upstream should announce it to another controller.
+func (c *Controller) Leave(ctx context.Context, id fleet.UpstreamID, incarnation fleet.Incarnation) error {
+	e, known := c.catalog.Remove(id, incarnation)
+	if !known {
+		return refusal.New(refusal.NotReady, "upstream %.64q is not known here", id)
+	}
+	c.logger.Info("Upstream left.", zap.String("upstream", string(id)), zap.Uint64("born", uint64(e.Incarnation)),
+		zap.String("pool", string(e.Pool)))
+	return c.recordDeparture(ctx, e)
+}
+
+// recordDeparture has a majority store that an upstream is leaving or gone. An upstream
+// that announced its shutdown once may never repeat it, so neither the loss of this
+// controller nor a restart of all controllers may undo an acknowledgement.
+func (c *Controller) recordDeparture(ctx context.Context, e registry.Entry) error {
+	if e.Incarnation == 0 {
+		// The record could not be told from that of a later process with the same ID.
+		return c.checkMajority()
+	}
+	if c.departures.Contains(e) {
+		return nil
+	}
+	command, err := configgroup.DepartureCommand(e)
+	if err != nil {
+		return err
+	}
+	if _, err := c.voter.Propose(ctx, quorum.ConfigGroup, command); err != nil {
+		c.logger.Warn("Departure of an upstream is not known to be stored.", zap.String("upstream", string(e.ID)), zap.Error(err))
+		return err
+	}
+	return nil
+}
+
+// mergeDeparture merges a departure that a majority has stored into the catalog. It counts
+// as received here, so that the other controllers learn it even if the one that the
+// upstream had called is lost.
+func (c *Controller) mergeDeparture(e registry.Entry) {
+	e.LastHeartbeat = c.clock.Now()
+	c.catalog.Put(e, true)
 }
 
 // checkMajority returns an error of kind refusal.NotReady if this controller has lost
--- a/internal/registry/catalog/catalog.go
+++ b/internal/registry/catalog/catalog.go
@@ -168,20 +168,21 @@
 	return false
 }
 
-// Remove marks an upstream as gone. Incarnation 0 stands for the known one. Remove
-// reports whether the upstream was known.
-func (c *Catalog) Remove(id fleet.UpstreamID, incarnation fleet.Incarnation) bool {
-	c.mu.Lock()
-	old, ok := c.records[id]
-	c.mu.Unlock()
-	if !ok {
-		return false
+// Remove marks an incarnation of an upstream as gone and returns its entry, which names
+// only the incarnation if nothing else is known of it. Incarnation 0 stands for the known
+// one; Remove returns false if there is none.
+func (c *Catalog) Remove(id fleet.UpstreamID, incarnation fleet.Incarnation) (registry.Entry, bool) {
+	if known, ok := c.Get(id); ok && incarnation == 0 {
+		incarnation = known.Incarnation
+	} else if incarnation == 0 {
+		return registry.Entry{}, false
 	}
-	if incarnation == 0 {
-		incarnation = old.entry.Incarnation
+	gone := registry.Entry{ID: id, Incarnation: incarnation, State: registry.Gone, LastHeartbeat: c.clock.Now()}
+	c.Put(gone, true)
+	if e, ok := c.Get(id); ok && e.Incarnation == incarnation {
+		return e, true
 	}
-	c.Put(registry.Entry{ID: id, Incarnation: incarnation, State: registry.Gone, LastHeartbeat: c.clock.Now()}, true)
-	return true
+	return gone, true
 }
 
 // Changed returns a channel that is closed when an entry is added or its content
--- a/internal/registry/catalog/catalog_test.go
+++ b/internal/registry/catalog/catalog_test.go
@@ -41,7 +41,8 @@
 				if d.HasArg("born") {
 					d.ScanArgs(t, "born", &incarnation)
 				}
-				return fmt.Sprintf("known %t\n%s", c.Remove(fleet.UpstreamID(id), fleet.Incarnation(incarnation)), formatCatalog(c, clock))
+				_, known := c.Remove(fleet.UpstreamID(id), fleet.Incarnation(incarnation))
+				return fmt.Sprintf("known %t\n%s", known, formatCatalog(c, clock))
 			case "advance":
 				var s string
 				d.ScanArgs(t, "time", &s)
--- a/internal/registry/feed/client.go
+++ b/internal/registry/feed/client.go
@@ -309,7 +309,7 @@
 	}
 	now := c.clock.Now()
 	for _, e := range p.GetEntries() {
-		u.Entries = append(u.Entries, entryFromProto(e, now))
+		u.Entries = append(u.Entries, EntryFromProto(e, now))
 	}
 	for _, r := range p.GetSigns() {
 		u.Renewals = append(u.Renewals, renewalFromProto(r, now))
--- a/internal/registry/feed/codec.go
+++ b/internal/registry/feed/codec.go
@@ -82,7 +82,8 @@
 	return demands
 }
 
-func entryToProto(e registry.Entry, now time.Time) *peerv1.UpstreamEntry {
+// EntryToProto encodes an entry. The age of its last heartbeat is the time from it to now.
+func EntryToProto(e registry.Entry, now time.Time) *peerv1.UpstreamEntry {
 	return &peerv1.UpstreamEntry{
 		Id: string(e.ID), Born: uint64(e.Incarnation), Sequence: e.Sequence, Pool: string(e.Pool),
 		Address: e.Address, DataCentre: string(e.DataCentre), Slots: uint32(e.Slots),
@@ -93,7 +94,8 @@
 	}
 }
 
-func entryFromProto(p *peerv1.UpstreamEntry, now time.Time) registry.Entry {
+// EntryFromProto decodes an entry. Its last heartbeat is as long before now as its age says.
+func EntryFromProto(p *peerv1.UpstreamEntry, now time.Time) registry.Entry {
 	return registry.Entry{
 		ID: fleet.UpstreamID(p.GetId()), Incarnation: fleet.Incarnation(p.GetBorn()), Sequence: p.GetSequence(),
 		Pool: fleet.PoolID(p.GetPool()), Address: p.GetAddress(), DataCentre: fleet.DataCentreID(p.GetDataCentre()),
--- a/internal/registry/feed/server.go
+++ b/internal/registry/feed/server.go
@@ -266,7 +266,7 @@
 	*revision = n.Revision
 	now := s.clock.Now()
 	for _, e := range n.Entries {
-		u.Entries = append(u.Entries, entryToProto(e, now))
+		u.Entries = append(u.Entries, EntryToProto(e, now))
 	}
 	for _, r := range n.Renewals {
 		u.Signs = append(u.Signs, renewalToProto(r, now))
