--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -55,11 +56,7 @@
 		defer func() { _ = l.Close() }()
 		g.seeds = append(g.seeds, l.Addr().String())
 	}
-	t.Cleanup(func() {
-		for i := range g.members {
-			g.stop(i)
-		}
-	})
+	t.Cleanup(g.stopAll)
 	return g
 }
 
@@ -73,9 +70,7 @@
 		}
 		g.wasFormed = true
 	case "stopAll":
-		for i := range g.members {
-			g.stop(i)
-		}
+		g.stopAll()
 	case "start":
 		g.start(t, at-1)
 	case "loseFolder":
@@ -137,11 +132,15 @@
 	g.members[i] = c
 }
 
-func (g *group) stop(i int) {
-	if c := g.members[i]; c != nil {
-		_ = c.Stop(context.Background())
-		g.members[i] = nil
+func (g *group) stopAll() {
+	var stops sync.WaitGroup
+	for i, c := range g.members {
+		if c != nil {
+			stops.Go(func() { _ = c.Stop(context.Background()) })
+			g.members[i] = nil
+		}
 	}
+	stops.Wait()
 }
 
 // retry calls f until it succeeds.
--- a/internal/quorum/replica/membership.go
+++ b/internal/quorum/replica/membership.go
@@ -65,7 +65,7 @@
 	if t, _ := r.log.term(r.log.commit); t != r.term {
 		return 0, 0, ErrChangePending
 	}
-	if r.configs[len(r.configs)-1].index > r.log.commit {
+	if r.ChangePending() {
 		return 0, 0, ErrChangePending
 	}
 	vs, err := r.membersAfter(c)
@@ -147,7 +147,7 @@
 // resignIfRemoved ends the leadership once the removal of the leader itself is
 // committed.
 func (r *Replica) resignIfRemoved() {
-	if r.configs[len(r.configs)-1].index > r.log.commit {
+	if r.ChangePending() {
 		return
 	}
 	if v, ok := findMember(r.members(), r.options.ID); !ok || v.Learner {
--- a/internal/quorum/replica/replica.go
+++ b/internal/quorum/replica/replica.go
@@ -325,6 +325,11 @@
 // Term returns the current term.
 func (r *Replica) Term() quorum.Term { return r.term }
 
+// ChangePending reports whether the last membership change is not known to be committed.
+func (r *Replica) ChangePending() bool {
+	return r.configs[len(r.configs)-1].index > r.log.commit
+}
+
 // Voter returns the member with the given ID.
 func (r *Replica) Voter(id quorum.VoterID) (Voter, bool) {
 	return findMember(r.members(), id)
--- a/internal/quorum/voter/form.go
+++ b/internal/quorum/voter/form.go
@@ -24,6 +24,9 @@
 	// which a voter asks to join again, in case it was removed. Elections take less
 	// time. The request has no effect if the voter is still a member.
 	maxLeaderlessPolls = 8
+	// maxLeaveElections is the number of election timeouts for which a voter that stops
+	// tries to leave. Each attempt takes one of them at most.
+	maxLeaveElections = 6
 	// joinPollInterval is the pause between two checks of the own membership.
 	joinPollInterval = 300 * time.Millisecond
 )
@@ -169,8 +172,9 @@
 	if !v.identity.Replaced && !v.config.allowJoin {
 		return
 	}
-	leaderlessPolls := 0
-	for {
+	// A voter that left the group when it stopped does not know it. It asks at once.
+	leaderlessPolls := maxLeaderlessPolls
+	for !v.isStopping() {
 		s, err := g.status(v.ctx)
 		member := err == nil && slices.ContainsFunc(s.Voters, func(m replica.Voter) bool {
 			return m.ID == s.ID && !m.Learner
@@ -197,16 +201,75 @@
 	}
 }
 
-// requestJoin asks the known voters to add this voter to a group, and follows their
-// leader hints. It returns the last error if none of them did.
+func (v *Voter) isStopping() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.stopping
+}
+
+// requestJoin asks the leader to add this voter to a group.
 func (v *Voter) requestJoin(id quorum.GroupID) error {
-	var err error
+	r := &peerv1.JoinRequest{Group: string(id), Voter: voterToProto(v.transport.self)}
+	peers := slices.Concat(v.config.initial, v.config.contacts, v.knownPeers())
+	return v.askLeader(v.ctx, peers, v.config.attemptTimeout, func(ctx context.Context, c peerv1.PeerClient) (*peerv1.Refusal, error) {
+		reply, err := c.Join(ctx, r)
+		return reply.GetRefusal(), err
+	})
+}
+
+// leave asks the leader to remove this voter from a group, until it did or the group needs
+// the voter, and reports whether the voter was removed. It gives up after
+// maxLeaveElections election timeouts, or when ctx ends.
+func (v *Voter) leave(ctx context.Context, g *group) bool {
+	electionTimeout := time.Duration(v.config.replicaOptions.ElectionTicks) * v.config.tickInterval
+	ctx, cancel := context.WithTimeout(ctx, maxLeaveElections*electionTimeout)
+	defer cancel()
+	r := &peerv1.LeaveRequest{Group: string(g.id), Voter: uint64(v.identity.Voter)}
+	for ctx.Err() == nil {
+		err := v.askLeader(ctx, v.otherMembers(ctx, g), electionTimeout, func(ctx context.Context, c peerv1.PeerClient) (*peerv1.Refusal, error) {
+			reply, err := c.Leave(ctx, r)
+			return reply.GetRefusal(), err
+		})
+		if err == nil || refusal.KindOf(err) == refusal.Conflict {
+			return err == nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-v.config.clock.After(v.config.tickInterval):
+		}
+	}
+	return false
+}
+
+// otherMembers returns the other members of a group, the leader first if it is known.
+func (v *Voter) otherMembers(ctx context.Context, g *group) []Peer {
+	s, err := g.status(ctx)
+	if err != nil {
+		return nil
+	}
+	var ps []Peer
+	for _, m := range s.Voters {
+		p := Peer{ID: m.ID, Instance: m.Instance, Address: m.Address}
+		if m.ID == s.Leader {
+			ps = slices.Insert(ps, 0, p)
+		} else {
+			ps = append(ps, p)
+		}
+	}
+	return ps
+}
+
+// askLeader sends a request to voters, following their leader hints, until one of them
+// accepts it or refuses it as the leader. timeout limits each attempt. It returns the last
+// error.
+func (v *Voter) askLeader(ctx context.Context, peers []Peer, timeout time.Duration, call peerCall) error {
+	err := error(refusal.New(refusal.NotReady, "no voter is known"))
 	asked := make(map[string]bool)
-	for _, p := range slices.Concat(v.config.initial, v.config.contacts, v.knownPeers()) {
+	for _, p := range peers {
 		for p.Address != "" && p.Instance != v.config.instance && !asked[p.Address] {
 			asked[p.Address] = true
-			if err = v.requestJoinAt(p, id); err == nil {
-				return nil
+			if err = v.callPeer(ctx, p, timeout, call); err == nil || refusal.KindOf(err) == refusal.Conflict {
+				return err
 			}
 			var hint *leaderHint
 			if !errors.As(err, &hint) {
@@ -218,23 +281,24 @@
 	return err
 }
 
-func (v *Voter) requestJoinAt(p Peer, id quorum.GroupID) error {
+// peerCall calls a method of another daemon.
+type peerCall func(ctx context.Context, c peerv1.PeerClient) (*peerv1.Refusal, error)
+
+func (v *Voter) callPeer(ctx context.Context, p Peer, timeout time.Duration, call peerCall) error {
 	if v.config.cut(v.config.instance, p.Instance) || v.config.cut(p.Instance, v.config.instance) {
 		return errors.New("link is cut")
 	}
-	ctx, cancel := context.WithTimeout(v.ctx, v.config.attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := v.conns.ready(ctx, p.Address)
 	if err != nil {
 		return err
 	}
-	r, err := peerv1.NewPeerClient(conn).Join(ctx, &peerv1.JoinRequest{
-		Group: string(id), Voter: voterToProto(v.transport.self),
-	})
+	r, err := call(ctx, peerv1.NewPeerClient(conn))
 	if err != nil {
 		return err
 	}
-	return refusalFromProto(r.GetRefusal())
+	return refusalFromProto(r)
 }
 
 // sleep waits for d and reports whether the voter still runs.
--- a/internal/quorum/voter/member.go
+++ b/internal/quorum/voter/member.go
@@ -453,13 +453,7 @@
 // Without the removal, an instance that left for good after its successor had joined
 // would count towards the majority for ever. A removed member that returns joins again.
 func (m *member) nextRemoval(ps []replica.Progress) (replica.Change, bool) {
-	voters := 0
-	for _, p := range ps {
-		if !p.Voter.Learner {
-			voters++
-		}
-	}
-	shrink := canShrink(voters, m.faultTolerance)
+	shrink := m.canShrink()
 	var absent replica.Voter
 	for _, p := range ps {
 		n := m.absentRounds[p.Voter.ID]
@@ -470,12 +464,17 @@
 	return replica.Change{Kind: replica.Remove, Voter: absent}, absent.ID != 0
 }
 
-// canShrink reports whether a group of the given number of voters may lose one of them for
-// good: the others survive either faultTolerance further losses or as many as before. A
-// group keeps at least two voters.
-func canShrink(voters, faultTolerance int) bool {
+// canShrink reports whether the group may lose a voter for good: the others survive either
+// faultTolerance further losses or as many as before. A group keeps at least two voters.
+func (m *member) canShrink() bool {
+	voters := 0
+	for _, v := range m.replica.Status().Voters {
+		if !v.Learner {
+			voters++
+		}
+	}
 	before, after := (voters-1)/2, (voters-2)/2
-	return voters > 2 && after >= min(before, faultTolerance)
+	return voters > 2 && after >= min(before, m.faultTolerance)
 }
 
 // hasSuccessor reports whether a member in later runs on the instance of v.
@@ -512,6 +511,35 @@
 	m.change(replica.Change{Kind: replica.AddLearner, Voter: v}, d)
 }
 
+// leave removes a voter that is about to stop. Until then it counts towards the majority,
+// and if it never returns, it would do so until nextRemoval finds it absent. The error has
+// the kind refusal.Conflict if the group needs the voter, and d is called without an error
+// only once the removal is committed. A majority confirms the leadership first: a former
+// leader may have an old list of members.
+func (m *member) leave(id quorum.VoterID, d doneFunc) {
+	m.read(nil, func(_ []byte, err error) {
+		if err != nil {
+			d(nil, err)
+			return
+		}
+		m.removeStopping(id, d)
+	})
+}
+
+func (m *member) removeStopping(id quorum.VoterID, d doneFunc) {
+	v, ok := m.replica.Voter(id)
+	switch {
+	case !ok && m.replica.ChangePending():
+		d(nil, m.rejected(replica.ErrChangePending))
+	case !ok:
+		d(nil, nil)
+	case !v.Learner && !m.canShrink():
+		d(nil, refusal.New(refusal.Conflict, "group %q needs voter %d", m.group, id))
+	default:
+		m.change(replica.Change{Kind: replica.Remove, Voter: v}, d)
+	}
+}
+
 // predecessor returns the voter of an instance whose data folder was lost. If its
 // successor was lost as well before it was promoted, the result is still the
 // original voter.
--- a/internal/quorum/voter/options.go
+++ b/internal/quorum/voter/options.go
@@ -97,13 +97,14 @@
 // reachable.
 func Contacts(ps ...Peer) Option { return func(c *config) { c.contacts = ps } }
 
-// AllowJoin lets instances without a voter join the groups as additional voters. The
-// leader removes members that stay unreachable, see FaultTolerance.
+// AllowJoin lets instances without a voter join the groups as additional voters. Members
+// leave when they stop, and the leader removes those that stay unreachable, see
+// FaultTolerance.
 func AllowJoin() Option { return func(c *config) { c.allowJoin = true } }
 
 // FaultTolerance sets the number of voters whose simultaneous loss a group must
-// survive. With AllowJoin, the leader removes a voter that stays unreachable if the
-// group can survive as many losses without it. The default is DefaultFaultTolerance.
+// survive. With AllowJoin, the leader removes a voter that stops or stays unreachable if
+// the group can survive as many losses without it. The default is DefaultFaultTolerance.
 func FaultTolerance(n int) Option { return func(c *config) { c.faultTolerance = n } }
 
 // Group adds a group and its state machine.
--- a/internal/quorum/voter/schedule_test.go
+++ b/internal/quorum/voter/schedule_test.go
@@ -40,8 +40,10 @@
 
 // TestMembershipSchedules guards against groups that keep members which left for good,
 // or that never accept a new instance as a voter: beside the faults of TestSchedules,
-// instances arrive with empty disks and leave for good. Afterwards the group must
-// consist of the remaining instances.
+// instances arrive with empty disks and leave for good, abruptly or by a planned stop.
+// Others stop as planned and start again. Afterwards the group must consist of the
+// remaining instances. A planned stop is no loss: whatever else is lost beside it, the rest
+// must keep a majority.
 func TestMembershipSchedules(t *testing.T) {
 	total := make(map[string]int)
 	for k := range *schedules {
@@ -55,7 +57,7 @@
 		}
 	}
 	t.Log(total)
-	is.New(t).True(total["arrived"] > 0 && total["departed"] > 0)
+	is.New(t).True(total["arrived"] > 0 && total["departed"] > 0 && total["stopped"] > 0 && total["restarted"] > 0)
 }
 
 // TestScheduleRepeats guards against sources of randomness other than the seed: a
@@ -114,8 +116,13 @@
 	}
 	sim.faultRate = []int{2, 8, 25}[sim.random.IntN(3)]
 	for i := 0; i < steps && sim.violation == nil; i++ {
+		sim.endLeft(n)
 		p := sim.peers[sim.random.IntN(len(sim.peers))]
 		switch k := sim.random.IntN(1000); {
+		case k >= 970 && p.running() && !p.mayLeave && sim.canLose(p):
+			if at := sim.leader(); at != nil && at != p {
+				p.stopOnceLeft(at)
+			}
 		case k == 0 && len(sim.peers) < n+3:
 			sim.counts["arrived"]++
 			sim.addPeer()
@@ -130,6 +137,7 @@
 			sim.step(p, fmt.Sprintf("command %d", i))
 		}
 	}
+	sim.endLeft(n)
 	if sim.violation == nil {
 		sim.violation = sim.healAndConverge()
 	}
--- a/internal/quorum/voter/script_test.go
+++ b/internal/quorum/voter/script_test.go
@@ -77,6 +77,8 @@
 		s.remove(p, to)
 	case "vote":
 		s.vote(p, to)
+	case "stop":
+		s.stop(p)
 	default:
 		s.runFault(t, d, p)
 	}
@@ -176,6 +178,17 @@
 	s.drain()
 }
 
+// stop stops a voter as Voter.Stop does: it leaves the group first if it can.
+func (s *script) stop(p *simPeer) {
+	for _, at := range s.peers {
+		if at != p && at.running() && at.member.replica.Leader() == at.id {
+			p.leave(at, func(err error) { s.printf("leave: %s", outcomeCode(err)) })
+			s.drain()
+		}
+	}
+	p.kill(false)
+}
+
 // vote sends p a vote request in term 9 and prints the reply.
 func (s *script) vote(p, candidate *simPeer) {
 	p.member.step(replica.Message{
--- a/internal/quorum/voter/service.go
+++ b/internal/quorum/voter/service.go
@@ -85,6 +85,15 @@
 	return &peerv1.JoinReply{Refusal: refusalToProto(err)}, nil
 }
 
+// Leave removes a voter that is about to stop from a group, unless the group needs it.
+func (s *Service) Leave(ctx context.Context, r *peerv1.LeaveRequest) (*peerv1.LeaveReply, error) {
+	g, err := s.voter.group(quorum.GroupID(r.GetGroup()))
+	if err == nil {
+		_, err = g.do(ctx, func(m *member, d doneFunc) { m.leave(quorum.VoterID(r.GetVoter()), d) })
+	}
+	return &peerv1.LeaveReply{Refusal: refusalToProto(err)}, nil
+}
+
 // deliver passes the messages of a batch to their groups.
 func (v *Voter) deliver(b *peerv1.ConsensusBatch) {
 	v.recordVoter(voterFromProto(b.GetSender()))
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -379,7 +379,9 @@
 
 // Stop transfers the leadership of all groups to other voters, stops the replicas
 // and closes the journals. It waits for the transfers until ctx ends, but no longer
-// than two election timeouts.
+// than two election timeouts. With AllowJoin, a voter without which a group survives as
+// many losses leaves it before, see FaultTolerance: it need not return. The group no longer
+// counts it once Stop has returned, unless no leader answered in time.
 func (v *Voter) Stop(ctx context.Context) error {
 	v.mu.Lock()
 	if v.stopping {
@@ -391,7 +393,13 @@
 	v.mu.Unlock()
 	var transfers sync.WaitGroup
 	for _, g := range groups {
-		transfers.Go(func() { g.transferLeadership(ctx) })
+		transfers.Go(func() {
+			g.transferLeadership(ctx)
+			if v.config.allowJoin {
+				left := v.leave(ctx, g)
+				v.config.logger.Info("The voter stops.", zap.String("group", string(g.id)), zap.Bool("left", left))
+			}
+		})
 	}
 	transfers.Wait()
 	v.cancel()
--- a/internal/quorum/voter/voter_test.go
+++ b/internal/quorum/voter/voter_test.go
@@ -74,6 +74,7 @@
 	instances []*testInstance
 	// machine returns a new state machine.
 	machine func() quorum.QueryableStateMachine
+	options []Option
 	cut     atomic.Pointer[map[[2]fleet.InstanceID]bool]
 }
 
@@ -108,11 +109,11 @@
 func (tc *testCluster) start(i int) {
 	inst := tc.instances[i]
 	var err error
-	inst.voter, err = New(
+	inst.voter, err = New(append([]Option{
 		Instance(tc.peers[i].Instance, tc.peers[i].Address), Folder(tc.folder(i)), InitialVoters(tc.peers...),
-		Group(quorum.ConfigGroup, tc.machine()), TickInterval(10*time.Millisecond), SnapshotEntries(50, 10),
+		Group(quorum.ConfigGroup, tc.machine()), TickInterval(10 * time.Millisecond), SnapshotEntries(50, 10),
 		Cut(func(from, to fleet.InstanceID) bool { return (*tc.cut.Load())[[2]fleet.InstanceID{from, to}] }),
-	)
+	}, tc.options...)...)
 	tc.is.NoErr(err)
 	if inst.listener == nil {
 		inst.listener, err = net.Listen("tcp", tc.peers[i].Address)
@@ -180,6 +181,49 @@
 	tc.is.Equal(len(problems), 0)
 }
 
+// TestStopLeaves guards against a voter that still counts towards the majority after a
+// planned stop, the leader included, and against one that stays out after its restart.
+func TestStopLeaves(t *testing.T) {
+	tc := newTestCluster(t, 4)
+	tc.options = []Option{AllowJoin()}
+	for i := range 4 {
+		tc.start(i)
+	}
+	for i := range 4 {
+		voter := tc.instances[i].voter
+		tc.propose(voter, fmt.Sprint("before ", i))
+		tc.stop(i)
+		tc.is.Equal(tc.voters((i+1)%4), 3) // on the leader, at once
+		tc.start(i)
+		for tc.voters(i) < 4 {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	tc.stop(0)
+	tc.stop(1) // A group of three needs its voters.
+	tc.is.Equal(tc.voters(2), 3)
+	tc.propose(tc.instances[2].voter, "with two of three")
+}
+
+// voters returns the number of voters as the leader knows them. Instance i must run.
+func (tc *testCluster) voters(i int) int {
+	for {
+		for _, inst := range tc.instances {
+			if inst.voter == nil {
+				continue
+			}
+			for _, s := range inst.voter.Status(context.Background()) {
+				if s.Role == "leader" {
+					return len(slices.DeleteFunc(s.Members, func(m MemberStatus) bool { return m.Learner }))
+				}
+			}
+		}
+		// Read waits for a leader.
+		_, err := tc.instances[i].voter.Read(context.Background(), quorum.ConfigGroup, nil)
+		tc.is.NoErr(err)
+	}
+}
+
 // TestLeadOnlyOnLeader guards against a replica that mistakes the leadership of
 // another one for its own: only the replica of the leader answers Lead.
 func TestLeadOnlyOnLeader(t *testing.T) {
--- a/internal/quorum/voter/world_test.go
+++ b/internal/quorum/voter/world_test.go
@@ -69,6 +69,8 @@
 	machine         hashChain
 	snapshotWork    func() func() // stores a snapshot, not run yet
 	pendingFinishes []func()      // of snapshotWork, not called yet
+	left            bool          // it left the group in a planned stop
+	mayLeave        bool          // its removal was asked for and may be in the log
 }
 
 // entryID identifies an entry of the log.
@@ -435,6 +437,7 @@
 	p.disk = quorumtest.NewDisk()
 	p.sim.nextID++
 	p.id, p.initialMember, p.syncsIgnored, p.term, p.syncedState, p.voters = p.sim.nextID, false, false, 0, durableState{}, nil
+	p.left, p.mayLeave = false, false
 	p.restart()
 }
 
@@ -459,16 +462,53 @@
 	at.flush()
 }
 
+// leave asks the member of another peer to remove this voter, as a voter does that stops.
+func (p *simPeer) leave(at *simPeer, done func(err error)) {
+	at.member.leave(p.id, func(_ []byte, err error) { done(err) })
+	at.flush()
+}
+
+// stopOnceLeft asks the member of another peer to remove this voter. If it does, endLeft
+// ends the process, unless it ended before.
+func (p *simPeer) stopOnceLeft(at *simPeer) {
+	asking := p.member
+	p.mayLeave = true
+	p.leave(at, func(err error) {
+		if p.member == asking {
+			p.left = err == nil
+			p.mayLeave = err == nil || refusal.KindOf(err) == refusal.OutcomeUnknown
+		}
+	})
+}
+
+// endLeft ends the processes of the peers that left the group. They stop for good if more
+// than n peers are left, and start again otherwise.
+func (sim *simulation) endLeft(n int) {
+	for _, p := range slices.Clone(sim.peers) {
+		switch {
+		case !p.left:
+		case len(sim.peers) > n:
+			sim.counts["stopped"]++
+			sim.removePeer(p)
+		default:
+			sim.counts["restarted"]++
+			p.left = false
+			p.kill(false)
+			p.restart()
+		}
+	}
+}
+
 // canLose reports whether each list of members that some peer has keeps a majority
-// of working voters without the given peer. One lost learner counts as a voter: the
-// leader may promote it before it detects the loss, and no leader survives the loss
-// of a majority within one election timeout.
+// of working voters without the given peer and those that may leave. One lost learner
+// counts as a voter: the leader may promote it before it detects the loss, and no leader
+// survives the loss of a majority within one election timeout.
 func (sim *simulation) canLose(lost *simPeer) bool {
 	for _, p := range sim.peers {
 		alive, voters, deadLearners := 0, 0, 0
 		for _, v := range p.voters {
 			o := sim.peerByID(v.ID)
-			runs := o != nil && o != lost && !o.syncsIgnored
+			runs := o != nil && o != lost && !o.syncsIgnored && !o.mayLeave
 			if v.Learner {
 				deadLearners += boolToInt(!runs)
 				continue
