--- a/internal/quorum/voter/service.go
+++ b/internal/quorum/voter/service.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	peerv1 "github.com/bilberryrock/bilberryrock/api/peer/v1"
+	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
 	"github.com/bilberryrock/bilberryrock/internal/quorum/journal"
 	"github.com/bilberryrock/bilberryrock/internal/quorum/replica"
@@ -85,10 +86,11 @@
 	return &peerv1.JoinReply{Refusal: refusalToProto(err)}, nil
 }
 
-// Leave removes a voter that is about to stop from a group, unless the group needs it.
+// Leave removes a voter that is about to stop from a group, unless the group needs it. A
+// leader that is stopping itself answers too, since all voters may stop at once.
 func (s *Service) Leave(ctx context.Context, r *peerv1.LeaveRequest) (*peerv1.LeaveReply, error) {
-	g, err := s.voter.group(quorum.GroupID(r.GetGroup()))
-	if err == nil {
+	err := error(refusal.New(refusal.NotReady, "group %q does not run here", r.GetGroup()))
+	if g, ok := s.voter.runningGroup(quorum.GroupID(r.GetGroup())); ok {
 		_, err = g.do(ctx, func(m *member, d doneFunc) { m.leave(quorum.VoterID(r.GetVoter()), d) })
 	}
 	return &peerv1.LeaveReply{Refusal: refusalToProto(err)}, nil
