--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -137,6 +137,18 @@
 	return errors.As(err, &x) && x.ConnectFailed
 }
 
+// Unreachable reports whether an attempt failed because the upstream's host refused a
+// connection or could not be reached. A connection that is reset while it is opened says
+// nothing of the upstream's process.
+func Unreachable(err error) bool {
+	if !ConnectFailed(err) || errors.Is(err, context.Canceled) {
+		return false
+	}
+	var n net.Error
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH) ||
+		errors.As(err, &n) && n.Timeout()
+}
+
 // ConnectionLost reports whether an attempt failed because the upstream closed or reset
 // the connection.
 func ConnectionLost(err error) bool {
--- a/internal/gateway/forward/destination.go
+++ b/internal/gateway/forward/destination.go
@@ -99,15 +99,16 @@
 	return path.Constraints{Continues: continues, Size: p.Size(q.headers.PromptTokens, q.headers.MaxAnswerTokens)}
 }
 
-// choosePath selects a path that avoids the first engine of the path that broke last.
-// Once the stream may have run at as many first engines as the route allows, the path
-// begins at one of them. If there is no such path, any path is allowed, because those
-// engines may be lost.
+// choosePath selects a path that avoids the first engine of the path that broke last, if
+// there is another. Once the stream may have run at as many first engines as the route
+// allows, not counting those that are lost, the path begins at one of them. They are then
+// used even while they are excluded because of failures.
 func (q *request) choosePath(p *path.Planner, continues bool) ([]path.Hop, error) {
 	unrestricted := q.unrestricted(p, continues)
 	l := unrestricted
-	if q.reachedMaxUpstreams() {
-		l.First = q.ranAt
+	limited := false
+	if live := p.Live(q.ranAt); len(live) >= q.maxUpstreams() {
+		l.First, limited = live, true
 	} else {
 		l.Avoid = q.avoid
 	}
@@ -121,7 +122,12 @@
 	if err == nil {
 		return hops, nil
 	}
-	if len(l.First) > 0 || len(l.Avoid) > 0 || refusal.KindOf(err) != refusal.Overloaded {
+	if limited {
+		l.FirstExcluded = true
+		hops, err = p.Choose(l)
+		return hops, q.withRetryAfter(err)
+	}
+	if len(l.Avoid) > 0 || refusal.KindOf(err) != refusal.Overloaded {
 		unrestricted.Exclude = excludeBlocked
 		hops, err = p.Choose(unrestricted)
 	}
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -486,6 +487,47 @@
 	is.Equal(len(ports), 2)
 }
 
+// Guards against runs at more engines than the route allows when the first ones are only
+// excluded because of failures, and against streams that are aborted although one of them is
+// lost.
+func TestStreamRunsAtFurtherEngineOnlyAfterLoss(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		is := is.New(t)
+		var w *testGateway
+		var ids []string
+		w = newTestGateway(t, 4, func(n int, rw http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get("Engines")
+			if !slices.Contains(ids, id) {
+				ids = append(ids, id)
+			}
+			writeEvents(rw, n, n)
+			if n == 4 {
+				return
+			}
+			address := r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()
+			p, _ := w.state.Pool("model")
+			p.Planner.MarkFailed(address)
+			if lost && n == 2 {
+				for _, s := range w.upstreams {
+					if s.Listener.Addr().String() == address {
+						_ = s.Listener.Close()
+					}
+				}
+			}
+			abort()
+		})
+		_, _, body, complete := w.post(t, "/stream/", "k1")
+		is.True(complete)
+		is.Equal(strings.Count(body, "data:"), 4)
+		want := 2
+		if lost {
+			want = 3
+		}
+		is.True(len(ids) <= want)
+		is.True(lost || len(ids) == 2)
+	}
+}
+
 // Guards against a broken stream that is aborted although the retry budget allows
 // another run a moment later.
 func TestBrokenStreamWaitsForRetryBudget(t *testing.T) {
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -170,7 +170,6 @@
 	w := s.watch(ctx, cancel, t)
 	defer w.stop()
 	finished, res, err := s.forward(ctx, t, w)
-	refused := exchange.ConnectFailed(err)
 	s.reachedUpstream = s.reachedUpstream || !exchange.Unsent(err)
 	t.end(err == nil && res == answered, err)
 	if err == nil {
@@ -186,8 +185,8 @@
 	if res == unknownOutcome && t.hops != nil && context.Cause(ctx) == nil {
 		s.avoid = []fleet.UpstreamID{t.target.ID}
 	}
-	if refused {
-		s.markFailed(t.target.Address)
+	if exchange.ConnectFailed(err) {
+		s.markConnectFailed(t.target.Address, err)
 	}
 	if res == unknownOutcome && s.received < minProgressEvents && ctx.Err() == nil {
 		s.recordCrash(ctx, t.target, t.engine, err)
@@ -408,6 +407,15 @@
 	}
 }
 
+// markConnectFailed excludes the engine at an address after an exchange with it failed with
+// err, and records whether it is unreachable.
+func (s *relay) markConnectFailed(address string, err error) {
+	s.markFailed(address)
+	if s.pool.Planner != nil && exchange.Unreachable(err) {
+		s.pool.Planner.MarkUnreachable(address)
+	}
+}
+
 // watcher detects that a stream makes no progress and looks for the cause.
 type watcher struct {
 	relay  *relay
@@ -471,7 +479,7 @@
 		return
 	}
 	if err != nil {
-		s.markFailed(first)
+		s.markConnectFailed(first, err)
 		if w.allowFailover() {
 			w.cancel(errors.Wrapf(err, "engine at %s did not report its state", first))
 			return
--- a/internal/gateway/path/health.go
+++ b/internal/gateway/path/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
@@ -69,6 +70,46 @@
 	}
 }
 
+// MarkUnreachable records that the engine at an address refuses connections or cannot be
+// reached.
+func (p *Planner) MarkUnreachable(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.engines {
+		if e.entry.Address == address {
+			e.unreachableAt = p.clock.Now()
+		}
+	}
+}
+
+// Live returns those of some engines that are not known to be lost. An engine that is only
+// excluded or full is alive: it may still run what was sent to it.
+func (p *Planner) Live(ids []fleet.UpstreamID) []fleet.UpstreamID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	return slices.DeleteFunc(slices.Clone(ids), func(id fleet.UpstreamID) bool {
+		if e := p.byID[id]; e != nil {
+			return p.lost(e, now)
+		}
+		lastHeartbeat, ok := p.idle[id]
+		return !ok || now.Sub(lastHeartbeat) > p.heartbeatTimeout
+	})
+}
+
+// lost reports whether an engine has ended or is cut off, as far as this gateway knows: it
+// has shown no sign of life recently, or none since no connection to it could be opened.
+func (p *Planner) lost(e *engine, now time.Time) bool {
+	unreachable := e.unreachableAt.After(e.entry.LastHeartbeat) && e.unreachableAt.After(e.lastOwnProgress)
+	return unreachable || p.stale(e, now)
+}
+
+// allowsExcluded reports whether the constraints allow an engine that is excluded. Engines
+// that have just refused a request for lack of memory would do so again.
+func (p *Planner) allowsExcluded(l Constraints, e *engine, now time.Time) bool {
+	return l.FirstExcluded && slices.Contains(l.First, e.entry.ID) && !p.lost(e, now) && now.Sub(e.lastOwnRefusal) >= refusalExclusion
+}
+
 // exclude keeps an engine from being chosen, for longer with each consecutive failure.
 func (p *Planner) exclude(e *engine, now time.Time) {
 	d := time.Duration(float64(minExclusion) * math.Pow(2, float64(e.failures)))
--- a/internal/gateway/path/path.go
+++ b/internal/gateway/path/path.go
@@ -109,8 +109,10 @@
 	model           *release.Engine
 	engines         []*engine
 	byID            map[fleet.UpstreamID]*engine
-	layerBounds     []int     // layers at which the range of an engine begins or ends
-	sumsTime        time.Time // time of the newest sums
+	// idle holds the last heartbeats of engines without layers of the model.
+	idle        map[fleet.UpstreamID]time.Time
+	layerBounds []int     // layers at which the range of an engine begins or ends
+	sumsTime    time.Time // time of the newest sums
 	// arrivals is the number of requests since sumsTime, and arrivalRate the moving
 	// average of requests per second.
 	arrivals    int
@@ -140,6 +142,7 @@
 	lastOwnProgress time.Time // last progress of a request of this gateway
 	lastProgress    time.Time // last sums in which requests of some gateway made progress
 	excludedUntil   time.Time
+	unreachableAt   time.Time // last time at which no connection to it could be opened
 	refusedUntil    time.Time // end of the exclusion for a refusal, under admission control
 	lastOwnRefusal  time.Time // last refusal of this gateway for lack of memory
 	lastRefusal     time.Time // last sums with a refusal of some gateway
@@ -171,10 +174,12 @@
 	p.sharingGateways = max(1, float64(gateways)/float64(max(1, countDataCentres(es))))
 	old := p.byID
 	p.model, p.engines, p.byID = m, nil, make(map[fleet.UpstreamID]*engine, len(es))
+	p.idle = make(map[fleet.UpstreamID]time.Time)
 	bounds := []int{0, m.Layers}
 	for _, e := range es {
 		c, ok := m.Cards[e.Card]
 		if !ok || e.Layers.Len() == 0 || int(e.Layers.To) > m.Layers {
+			p.idle[e.ID] = e.LastHeartbeat
 			continue
 		}
 		k := old[e.ID]
@@ -240,6 +245,9 @@
 	// First lists the engines that the path may begin at. If empty, any engine may be
 	// the first.
 	First []fleet.UpstreamID
+	// FirstExcluded allows the engines in First while they are excluded because of a
+	// failure, unless they are lost.
+	FirstExcluded bool
 	// Exclude, if not nil, reports whether an engine must not be used. It is called only
 	// for engines that are usable otherwise, and must not call the Planner. It may be called
 	// several times for an engine, and must then give the same answer. An excluded engine
@@ -311,8 +319,12 @@
 
 // available reports whether an engine is neither lost nor excluded.
 func (p *Planner) available(e *engine, now time.Time) bool {
-	stale := now.Sub(e.entry.LastHeartbeat) > p.heartbeatTimeout && now.Sub(e.lastProgress) > maxProgressAge && now.Sub(e.lastOwnProgress) > maxProgressAge
-	return !stale && !now.Before(e.excludedUntil)
+	return !p.stale(e, now) && !now.Before(e.excludedUntil)
+}
+
+// stale reports whether an engine has shown no sign of life recently.
+func (p *Planner) stale(e *engine, now time.Time) bool {
+	return now.Sub(e.entry.LastHeartbeat) > p.heartbeatTimeout && now.Sub(e.lastProgress) > maxProgressAge && now.Sub(e.lastOwnProgress) > maxProgressAge
 }
 
 // usable returns those of some engines that may be chosen now, and the cost of one layer on
@@ -322,7 +334,7 @@
 	es := make([]*engine, 0, len(from))
 	costs := make([]float64, 0, len(from))
 	for _, e := range from {
-		if !p.available(e, now) || slices.Contains(l.Avoid, e.entry.ID) {
+		if !p.available(e, now) && !p.allowsExcluded(l, e, now) || slices.Contains(l.Avoid, e.entry.ID) {
 			continue
 		}
 		var utilization float64
--- a/internal/gateway/path/path_test.go
+++ b/internal/gateway/path/path_test.go
@@ -98,6 +98,15 @@
 			case "fail":
 				p.MarkFailed(address(t, d))
 				return ""
+			case "unreachable":
+				p.MarkUnreachable(address(t, d))
+				return ""
+			case "live":
+				var ids []fleet.UpstreamID
+				for _, a := range d.CmdArgs {
+					ids = append(ids, fleet.UpstreamID(a.Key))
+				}
+				return fmt.Sprintln(p.Live(ids))
 			case "progress":
 				p.NoteProgress([]path.Hop{{ID: fleet.UpstreamID(address(t, d))}})
 				return ""
@@ -142,7 +151,7 @@
 }
 
 func constraints(t *testing.T, d *datadriven.TestData) path.Constraints {
-	l := path.Constraints{Continues: d.HasArg("continues")}
+	l := path.Constraints{Continues: d.HasArg("continues"), FirstExcluded: d.HasArg("firstExcluded")}
 	if d.HasArg("size") {
 		if _, err := fmt.Sscan(scanned(t, d, "size"), &l.Size); err != nil {
 			d.Fatalf(t, "%v", err)
