--- a/internal/gateway/forward/prompt.go
+++ b/internal/gateway/forward/prompt.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// minProgressEvents is the number of events after which an engine has responded to a
-	// prompt. An engine that crashes may send one event before.
+	// minProgressEvents is the number of events of one attempt after which its engine has
+	// responded to a prompt. An engine that crashes may send one event before.
 	minProgressEvents = 2
 	// crashProbeTimeout limits the check whether an engine has crashed. A host refuses a
 	// connection to a closed port within one round trip.
--- a/internal/gateway/forward/quarantine_test.go
+++ b/internal/gateway/forward/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -21,19 +22,38 @@
 
 // crashOnPart closes the port of an engine that receives a request whose prompt has the
 // part "bad", and aborts its connection. It streams three events to all other requests.
-func crashOnPart(_ int, rw http.ResponseWriter, r *http.Request) {
-	if strings.Contains(r.Header.Get("Parts"), "bad") {
+func crashOnPart(n int, rw http.ResponseWriter, r *http.Request) { crashAfterEvents(0)(n, rw, r) }
+
+// crashAfterEvents is crashOnPart for engines that send a number of events before they crash.
+func crashAfterEvents(events int) upstreamFunc {
+	return func(_ int, rw http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.Header.Get("Parts"), "bad") {
+			respond(rw, "id: 1\n\nid: 2\n\nid: 3\n\n")
+			return
+		}
+		next, _ := strconv.Atoi(r.Header.Get("After"))
+		if events > 0 {
+			writeEvents(rw, next+1, next+events)
+			_ = http.NewResponseController(rw).Flush()
+		}
 		_ = r.Context().Value(http.ServerContextKey).(*http.Server).Close()
 		abort()
 	}
-	respond(rw, "id: 1\n\nid: 2\n\nid: 3\n\n")
 }
 
 // Guards against prompts that crash one engine after the other, by retries of one request
 // and by new requests with the same part.
-func TestPromptThatCrashesEnginesIsRefused(t *testing.T) {
+func TestPromptThatCrashesEnginesIsRefused(t *testing.T) { testCrashingPrompt(t, crashOnPart) }
+
+// Guards against the events that several engines sent before they crashed being counted as
+// one response to the prompt.
+func TestPromptThatCrashesEnginesAfterAnEventIsRefused(t *testing.T) {
+	testCrashingPrompt(t, crashAfterEvents(1))
+}
+
+func testCrashingPrompt(t *testing.T, engine upstreamFunc) {
 	is := is.New(t)
-	w := newTestGateway(t, 40, crashOnPart)
+	w := newTestGateway(t, 40, engine)
 	status, _, _, _ := w.postPrompt(t, "/stream/", "k1", "shared")
 	is.Equal(status, http.StatusOK)
 	before := len(w.receivedHeaders())
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -125,9 +125,7 @@
 	failedOver bool
 	// refusals is the number of consecutive attempts that an engine without free
 	// memory refused.
-	refusals int
-	// received is the number of events that the engines have sent for this request.
-	received     int
+	refusals     int
 	lastProgress time.Time // when progress was last reported to the planner
 }
 
@@ -188,7 +186,7 @@
 	if exchange.ConnectFailed(err) {
 		s.markConnectFailed(t.target.Address, err)
 	}
-	if res == unknownOutcome && s.received < minProgressEvents && ctx.Err() == nil {
+	if res == unknownOutcome && w.events.Load() < minProgressEvents && ctx.Err() == nil {
 		s.recordCrash(ctx, t.target, t.engine, err)
 	}
 	s.lastErr = err
@@ -277,10 +275,9 @@
 	}
 	reader := eventReader{source: bufio.NewReaderSize(x.Response.Body, 2<<10), grow: x.Charge}
 	controller := http.NewResponseController(s.w)
-	receivedBefore := s.received
 	for {
 		e, err := reader.next()
-		if errors.Is(err, io.EOF) && s.received == receivedBefore && (s.headSent || !s.hasLastEvent) && endsWithConnection(x.Response) {
+		if errors.Is(err, io.EOF) && w.events.Load() == 0 && (s.headSent || !s.hasLastEvent) && endsWithConnection(x.Response) {
 			// Any end of the connection would pass for that of the stream.
 			return false, unknownOutcome, errors.Wrap(io.ErrUnexpectedEOF, "stream has no event")
 		}
@@ -301,10 +298,9 @@
 			continue // the client has it already, and the engine may repeat it forever
 		}
 		if !e.comment {
-			w.progress()
+			n := w.progress()
 			s.reportProgress(w.dest)
-			s.received++
-			if s.received == minProgressEvents {
+			if n == minProgressEvents {
 				s.state.Prompts().RecordProgress(s.poolID, s.headers.SharedParts)
 			}
 		}
@@ -446,9 +442,11 @@
 // stallTimeout returns d, or minStallTimeout if d is shorter.
 func stallTimeout(d time.Duration) time.Duration { return max(minStallTimeout, d) }
 
-func (w *watcher) progress() {
-	w.events.Add(1)
+// progress records an event and returns the number of events of this attempt.
+func (w *watcher) progress() int64 {
+	n := w.events.Add(1)
 	w.timer.Reset(stallTimeout(w.relay.request.route.TargetGap * gapFactor))
+	return n
 }
 
 func (w *watcher) stop() { w.timer.Stop() }
