--- a/internal/gateway/forward/destination.go
+++ b/internal/gateway/forward/destination.go
@@ -9,7 +9,6 @@
 	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/notice"
 	"github.com/bilberryrock/bilberryrock/internal/gateway/path"
-	"github.com/bilberryrock/bilberryrock/internal/registry/quarantine"
 	"github.com/bilberryrock/bilberryrock/internal/routing/pool"
 )
 
@@ -17,7 +16,6 @@
 type destination struct {
 	hops   []path.Hop
 	target exchange.Target
-	engine quarantine.Engine
 	// upstreams lists the upstreams that the attempt uses, first the one that receives the
 	// request.
 	upstreams []notice.Upstream
@@ -30,6 +28,18 @@
 	withhold func()
 }
 
+// suspect returns the upstream that may have crashed and so ended an attempt with err: the
+// engine at stalledAt if the others of the path waited for it, or else the upstream that
+// received the request, if the connection to it was lost.
+func (d destination) suspect(stalledAt string, err error) (notice.Upstream, exchange.Target, bool) {
+	for _, h := range d.hops {
+		if stalledAt != "" && h.Address == stalledAt {
+			return notice.Upstream{ID: h.ID, Incarnation: h.Incarnation}, exchange.Target{ID: h.ID, Address: h.Address}, true
+		}
+	}
+	return d.upstreams[0], d.target, stalledAt == "" && exchange.ConnectionLost(err)
+}
+
 // end records the outcome of the attempt. err is its error, or nil.
 func (d destination) end(ok bool, err error) {
 	if errors.Is(err, errWithheld) {
@@ -61,7 +71,6 @@
 		}
 		return destination{
 			hops: hops, target: exchange.Target{ID: hops[0].ID, Address: hops[0].Address},
-			engine:    quarantine.HashEngine(hops[0].ID, hops[0].Incarnation),
 			upstreams: enginesOf(hops),
 			done:      func(ok, _ bool) { p.Done(hops, ok) },
 			withhold:  func() { p.Done(hops, false) },
@@ -75,7 +84,6 @@
 	q.avoid = append(q.avoid, u.ID)
 	return destination{
 		target:        exchange.Target{ID: u.ID, Address: u.Address},
-		engine:        quarantine.HashEngine(u.ID, u.Incarnation),
 		upstreams:     []notice.Upstream{{ID: u.ID, Incarnation: u.Incarnation}},
 		lastHeartbeat: u.LastHeartbeat,
 		withhold:      func() { lease.Done(pool.Canceled) },
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -162,6 +162,9 @@
 	status       int
 	outcome      string
 	lastErr      error
+	// stalledAt is the address of the engine for which the others of the path waited in vain
+	// in the latest attempt, or empty.
+	stalledAt string
 	// crashes is the number of engines that crashed before they responded to the prompt,
 	// while it may have been the cause.
 	crashes int
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -87,11 +87,12 @@
 
 func (d decoder) Decode([]byte) (*release.Release, error) { return d.current.Load(), nil }
 
-// prober returns reports without stalled streams and counts its calls. Its responses have the
-// headers reply, if set.
+// prober returns reports, without stalled streams unless report is set, and counts its calls.
+// Its responses have the headers reply, if set.
 type prober struct {
-	calls *atomic.Int64
-	reply *atomic.Pointer[gateway.ResponseHeaders]
+	calls  *atomic.Int64
+	reply  *atomic.Pointer[gateway.ResponseHeaders]
+	report *atomic.Pointer[placement.Report]
 }
 
 func (p prober) Probe(context.Context, fleet.UpstreamID, string) (placement.Report, gateway.ResponseHeaders, error) {
@@ -99,6 +100,9 @@
 	if r := p.reply.Load(); r != nil {
 		return placement.Report{}, *r, nil
 	}
+	if r := p.report.Load(); r != nil {
+		return *r, gateway.ResponseHeaders{}, nil
+	}
 	return placement.Report{}, gateway.ResponseHeaders{}, nil
 }
 
@@ -114,6 +118,7 @@
 	logs             *observer.ObservedLogs // log lines of the gateway
 	probes           atomic.Int64           // requests for reports of engines
 	probeReply       atomic.Pointer[gateway.ResponseHeaders]
+	probeReport      atomic.Pointer[placement.Report]
 	setRetryCounts   func(budget.Count) // sets the sums of attempts and retries of the pool "model"
 	receive          func(feed.Update)  // delivers an update of a controller
 	heartbeat        func()             // delivers a heartbeat of each upstream
@@ -245,7 +250,7 @@
 		w.receive(u)
 	}
 	w.heartbeat()
-	h := forward.New(clock, st, client, headerCodec{}, prober{&w.probes, &w.probeReply}, forward.NewMetrics(prometheus.NewRegistry()), zap.New(core))
+	h := forward.New(clock, st, client, headerCodec{}, prober{&w.probes, &w.probeReply, &w.probeReport}, forward.NewMetrics(prometheus.NewRegistry()), zap.New(core))
 	w.handler = h
 	w.setRetryCounts = func(c budget.Count) {
 		w.receive(feed.Update{Sums: &usage.Report{Gateways: 1, Attempts: map[fleet.PoolID]budget.Count{"model": c}}})
--- a/internal/gateway/forward/plain.go
+++ b/internal/gateway/forward/plain.go
@@ -93,8 +93,8 @@
 			buffered = a
 			q.state.Prompts().RecordProgress(q.poolID, q.headers.SharedParts)
 		}
-		if res == unknownOutcome && ctx.Err() == nil {
-			q.recordCrash(ctx, d.target, d.engine, err)
+		if (res == unknownOutcome || q.stalledAt != "") && ctx.Err() == nil {
+			q.recordCrash(ctx, d, q.stalledAt, err)
 			q.awaitVerdict(ctx)
 		}
 		if res == answered || res == upstreamError && !q.mayRepeat() {
@@ -129,6 +129,8 @@
 // earlyTimeoutNum/earlyTimeoutDen of the route's target.
 func (q *request) attempt(ctx context.Context, d destination, earlyTimeout bool) (*response, result, error) {
 	t := d.target
+	q.stalledAt = ""
+	sent := q.clock.Now()
 	if earlyTimeout {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, q.route.TargetLatency*earlyTimeoutNum/earlyTimeoutDen)
@@ -142,6 +144,9 @@
 	reply := q.codec.DecodeResponse(x.Response.StatusCode, x.Response.Header)
 	q.recordNotices(d, reply)
 	if reply.NotRun {
+		if q.clock.Now().Sub(sent) >= maxRefusalDelay {
+			q.stalledAt = reply.At
+		}
 		return nil, notRun, refusal.WithCause(refusal.NoUpstream, x.Drain(), "upstream %s responded with status %d without running the request",
 			t.ID, x.Response.StatusCode)
 	}
--- a/internal/gateway/forward/prompt.go
+++ b/internal/gateway/forward/prompt.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet/refusal"
-	"github.com/bilberryrock/bilberryrock/internal/gateway/exchange"
 	"github.com/bilberryrock/bilberryrock/internal/registry/quarantine"
 )
 
@@ -36,10 +35,12 @@
 	return refusal.New(refusal.Quarantined, "part %q of the prompt crashes engines", part)
 }
 
-// recordCrash records that the engine of an attempt crashed before it responded to the
-// prompt, if that is why the attempt failed with err.
-func (q *request) recordCrash(ctx context.Context, t exchange.Target, e quarantine.Engine, err error) {
-	if len(q.headers.SharedParts) == 0 || !exchange.ConnectionLost(err) {
+// recordCrash records that an engine of an attempt crashed before the engines responded to
+// the prompt, if that is why the attempt failed with err. stalledAt is the address of the
+// engine that the others waited for, or empty.
+func (q *request) recordCrash(ctx context.Context, d destination, stalledAt string, err error) {
+	u, t, ok := d.suspect(stalledAt, err)
+	if !ok || len(q.headers.SharedParts) == 0 {
 		return
 	}
 	prompts := q.state.Prompts()
@@ -52,7 +53,7 @@
 	if !q.client.RefusesConnections(ctx, t) {
 		return
 	}
-	prompts.RecordCrash(q.poolID, q.headers.SharedParts, e)
+	prompts.RecordCrash(q.poolID, q.headers.SharedParts, quarantine.HashEngine(u.ID, u.Incarnation))
 	q.crashes++
 	q.metrics.crashed()
 	q.logger.Warn("An engine crashed before it responded.", zap.String("request", string(q.headers.ID)),
--- a/internal/gateway/forward/quarantine_test.go
+++ b/internal/gateway/forward/quarantine_test.go
@@ -1,7 +1,9 @@
 package forward_test
 
 import (
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -9,6 +11,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/bilberryrock/bilberryrock/internal/placement"
+	"github.com/bilberryrock/bilberryrock/internal/upstream"
 )
 
 const (
@@ -43,22 +48,84 @@
 
 // Guards against prompts that crash one engine after the other, by retries of one request
 // and by new requests with the same part.
-func TestPromptThatCrashesEnginesIsRefused(t *testing.T) { testCrashingPrompt(t, crashOnPart) }
+func TestPromptThatCrashesEnginesIsRefused(t *testing.T) {
+	testCrashingPrompt(t, newTestGateway(t, 40, crashOnPart))
+}
 
 // Guards against the events that several engines sent before they crashed being counted as
 // one response to the prompt.
 func TestPromptThatCrashesEnginesAfterAnEventIsRefused(t *testing.T) {
-	testCrashingPrompt(t, crashAfterEvents(1))
+	testCrashingPrompt(t, newTestGateway(t, 40, crashAfterEvents(1)))
+}
+
+// Guards against prompts that crash the last engine of one path after the other, where the
+// first engine stays up and reports that it waits.
+func TestPromptThatCrashesLastEnginesIsRefused(t *testing.T) {
+	testCrashingPrompt(t, newSplitGateway(t, 40, func(w *testGateway, rw http.ResponseWriter, r *http.Request, last string) {
+		w.probeReport.Store(&placement.Report{Stalled: []placement.Stalled{{Request: "1", Address: last}}})
+		<-r.Context().Done()
+	}))
+}
+
+// Guards against the same prompts if the first engine has not reported that it waits before
+// it refuses the request.
+func TestPromptThatCrashesLastEnginesIsRefusedAfterTimeout(t *testing.T) {
+	testCrashingPrompt(t, newSplitGateway(t, 40, func(w *testGateway, rw http.ResponseWriter, r *http.Request, last string) {
+		time.Sleep(engineTimeout)
+		rw.Header().Set("Id", "1")
+		rw.Header().Set("Not-Run", "1")
+		rw.Header().Set("At", last)
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	}))
+}
+
+// engineTimeout is the time after which an engine gives up on the next one of the path.
+const engineTimeout = 750 * time.Millisecond
+
+// newSplitGateway returns a testGateway whose engines hold a half of the layers each. A prompt
+// with the part "bad" crashes the last engine of its path; the first one then calls wait with
+// the address of the last one.
+func newSplitGateway(t *testing.T, upstreams int, wait func(w *testGateway, rw http.ResponseWriter, r *http.Request, last string)) *testGateway {
+	var w *testGateway
+	w = newTestGateway(t, upstreams, func(n int, rw http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.Header.Get("Parts"), "bad") {
+			crashOnPart(n, rw, r)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body) // so that the server notices a closed connection
+		engines := r.Header.Values("Engines")
+		last := w.engine(engines[len(engines)-1])
+		_ = last.Config.Close()
+		wait(w, rw, r, last.Listener.Addr().String())
+	})
+	for i := range w.update.Entries {
+		e := &w.update.Entries[i]
+		e.Layers = upstream.LayerRange{From: 0, To: 2}
+		if i/2%2 == 1 {
+			e.Layers = upstream.LayerRange{From: 2, To: 4}
+		}
+	}
+	w.heartbeat()
+	return w
+}
+
+// engine returns the server of an engine.
+func (w *testGateway) engine(id string) *httptest.Server {
+	for i, e := range w.update.Entries {
+		if string(e.ID) == id {
+			return w.upstreams[i]
+		}
+	}
+	return nil
 }
 
-func testCrashingPrompt(t *testing.T, engine upstreamFunc) {
+func testCrashingPrompt(t *testing.T, w *testGateway) {
 	is := is.New(t)
-	w := newTestGateway(t, 40, engine)
-	status, _, _, _ := w.postPrompt(t, "/stream/", "k1", "shared")
+	status, _, _, _ := w.postPrompt(t, "/brisk/", "k1", "shared")
 	is.Equal(status, http.StatusOK)
 	before := len(w.receivedHeaders())
 	for len(w.receivedHeaders()) < before+maxCrashes {
-		w.postPrompt(t, "/stream/", "k1", "shared bad")
+		w.postPrompt(t, "/brisk/", "k1", "shared bad")
 		if t.Failed() || w.clock.offset.Load() > int64(time.Minute) {
 			break
 		}
@@ -69,11 +136,11 @@
 	w.heartbeat()
 	before = len(w.receivedHeaders())
 	for range 20 {
-		status, _, _, _ = w.postPrompt(t, "/stream/", "k1", "shared bad")
+		status, _, _, _ = w.postPrompt(t, "/brisk/", "k1", "shared bad")
 	}
 	is.True(len(w.receivedHeaders())-before <= maxLateAttempts)
 	is.Equal(status, http.StatusServiceUnavailable) // it did not run
-	status, _, _, complete := w.postPrompt(t, "/stream/", "k1", "shared")
+	status, _, _, complete := w.postPrompt(t, "/brisk/", "k1", "shared")
 	is.Equal(status, http.StatusOK)
 	is.True(complete)
 }
--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -163,9 +163,11 @@
 	}
 	s.attempts++
 	s.request.lastUpstream = string(t.target.ID)
+	requestCtx := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := s.watch(ctx, cancel, t)
+	s.stalledAt = ""
 	defer w.stop()
 	finished, res, err := s.forward(ctx, t, w)
 	s.reachedUpstream = s.reachedUpstream || !exchange.Unsent(err)
@@ -186,8 +188,11 @@
 	if exchange.ConnectFailed(err) {
 		s.markConnectFailed(t.target.Address, err)
 	}
-	if res == unknownOutcome && w.events.Load() < minProgressEvents && ctx.Err() == nil {
-		s.recordCrash(ctx, t.target, t.engine, err)
+	if at := w.stalledAt.Load(); at != nil {
+		s.stalledAt = *at
+	}
+	if w.events.Load() < minProgressEvents && (res == unknownOutcome && ctx.Err() == nil || s.stalledAt != "") {
+		s.recordCrash(requestCtx, t, s.stalledAt, err)
 	}
 	s.lastErr = err
 	s.logger.Info("A stream broke.", zap.String("request", string(s.headers.ID)), zap.String("upstream", string(t.target.ID)),
@@ -238,6 +243,7 @@
 		s.pool.Planner.MarkFull(r.At)
 		return
 	}
+	s.stalledAt = r.At
 	s.markFailed(r.At)
 }
 
@@ -419,6 +425,8 @@
 	cancel context.CancelCauseFunc
 	dest   destination
 	timer  *time.Timer
+	// stalledAt is the address of the engine on which the stream was found to stall, or nil.
+	stalledAt atomic.Pointer[string]
 	// checking reports whether a check is in progress. Further checks are skipped
 	// until it ends.
 	checking atomic.Bool
@@ -486,6 +494,7 @@
 	for _, k := range r.Stalled {
 		if k.Request == s.headers.ID || w.onPath(k.Address) {
 			s.markFailed(k.Address)
+			w.stalledAt.Store(&k.Address)
 			w.cancel(errors.Errorf("stream is stalled on the engine at %s", k.Address))
 			return
 		}
