--- a/internal/pipeline/courier/courier.go
+++ b/internal/pipeline/courier/courier.go
@@ -44,9 +44,12 @@
 	releaseTimeout = time.Second
 	// maxRecoveries is the maximum number of recoveries without a new token.
 	maxRecoveries = 16
-	// maxCrashes is the number of engines that may crash while they run the same step. The
-	// request, and not the engines, is then assumed to be the cause.
+	// maxCrashes is the number of engines that may crash without minProgressTokens tokens in
+	// between. The request, and not the engines, is then assumed to be the cause.
 	maxCrashes = 3
+	// minProgressTokens is the number of tokens after which a crash has other causes than the
+	// request. An engine that crashes because of it may generate one token before.
+	minProgressTokens = 2
 	// leaveReplanInterval is the minimum time between two replannings of a chain
 	// because of leaving engines.
 	leaveReplanInterval = time.Second
--- a/internal/pipeline/courier/recovery.go
+++ b/internal/pipeline/courier/recovery.go
@@ -23,7 +23,7 @@
 		return cause
 	}
 	if r.crashes >= maxCrashes {
-		return refusal.WithCause(refusal.UpstreamFailed, cause, "%d engines crashed in the same step", r.crashes)
+		return refusal.WithCause(refusal.UpstreamFailed, cause, "%d engines crashed in successive steps", r.crashes)
 	}
 	r.recoveries++
 	if r.recoveries > maxRecoveries {
--- a/internal/pipeline/courier/run.go
+++ b/internal/pipeline/courier/run.go
@@ -31,8 +31,9 @@
 	excluded []fleet.UpstreamID
 	// recoveries counts the recoveries since the last token.
 	recoveries int
-	// crashes counts the engines that crashed in a step since the last token.
-	crashes int
+	// crashes counts the engines that crashed in a step, until minProgressTokens tokens have
+	// followed. tokensSinceCrash counts these.
+	crashes, tokensSinceCrash int
 	// mayHaveRun tells whether a layer may have run for this request.
 	mayHaveRun bool
 	// lastLeaveReplan is the time of the last replanning because of a leaving engine.
@@ -78,7 +79,10 @@
 	if err := ctx.Err(); err != nil {
 		return upstream.StepResult{}, err
 	}
-	r.recoveries, r.crashes = 0, 0
+	r.recoveries = 0
+	if r.tokensSinceCrash >= minProgressTokens {
+		r.crashes = 0
+	}
 	r.migrateFromLeaving(ctx, index)
 	r.layerInputs[0] = append(r.layerInputs[0], input...)
 	var result upstream.StepResult
@@ -98,6 +102,7 @@
 		}
 		layer = r.chain.Stages[i].Layers.To
 	}
+	r.tokensSinceCrash++
 	return result, nil
 }
 
@@ -120,6 +125,7 @@
 		if err != nil && refusal.KindOf(err) == refusal.NoUpstream {
 			// The engine lost the connection during the step and refuses a new one.
 			r.crashes++
+			r.tokensSinceCrash = 0
 		}
 	case refusal.KindOf(err) == refusal.Overloaded:
 		select {
