--- a/internal/gateway/forward/stream.go
+++ b/internal/gateway/forward/stream.go
@@ -186,7 +186,7 @@
 		s.avoid = []fleet.UpstreamID{t.target.ID}
 	}
 	if exchange.ConnectFailed(err) {
-		s.markConnectFailed(t.target.Address, err)
+		s.recordFailedExchange(t.target.Address, err)
 	}
 	if at := w.stalledAt.Load(); at != nil {
 		s.stalledAt = *at
@@ -409,9 +409,9 @@
 	}
 }
 
-// markConnectFailed excludes the engine at an address after an exchange with it failed with
-// err, and records whether it is unreachable.
-func (s *relay) markConnectFailed(address string, err error) {
+// recordFailedExchange excludes the engine at an address after an exchange with it failed
+// with err, and records whether it is unreachable.
+func (s *relay) recordFailedExchange(address string, err error) {
 	s.markFailed(address)
 	if s.pool.Planner != nil && exchange.Unreachable(err) {
 		s.pool.Planner.MarkUnreachable(address)
@@ -485,7 +485,7 @@
 		return
 	}
 	if err != nil {
-		s.markConnectFailed(first, err)
+		s.recordFailedExchange(first, err)
 		if w.allowFailover() {
 			w.cancel(errors.Wrapf(err, "engine at %s did not report its state", first))
 			return
