--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -285,9 +285,13 @@
 }
 
 // Leave removes an upstream that announces its shutdown. incarnation is 0 if the upstream
-// does not state it. A nil error means that a majority has stored the departure. After an
-// error the upstream should announce it to another controller.
+// does not state it. A nil error means that a majority has stored the departure, and an error
+// of kind refusal.BadRequest that no upstream has such an ID. After any other error the
+// upstream should announce it to another controller.
 func (c *Controller) Leave(ctx context.Context, id fleet.UpstreamID, incarnation fleet.Incarnation) error {
+	if err := registry.CheckID(id); err != nil {
+		return err
+	}
 	e, known := c.catalog.Remove(id, incarnation)
 	if !known {
 		return refusal.New(refusal.NotReady, "upstream %.64q is not known here", id)
--- a/internal/registry/check.go
+++ b/internal/registry/check.go
@@ -28,13 +28,16 @@
 // Check returns an error of kind refusal.BadRequest if an entry cannot be the registration
 // of an upstream. The feed transmits all entries that pass the check without loss.
 func (e Entry) Check() error {
-	for _, name := range []string{string(e.ID), string(e.Pool), string(e.DataCentre), e.Card} {
-		if len(name) > MaxNameBytes || !utf8.ValidString(name) {
+	if err := CheckID(e.ID); err != nil {
+		return err
+	}
+	for _, name := range []string{string(e.Pool), string(e.DataCentre), e.Card} {
+		if !validName(name) {
 			return refusal.New(refusal.BadRequest, "entry of upstream %.64q has the name %.64q, which is no text of at most %d bytes", e.ID, name, MaxNameBytes)
 		}
 	}
-	if e.ID == "" || e.Pool == "" {
-		return refusal.New(refusal.BadRequest, "entry of upstream %.64q in the pool %.64q lacks a name", e.ID, e.Pool)
+	if e.Pool == "" {
+		return refusal.New(refusal.BadRequest, "entry of upstream %.64q lacks a pool", e.ID)
 	}
 	if err := checkAddress(e.Address); err != nil {
 		return refusal.WithCause(refusal.BadRequest, excerpt.Error(err), "entry of upstream %.64q", e.ID)
@@ -54,6 +57,16 @@
 	return nil
 }
 
+// CheckID returns an error of kind refusal.BadRequest if id cannot be the ID of an upstream.
+func CheckID(id fleet.UpstreamID) error {
+	if id == "" || !validName(string(id)) {
+		return refusal.New(refusal.BadRequest, "the ID %.64q of an upstream is no text of 1 to %d bytes", id, MaxNameBytes)
+	}
+	return nil
+}
+
+func validName(name string) bool { return len(name) <= MaxNameBytes && utf8.ValidString(name) }
+
 func checkAddress(address string) error {
 	a, err := netip.ParseAddrPort(address)
 	if err != nil {
