--- a/internal/registry/check.go
+++ b/internal/registry/check.go
@@ -37,7 +37,7 @@
 		}
 	}
 	if e.Pool == "" {
-		return refusal.New(refusal.BadRequest, "entry of upstream %.64q lacks a pool", e.ID)
+		return refusal.New(refusal.BadRequest, "entry of upstream %.64q in the pool %.64q lacks a name", e.ID, e.Pool)
 	}
 	if err := checkAddress(e.Address); err != nil {
 		return refusal.WithCause(refusal.BadRequest, excerpt.Error(err), "entry of upstream %.64q", e.ID)
