--- a/internal/gateway/forward/quarantine_test.go
+++ b/internal/gateway/forward/quarantine_test.go
@@ -49,19 +49,19 @@
 // Guards against prompts that crash one engine after the other, by retries of one request
 // and by new requests with the same part.
 func TestPromptThatCrashesEnginesIsRefused(t *testing.T) {
-	testCrashingPrompt(t, newTestGateway(t, 40, crashOnPart))
+	testCrashingPrompt(t, "/stream/", newTestGateway(t, 40, crashOnPart))
 }
 
 // Guards against the events that several engines sent before they crashed being counted as
 // one response to the prompt.
 func TestPromptThatCrashesEnginesAfterAnEventIsRefused(t *testing.T) {
-	testCrashingPrompt(t, newTestGateway(t, 40, crashAfterEvents(1)))
+	testCrashingPrompt(t, "/stream/", newTestGateway(t, 40, crashAfterEvents(1)))
 }
 
 // Guards against prompts that crash the last engine of one path after the other, where the
 // first engine stays up and reports that it waits.
 func TestPromptThatCrashesLastEnginesIsRefused(t *testing.T) {
-	testCrashingPrompt(t, newSplitGateway(t, 40, func(w *testGateway, rw http.ResponseWriter, r *http.Request, last string) {
+	testCrashingPrompt(t, "/brisk/", newSplitGateway(t, 40, func(w *testGateway, rw http.ResponseWriter, r *http.Request, last string) {
 		w.probeReport.Store(&placement.Report{Stalled: []placement.Stalled{{Request: "1", Address: last}}})
 		<-r.Context().Done()
 	}))
@@ -70,7 +70,7 @@
 // Guards against the same prompts if the first engine has not reported that it waits before
 // it refuses the request.
 func TestPromptThatCrashesLastEnginesIsRefusedAfterTimeout(t *testing.T) {
-	testCrashingPrompt(t, newSplitGateway(t, 40, func(w *testGateway, rw http.ResponseWriter, r *http.Request, last string) {
+	testCrashingPrompt(t, "/brisk/", newSplitGateway(t, 40, func(w *testGateway, rw http.ResponseWriter, r *http.Request, last string) {
 		time.Sleep(engineTimeout)
 		rw.Header().Set("Id", "1")
 		rw.Header().Set("Not-Run", "1")
@@ -119,13 +119,13 @@
 	return nil
 }
 
-func testCrashingPrompt(t *testing.T, w *testGateway) {
+func testCrashingPrompt(t *testing.T, path string, w *testGateway) {
 	is := is.New(t)
-	status, _, _, _ := w.postPrompt(t, "/brisk/", "k1", "shared")
+	status, _, _, _ := w.postPrompt(t, path, "k1", "shared")
 	is.Equal(status, http.StatusOK)
 	before := len(w.receivedHeaders())
 	for len(w.receivedHeaders()) < before+maxCrashes {
-		w.postPrompt(t, "/brisk/", "k1", "shared bad")
+		w.postPrompt(t, path, "k1", "shared bad")
 		if t.Failed() || w.clock.offset.Load() > int64(time.Minute) {
 			break
 		}
@@ -136,11 +136,11 @@
 	w.heartbeat()
 	before = len(w.receivedHeaders())
 	for range 20 {
-		status, _, _, _ = w.postPrompt(t, "/brisk/", "k1", "shared bad")
+		status, _, _, _ = w.postPrompt(t, path, "k1", "shared bad")
 	}
 	is.True(len(w.receivedHeaders())-before <= maxLateAttempts)
 	is.Equal(status, http.StatusServiceUnavailable) // it did not run
-	status, _, _, complete := w.postPrompt(t, "/brisk/", "k1", "shared")
+	status, _, _, complete := w.postPrompt(t, path, "k1", "shared")
 	is.Equal(status, http.StatusOK)
 	is.True(complete)
 }
