Let half of an even group go on after a lost disk

Two of four voters were left, with all that had been acknowledged, and could not elect a leader.

A daemon that answers at the address of a voter and runs another one on an empty disk proves that the log and the votes of the first are gone. A candidate of an even group that knows this leaves the lost voter out and needs a majority of the others; its term decides by such majorities and begins with the removal of the lost voter. An even group announces changes of its voters first, so that such a majority shares a voter with every majority after the change. Voters sync that a change is committed.

In the simulation only running peers ask to join, as in the daemon.

--- a/internal/quorum/replica/codec.go
+++ b/internal/quorum/replica/codec.go
@@ -94,7 +94,7 @@
 	for _, v := range vs {
 		p.Voters = append(p.Voters, &peerv1.Voter{
 			Id: uint64(v.ID), Instance: string(v.Instance), Address: v.Address,
-			Learner: v.Learner, Replaces: uint64(v.Replaces),
+			Learner: v.Learner, Replaces: uint64(v.Replaces), Announced: v.Announced,
 		})
 	}
 	return p
@@ -106,7 +106,7 @@
 		vs = append(vs, Voter{
 			ID: quorum.VoterID(v.GetId()), Instance: fleet.InstanceID(v.GetInstance()),
 			Address: v.GetAddress(), Learner: v.GetLearner(),
-			Replaces: quorum.VoterID(v.GetReplaces()),
+			Replaces: quorum.VoterID(v.GetReplaces()), Announced: v.GetAnnounced(),
 		})
 	}
 	return vs
--- a/internal/quorum/replica/election.go
+++ b/internal/quorum/replica/election.go
@@ -15,6 +15,7 @@
 	r.failReads()
 	r.role = PreCandidate
 	r.leader = 0
+	r.excluded = r.nextLostVoter()
 	r.votes = map[quorum.VoterID]bool{r.options.ID: true}
 	r.resetTimer()
 	r.requestVotes(PreVote, r.term+1, 0)
@@ -47,7 +48,7 @@
 
 func (r *Replica) requestVotes(k MessageKind, t quorum.Term, context uint64) {
 	for _, v := range r.members() {
-		if v.Learner || v.ID == r.options.ID {
+		if v.Learner && !v.Announced || v.ID == r.options.ID {
 			continue
 		}
 		r.send(Message{
@@ -131,27 +132,30 @@
 }
 
 // checkElection counts the votes and ends the election or pre-vote when a majority
-// granted or refused it.
+// granted or refused it. A majority without a lost voter counts only if the other voters are
+// none: otherwise, nothing is left out in the term.
 func (r *Replica) checkElection() {
-	granted, refused, voters := 0, 0, 0
-	for _, v := range r.members() {
-		if v.Learner {
-			continue
-		}
-		voters++
-		if yes, answered := r.votes[v.ID]; yes {
-			granted++
-		} else if answered {
-			refused++
+	granted := func(id quorum.VoterID) bool { return r.votes[id] }
+	if r.majority(0, granted) {
+		r.excluded = 0
+	} else if !r.majority(r.excluded, granted) {
+		if r.refused() {
+			r.becomeFollower(r.term, 0)
 		}
+		return
 	}
-	majority := voters/2 + 1
-	switch {
-	case granted >= majority && r.role == PreCandidate:
+	switch r.role {
+	case PreCandidate:
 		r.campaign(0)
-	case granted >= majority && r.role == Candidate:
+	case Candidate:
 		r.becomeLeader()
-	case refused >= majority:
-		r.becomeFollower(r.term, 0)
 	}
 }
+
+// refused reports whether a majority refused its votes.
+func (r *Replica) refused() bool {
+	return r.majority(0, func(id quorum.VoterID) bool {
+		yes, answered := r.votes[id]
+		return answered && !yes
+	})
+}
--- a/internal/quorum/replica/follower.go
+++ b/internal/quorum/replica/follower.go
@@ -86,6 +86,7 @@
 		r.log.reset(s.Index, s.Term)
 		r.snapshot = s
 		r.configs = []config{{index: s.Index, members: s.Voters}}
+		r.forgetRemoved()
 		r.pending.Snapshot = &s
 	}
 	r.send(Message{Kind: AppendReply, To: m.From, LogIndex: r.log.commit})
--- a/internal/quorum/replica/leader.go
+++ b/internal/quorum/replica/leader.go
@@ -1,8 +1,6 @@
 package replica
 
 import (
-	"slices"
-
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
 	"github.com/pkg/errors"
 )
@@ -78,7 +76,7 @@
 	}
 	r.electionElapsed = 0
 	r.transferee = 0
-	if !r.majority(func(p *progress) bool { return p.active }) {
+	if !r.majorityProgress(func(p *progress) bool { return p.active }) {
 		r.becomeFollower(r.term, 0)
 		return
 	}
@@ -107,20 +105,13 @@
 	p.inFlight = nil
 }
 
-// majority reports whether f is true for a majority of voters. The replica itself
-// counts as true if it is a voter.
-func (r *Replica) majority(f func(p *progress) bool) bool {
-	yes, voters := 0, 0
-	for _, v := range r.members() {
-		if v.Learner {
-			continue
-		}
-		voters++
-		if p := r.progress[v.ID]; v.ID == r.options.ID || p != nil && !p.lost && f(p) {
-			yes++
-		}
-	}
-	return yes > voters/2
+// majorityProgress reports whether f is true for a majority of the voters that decide in
+// this term. The replica itself counts as true if it is a voter.
+func (r *Replica) majorityProgress(f func(p *progress) bool) bool {
+	return r.majority(r.excluded, func(id quorum.VoterID) bool {
+		p := r.progress[id]
+		return id == r.options.ID || p != nil && !p.lost && f(p)
+	})
 }
 
 // Propose appends a command and returns the index and term of its entry. The
@@ -178,7 +169,7 @@
 func (r *Replica) confirmReads() {
 	for len(r.reads) > 0 {
 		d := r.reads[0]
-		if d.round > r.heartbeatRound || !r.majority(func(p *progress) bool { return p.ackedRound >= d.round }) {
+		if d.round > r.heartbeatRound || !r.majorityProgress(func(p *progress) bool { return p.ackedRound >= d.round }) {
 			return
 		}
 		r.pending.Reads = append(r.pending.Reads, ReadReady{ID: d.id, Index: d.index})
@@ -371,18 +362,7 @@
 // advanceCommit commits the entries that a majority of voters has synced, if the
 // last of them belongs to the leader's term.
 func (r *Replica) advanceCommit() {
-	var matches []quorum.Index
-	for _, v := range r.members() {
-		if v.Learner {
-			continue
-		}
-		matches = append(matches, r.matchIndex(v.ID))
-	}
-	if len(matches) == 0 {
-		return
-	}
-	slices.Sort(matches)
-	i := matches[(len(matches)-1)/2]
+	i := r.majorityMatch()
 	if i <= r.log.commit || !r.log.matches(i, r.term) {
 		return
 	}
@@ -394,6 +374,19 @@
 	r.resignIfRemoved()
 }
 
+// majorityMatch returns the highest index that a majority of the voters that decide in this
+// term is known to have synced.
+func (r *Replica) majorityMatch() quorum.Index {
+	highest := quorum.Index(0)
+	for _, v := range r.members() {
+		i := r.matchIndex(v.ID)
+		if i > highest && r.majority(r.excluded, func(id quorum.VoterID) bool { return r.matchIndex(id) >= i }) {
+			highest = i
+		}
+	}
+	return highest
+}
+
 // matchIndex returns the highest index that a member is known to have synced. It is
 // 0 for a member that lost entries.
 func (r *Replica) matchIndex(id quorum.VoterID) quorum.Index {
--- a/internal/quorum/replica/membership.go
+++ b/internal/quorum/replica/membership.go
@@ -42,6 +42,7 @@
 			return errors.Wrapf(err, "entry %d", e.Index)
 		}
 		r.configs = append(r.configs, config{index: e.Index, members: vs})
+		r.forgetRemoved()
 	}
 	r.log.append(e)
 	return nil
@@ -55,10 +56,48 @@
 	}
 }
 
+// NeedsAnnouncement reports whether a change must be announced before it can be proposed:
+// it changes the voters of a group with an even number of them.
+func (r *Replica) NeedsAnnouncement(c Change) bool {
+	v, ok := findMember(r.members(), c.Voter.ID)
+	changesVoters := ok && (c.Kind == Promote && v.Learner || c.Kind == Remove && !v.Learner)
+	return changesVoters && !v.Announced && len(votersOf(r.members()))%2 == 0
+}
+
+// Announce appends the announcement of a change that NeedsAnnouncement. Once it is committed,
+// the change can be proposed. A majority without a lost voter then is one of the voters after
+// the change, too. A new announcement replaces one whose change was not proposed.
+//
+// A leader that was elected without a lost voter announces only the removal of that voter or
+// of an unreachable one: the announcement needs the voters after the change, too.
+func (r *Replica) Announce(c Change) (quorum.Index, quorum.Term, error) {
+	p := r.progress[c.Voter.ID]
+	removesAbsent := c.Kind == Remove && (c.Voter.ID == r.excluded || p != nil && !p.reachable())
+	if r.role == Leader && r.excluded != 0 && !removesAbsent {
+		return 0, 0, ErrLostVoter
+	}
+	return r.appendMembership(c, func(vs []Voter) []Voter {
+		announced := slices.Clone(r.members())
+		for k := range announced {
+			announced[k].Announced = announced[k].ID == c.Voter.ID
+		}
+		return announced
+	})
+}
+
 // ProposeChange appends a membership change. Any majority before a change of one
 // member overlaps with any majority after it. Therefore the previous change must
 // be committed first, and so must an entry of the leader's own term.
 func (r *Replica) ProposeChange(c Change) (quorum.Index, quorum.Term, error) {
+	if r.NeedsAnnouncement(c) {
+		return 0, 0, ErrNotAnnounced
+	}
+	return r.appendMembership(c, func(vs []Voter) []Voter { return vs })
+}
+
+// appendMembership appends the entry that f makes of the members after the change c, if the
+// change is possible now.
+func (r *Replica) appendMembership(c Change, f func([]Voter) []Voter) (quorum.Index, quorum.Term, error) {
 	if err := r.checkProposal(); err != nil {
 		return 0, 0, err
 	}
@@ -75,7 +114,7 @@
 	if c.Kind != AddLearner && !r.majorityReachable(vs) {
 		return 0, 0, ErrMajorityUnreachable
 	}
-	i := r.appendAsLeader(Membership, EncodeVoters(vs))
+	i := r.appendAsLeader(Membership, EncodeVoters(f(vs)))
 	r.updateProgress()
 	return i, r.term, nil
 }
@@ -85,6 +124,11 @@
 	vs := slices.Clone(r.members())
 	k := slices.IndexFunc(vs, func(v Voter) bool { return v.ID == c.Voter.ID })
 	switch {
+	case c.Kind == Withdraw:
+		for i := range vs {
+			vs[i].Announced = false
+		}
+		return vs, nil
 	case c.Kind == AddLearner && k < 0 && c.Voter.ID != 0:
 		v := c.Voter
 		v.Learner = true
@@ -94,10 +138,11 @@
 	case k < 0:
 		return nil, errors.Errorf("voter %d is not a member", c.Voter.ID)
 	case c.Kind == Promote:
-		if !r.caughtUp(c.Voter.ID) {
+		// An announced learner had caught up with the entries before the announcement.
+		if !vs[k].Announced && !r.caughtUp(c.Voter.ID) {
 			return nil, ErrNotCaughtUp
 		}
-		vs[k].Learner = false
+		vs[k].Learner, vs[k].Announced = false, false
 		return vs, nil
 	case c.Kind == Remove:
 		vs = slices.Delete(vs, k, k+1)
@@ -115,19 +160,13 @@
 	return p != nil && p.reachable() && !p.lost && p.match >= r.log.commit
 }
 
-// majorityReachable reports whether a majority of the voters in vs is reachable.
+// majorityReachable reports whether a majority of the voters in vs is reachable, without the
+// lost voter that is left out in this term.
 func (r *Replica) majorityReachable(vs []Voter) bool {
-	yes, voters := 0, 0
-	for _, v := range vs {
-		if v.Learner {
-			continue
-		}
-		voters++
-		if p := r.progress[v.ID]; v.ID == r.options.ID || p != nil && p.reachable() && !p.lost {
-			yes++
-		}
-	}
-	return yes > voters/2
+	return isMajority(without(votersOf(vs), r.excluded), func(id quorum.VoterID) bool {
+		p := r.progress[id]
+		return id == r.options.ID || p != nil && p.reachable() && !p.lost
+	})
 }
 
 // updateProgress starts to track new members and drops removed ones.
--- a/internal/quorum/replica/names_string.go
+++ b/internal/quorum/replica/names_string.go
@@ -81,11 +81,12 @@
 	_ = x[AddLearner-0]
 	_ = x[Promote-1]
 	_ = x[Remove-2]
+	_ = x[Withdraw-3]
 }
 
-const _ChangeKind_name = "addLearnerpromoteremove"
+const _ChangeKind_name = "addLearnerpromoteremovewithdraw"
 
-var _ChangeKind_index = [...]uint8{0, 10, 17, 23}
+var _ChangeKind_index = [...]uint8{0, 10, 17, 23, 31}
 
 func (i ChangeKind) String() string {
 	idx := int(i) - 0
--- a/internal/quorum/replica/replica.go
+++ b/internal/quorum/replica/replica.go
@@ -24,6 +24,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
 	"github.com/pkg/errors"
@@ -36,6 +37,8 @@
 	ErrTransferInProgress  = errors.New("leadership is being transferred")
 	ErrBusy                = errors.New("too many uncommitted entries")
 	ErrChangePending       = errors.New("another membership change is not committed yet")
+	ErrNotAnnounced        = errors.New("membership change is not announced yet")
+	ErrLostVoter           = errors.New("a lost voter must be removed first")
 	ErrNotCaughtUp         = errors.New("member has not caught up")
 	ErrMajorityUnreachable = errors.New("too few of the voters would be reachable")
 )
@@ -105,7 +108,14 @@
 	heartbeatElapsed int
 	electionTimeout  int
 	votes            map[quorum.VoterID]bool
-	yielded          bool // to another pre-candidate since the last message of a leader
+	// lost holds the members whose disk is known to be lost.
+	lost map[quorum.VoterID]bool
+	// excluded is the lost voter that this replica leaves out: as a candidate, if the voters
+	// that grant their vote know of the loss, and as the leader of a term that it won so. It
+	// is 0 if there is none.
+	excluded     quorum.VoterID
+	lastExcluded quorum.VoterID // returned by the last call of nextLostVoter
+	yielded      bool           // to another pre-candidate since the last message of a leader
 
 	progress       map[quorum.VoterID]*progress
 	heartbeatRound uint64 // number of the current heartbeat round
@@ -135,6 +145,7 @@
 		saved:    st,
 		snapshot: s,
 		configs:  []config{{index: s.Index, members: s.Voters}},
+		lost:     make(map[quorum.VoterID]bool),
 	}
 	r.random = rand.New(rand.NewPCG(o.Seed, uint64(o.ID)))
 	r.log.reset(s.Index, s.Term)
@@ -276,7 +287,7 @@
 	}
 	e.State = State{Term: r.term, Vote: r.vote, Commit: r.log.commit}
 	termOrVoteChanged := e.State.Term != r.saved.Term || e.State.Vote != r.saved.Vote
-	e.MustSync = termOrVoteChanged || len(e.Entries) > 0 || e.Snapshot != nil
+	e.MustSync = termOrVoteChanged || len(e.Entries) > 0 || e.Snapshot != nil || r.changeSettled()
 	e.SaveState = e.MustSync
 	if r.log.delivered < r.log.commit {
 		e.Committed = r.log.entries[r.log.delivered-r.log.base : r.log.commit-r.log.base]
@@ -286,6 +297,14 @@
 	return e
 }
 
+// changeSettled reports whether a membership change is known to be committed that was not at
+// the last sync. Only then the voters may exclude a lost one, also after a restart.
+func (r *Replica) changeSettled() bool {
+	return slices.ContainsFunc(r.configs, func(c config) bool {
+		return c.index > r.saved.Commit && c.index <= r.log.commit
+	})
+}
+
 // Synced reports to the replica that the snapshot, entries and state of e are
 // synced.
 func (r *Replica) Synced(e Effects) {
@@ -310,11 +329,12 @@
 func (r *Replica) Status() Status {
 	s := Status{
 		ID: r.options.ID, Role: r.role, Term: r.term, Leader: r.leader,
-		Commit: r.log.commit, Last: r.log.last(),
+		HasLeader: r.HasLeader(), Commit: r.log.commit, Last: r.log.last(),
 		Voters: append([]Voter(nil), r.members()...),
 	}
 	if r.role == Leader {
 		s.Progress = r.progressList()
+		s.Excluded = r.excluded
 	}
 	return s
 }
@@ -322,6 +342,12 @@
 // Leader returns the current leader as far as the replica knows, or 0.
 func (r *Replica) Leader() quorum.VoterID { return r.leader }
 
+// HasLeader reports whether the replica leads or has recently heard from the leader. Learners
+// never campaign and keep the leader that they know.
+func (r *Replica) HasLeader() bool {
+	return r.role == Leader || r.leader != 0 && r.electionElapsed < 2*r.options.ElectionTicks
+}
+
 // Term returns the current term.
 func (r *Replica) Term() quorum.Term { return r.term }
 
@@ -372,6 +398,7 @@
 	r.leader = leader
 	r.progress = nil
 	r.transferee = 0
+	r.excluded = 0
 	r.resetTimer()
 }
 
--- a/internal/quorum/replica/types.go
+++ b/internal/quorum/replica/types.go
@@ -72,6 +72,9 @@
 	Learner bool
 	// Replaces is the lost voter that the member replaces, or 0.
 	Replaces quorum.VoterID
+	// Announced is set for a voter whose removal, and for a learner whose promotion is
+	// announced.
+	Announced bool
 }
 
 // Snapshot is the encoded state after all entries up to Index, with the members
@@ -124,9 +127,10 @@
 	AddLearner ChangeKind = iota // addLearner
 	Promote                      // promote
 	Remove                       // remove
+	Withdraw                     // withdraw
 )
 
-// Change adds, promotes or removes one member.
+// Change adds, promotes or removes one member, or withdraws the announcement of such a change.
 type Change struct {
 	Kind  ChangeKind
 	Voter Voter
@@ -187,12 +191,16 @@
 
 // Status is a copy of the state of a replica.
 type Status struct {
-	ID       quorum.VoterID
-	Role     Role
-	Term     quorum.Term
-	Leader   quorum.VoterID
-	Commit   quorum.Index
-	Last     quorum.Index // of the last log entry
-	Voters   []Voter
-	Progress []Progress // empty unless the replica is the leader
+	ID     quorum.VoterID
+	Role   Role
+	Term   quorum.Term
+	Leader quorum.VoterID
+	// HasLeader is set if the replica leads or has recently heard from Leader.
+	HasLeader bool
+	Commit    quorum.Index
+	Last      quorum.Index // of the last log entry
+	Voters    []Voter
+	Progress  []Progress // empty unless the replica is the leader
+	// Excluded is the lost voter without which the leader was elected, or 0.
+	Excluded quorum.VoterID
 }
--- a/internal/quorum/voter/member.go
+++ b/internal/quorum/voter/member.go
@@ -153,6 +153,17 @@
 		d(nil, m.notRunning())
 		return
 	}
+	if m.replica.NeedsAnnouncement(c) {
+		i, t, err := m.replica.Announce(c)
+		m.awaitOutcome(i, t, err, func(_ []byte, err error) {
+			if err != nil {
+				d(nil, err)
+				return
+			}
+			m.change(c, d)
+		})
+		return
+	}
 	i, t, err := m.replica.ProposeChange(c)
 	m.awaitOutcome(i, t, err, d)
 }
@@ -373,7 +384,13 @@
 		return
 	}
 	s := m.replica.Status()
-	c, ok := nextReplacementStep(s.Progress, s.Commit)
+	c, ok := m.withdrawal(s.Voters)
+	if !ok && m.allowJoin && s.Excluded != 0 {
+		c, ok = replica.Change{Kind: replica.Remove, Voter: replica.Voter{ID: s.Excluded}}, true
+	}
+	if !ok {
+		c, ok = nextReplacementStep(s.Progress, s.Commit, s.Excluded == 0)
+	}
 	if !ok && m.allowJoin {
 		m.countAbsent(s.Progress)
 		c, ok = nextPromotion(s.Progress, s.Commit)
@@ -388,19 +405,31 @@
 		zap.String("group", string(m.group)), zap.Stringer("change", c.Kind), zap.Uint64("voter", uint64(c.Voter.ID)),
 		zap.String("instance", string(c.Voter.Instance)),
 	}
-	if _, _, err := m.replica.ProposeChange(c); err != nil {
-		m.logger.Info("A membership change was rejected; it will be proposed again.", append(fields, zap.Error(err))...)
-		return
-	}
 	m.logger.Info("A membership change was proposed.", fields...)
+	m.change(c, func(_ []byte, err error) {
+		if err != nil {
+			m.logger.Info("A membership change was rejected; it will be proposed again.", append(fields, zap.Error(err))...)
+		}
+	})
+}
+
+// withdrawal returns the withdrawal of an announcement that was not followed by its change.
+// Such an announcement may name a voter that the group needs when another one is lost.
+func (m *member) withdrawal(members []replica.Voter) (replica.Change, bool) {
+	k := slices.IndexFunc(members, func(v replica.Voter) bool { return v.Announced })
+	if k < 0 || m.replica.ChangePending() {
+		return replica.Change{}, false
+	}
+	return replica.Change{Kind: replica.Withdraw, Voter: members[k]}, true
 }
 
 // nextReplacementStep returns the next membership change of a replacement. Once the
 // successor of a lost voter has caught up, the lost voter is removed and then the
 // successor is promoted. In a group of three, the reverse order would first raise
 // the required majority to 3 of 4, and the loss of the successor would then leave 2
-// of 4 voters.
-func nextReplacementStep(ps []replica.Progress, commit quorum.Index) (replica.Change, bool) {
+// of 4 voters. While a leader was elected without a lost voter, mayPromote is false: that voter
+// is removed first.
+func nextReplacementStep(ps []replica.Progress, commit quorum.Index, mayPromote bool) (replica.Change, bool) {
 	for i, old := range ps {
 		inactive := !old.Active || old.Lost
 		if inactive && old.Voter.Learner && hasSuccessor(ps[i+1:], old.Voter) {
@@ -414,9 +443,12 @@
 		k := slices.IndexFunc(ps, func(o replica.Progress) bool {
 			return o.Voter.ID == p.Voter.Replaces && o.Voter.Instance == p.Voter.Instance
 		})
-		if k < 0 {
+		if k < 0 && mayPromote {
 			return replica.Change{Kind: replica.Promote, Voter: p.Voter}, true
 		}
+		if k < 0 {
+			continue
+		}
 		if !ps[k].Active || ps[k].Lost {
 			return replica.Change{Kind: replica.Remove, Voter: ps[k].Voter}, true
 		}
--- a/internal/quorum/voter/schedule_test.go
+++ b/internal/quorum/voter/schedule_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/bilberryrock/bilberryrock/internal/fleet"
+	"github.com/bilberryrock/bilberryrock/internal/quorum/replica"
 	"github.com/matryer/is"
 )
 
@@ -60,6 +61,26 @@
 	is.New(t).True(total["arrived"] > 0 && total["departed"] > 0 && total["stopped"] > 0 && total["restarted"] > 0)
 }
 
+// TestLossSchedules guards against an even group that stands still when a voter is removed for
+// good and the disk of another one is lost, and against two majorities that decide without
+// each other because a lost voter is left out of one of them. The leader changes the members
+// at random, beside the faults of TestSchedules.
+func TestLossSchedules(t *testing.T) {
+	total := make(map[string]int)
+	for k := range 5 * *schedules {
+		seed := *firstSeed + uint64(k)
+		sim := runLossSchedule(seed, *steps/10)
+		if sim.violation != nil {
+			t.Fatalf("seed %d: %v (%v)\n%s", seed, sim.violation, sim.counts, strings.Join((&script{simulation: sim}).describe(), "\n"))
+		}
+		for name, n := range sim.counts {
+			total[name] += n
+		}
+	}
+	t.Log(total)
+	is.New(t).True(total["replacedAtHalf"] > 0 && total["lossKnown"] > 0 && total["departed"] > 0)
+}
+
 // TestScheduleRepeats guards against sources of randomness other than the seed: a
 // seed that failed must fail again.
 func TestScheduleRepeats(t *testing.T) {
@@ -144,6 +165,60 @@
 	return sim
 }
 
+// runLossSchedule runs groups of an even number of voters for most of the time.
+func runLossSchedule(seed uint64, steps int) *simulation {
+	const n = 3
+	sim := newSimulation(seed, n)
+	sim.allowJoin = true
+	for _, p := range sim.peers {
+		p.member.allowJoin = true
+	}
+	sim.faultRate = []int{0, 4, 15}[sim.random.IntN(3)]
+	for i := 0; i < steps && sim.violation == nil; i++ {
+		p := sim.peers[sim.random.IntN(len(sim.peers))]
+		switch k := sim.random.IntN(1000); {
+		case k < 4 && len(sim.peers) < n+1+2*int(seed%2):
+			sim.counts["arrived"]++
+			sim.addPeer()
+		case k < 30 && p.needsJoin():
+			if at := sim.leader(); at != nil {
+				p.join(at)
+			}
+		case k < 45:
+			sim.changeRandomly(p)
+		case k < 50 && len(sim.peers) > n && sim.canLose(p):
+			sim.counts["departed"]++
+			sim.removePeer(p)
+		case k < 60 && sim.canReplace(p) && !sim.canLose(p):
+			sim.counts["replacedAtHalf"]++
+			p.replace()
+		default:
+			sim.step(p, fmt.Sprintf("command %d", i))
+		}
+	}
+	if sim.violation == nil {
+		sim.violation = sim.healAndConverge()
+	}
+	return sim
+}
+
+// changeRandomly has a peer that takes itself for the leader propose a change of p. As in
+// Voter.Stop, a leader hands over before it is removed.
+func (sim *simulation) changeRandomly(p *simPeer) {
+	at := sim.claimedLeader(p)
+	if !at.running() {
+		return
+	}
+	kind := []replica.ChangeKind{replica.Promote, replica.Remove}[sim.random.IntN(2)]
+	if kind == replica.Remove && (at == p || !sim.canLose(p) || !at.member.canShrink()) {
+		return
+	}
+	at.member.change(replica.Change{Kind: kind, Voter: replica.Voter{ID: p.id}}, func(_ []byte, err error) {
+		sim.counts["changed"] += boolToInt(err == nil)
+	})
+	at.flush()
+}
+
 // step performs one random action, at p if it concerns one peer. Most actions are
 // ticks and deliveries, so that the group makes progress between faults.
 func (sim *simulation) step(p *simPeer, command string) {
@@ -249,8 +324,9 @@
 	case k < 95 && p.syncsIgnored:
 		p.kill(true)
 		p.restart()
-	case k < 98 && sim.canLose(p):
+	case k < 98 && sim.canReplace(p):
 		sim.counts["replaced"]++
+		sim.counts["replacedAtHalf"] += boolToInt(!sim.canLose(p))
 		p.replace()
 	}
 }
--- a/internal/quorum/voter/service.go
+++ b/internal/quorum/voter/service.go
@@ -76,6 +76,17 @@
 	return reply, nil
 }
 
+// Describe returns the voter of this daemon once its groups run.
+func (s *Service) Describe(context.Context, *peerv1.DescribeRequest) (*peerv1.DescribeReply, error) {
+	v := s.voter
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.transport == nil {
+		return &peerv1.DescribeReply{}, nil
+	}
+	return &peerv1.DescribeReply{Voter: voterToProto(v.transport.self)}, nil
+}
+
 // Join adds a voter to a group as a learner: the successor of a lost voter or, with
 // AllowJoin, a new instance.
 func (s *Service) Join(ctx context.Context, r *peerv1.JoinRequest) (*peerv1.JoinReply, error) {
--- a/internal/quorum/voter/voter.go
+++ b/internal/quorum/voter/voter.go
@@ -151,6 +151,7 @@
 	for _, id := range v.config.groupOrder {
 		g := v.groups[id]
 		v.goroutines.Go(func() { v.ensureMembership(g) })
+		v.goroutines.Go(func() { v.watchLosses(g) })
 	}
 	return nil
 }
--- a/internal/quorum/voter/voter_test.go
+++ b/internal/quorum/voter/voter_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -205,6 +206,25 @@
 	tc.propose(tc.instances[2].voter, "with two of three")
 }
 
+// TestHalfLeadsAfterLostDisk guards against four voters that stand still when one of them is gone
+// and another one is back without its disk.
+func TestHalfLeadsAfterLostDisk(t *testing.T) {
+	tc := newTestCluster(t, 4)
+	for i := range 4 {
+		tc.start(i)
+	}
+	tc.propose(tc.instances[3].voter, "before")
+	tc.stop(0) // Without AllowJoin, it remains a voter.
+	tc.stop(1)
+	tc.is.NoErr(os.RemoveAll(tc.folder(1)))
+	tc.start(1)
+	tc.propose(tc.instances[3].voter, "with two of four")
+	for tc.voters(3) < 4 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	tc.propose(tc.instances[1].voter, "with three of four")
+}
+
 // voters returns the number of voters as the leader knows them. Instance i must run.
 func (tc *testCluster) voters(i int) int {
 	for {
--- a/internal/quorum/voter/world_test.go
+++ b/internal/quorum/voter/world_test.go
@@ -23,7 +23,9 @@
 // simulation runs the members of one group in one goroutine, without a clock or a
 // network, and checks the invariants after each step.
 type simulation struct {
-	random   *rand.Rand
+	random *rand.Rand
+	// watches decides which peers look for lost voters in a tick.
+	watches  *rand.Rand
 	peers    []*simPeer
 	initial  []replica.Voter
 	inFlight []replica.Message
@@ -62,6 +64,7 @@
 	missedTicks     int // while frozen
 	frozen          bool
 	voters          []replica.Voter // last list of members that the peer had
+	changePending   bool            // the last change of voters is not known to be committed
 	term            quorum.Term
 	syncedState     durableState // at the last flush
 	syncsIgnored    bool         // the disk reports syncs without performing them
@@ -134,7 +137,7 @@
 
 func newSimulation(seed uint64, n int) *simulation {
 	sim := &simulation{
-		random: rand.New(rand.NewPCG(seed, 1)), cuts: make(map[[2]fleet.InstanceID]bool), nextID: 100,
+		random: rand.New(rand.NewPCG(seed, 1)), watches: rand.New(rand.NewPCG(seed, 2)), cuts: make(map[[2]fleet.InstanceID]bool), nextID: 100,
 		leaders: make(map[quorum.Term]quorum.VoterID), entries: make(map[entryID]entryDigest),
 		stateHashes: make(map[quorum.Index]uint64), appliedCommands: make(map[string]quorum.Index), counts: make(map[string]int),
 		faultTolerance: DefaultFaultTolerance, instances: n,
@@ -245,7 +248,7 @@
 	}
 	p.term = r.Term()
 	s := r.Status()
-	p.voters = s.Voters
+	p.voters, p.changePending = s.Voters, r.ChangePending()
 	p.syncedState = p.durableState(s)
 	p.checkLog()
 }
@@ -278,10 +281,35 @@
 
 func (p *simPeer) tick(n int) {
 	p.member.tick(n, electionTicks)
+	p.watchLosses()
 	p.runBackground() // Before the flush, as group.run does with a batch of inputs.
 	p.flush()
 }
 
+// watchLosses asks the instances of the other voters which voter they run, as
+// Voter.watchLosses does, in a third of the calls.
+func (p *simPeer) watchLosses() {
+	if p.member.failure != nil || p.member.replica.HasLeader() || p.sim.watches.IntN(3) > 0 {
+		return
+	}
+	for _, v := range p.voters {
+		if !v.Learner && v.ID != p.id && p.sim.hasLostDisk(p, v) && p.member.replica.RecordLoss(v.ID) {
+			p.sim.counts["lossKnown"]++
+		}
+	}
+}
+
+// hasLostDisk reports whether the instance of a voter answers p and runs another voter.
+func (sim *simulation) hasLostDisk(p *simPeer, v replica.Voter) bool {
+	for _, o := range sim.peers {
+		cut := sim.cuts[[2]fleet.InstanceID{p.instance, o.instance}] || sim.cuts[[2]fleet.InstanceID{o.instance, p.instance}]
+		if o.instance == v.Instance && o.running() && !cut {
+			return o.id != v.ID
+		}
+	}
+	return false
+}
+
 // background stores a snapshot at once or at a later tick, at random. It is finished
 // at a later tick.
 func (p *simPeer) background(work func() func()) {
@@ -523,6 +551,37 @@
 	return true
 }
 
+// canReplace reports whether a peer may lose its disk. Beside the majority that canLose asks
+// for, half of an even group is enough if its members are settled: the others elect a leader
+// once the instance answers without its disk.
+func (sim *simulation) canReplace(lost *simPeer) bool {
+	if sim.canLose(lost) {
+		return true
+	}
+	var first []replica.Voter
+	for _, p := range sim.peers {
+		if p == lost {
+			continue
+		}
+		if first == nil {
+			first = p.voters
+		}
+		alive := 0
+		for _, v := range p.voters {
+			o := sim.peerByID(v.ID)
+			if v.Learner || v.Announced && o != nil {
+				return false
+			}
+			alive += boolToInt(o != nil && o != lost && !o.syncsIgnored && !o.mayLeave)
+		}
+		n := len(p.voters)
+		if p.changePending || !slices.Equal(p.voters, first) || n == 0 || n%2 == 1 || alive < n/2 {
+			return false
+		}
+	}
+	return slices.ContainsFunc(first, func(v replica.Voter) bool { return v.ID == lost.id })
+}
+
 // healAndConverge ends all faults and runs until all peers have applied the same
 // commands.
 func (sim *simulation) healAndConverge() error {
@@ -562,7 +621,7 @@
 func (sim *simulation) joinAll() {
 	for _, p := range sim.peers {
 		for _, at := range sim.peers {
-			if p.needsJoin() && at.running() {
+			if p.running() && p.needsJoin() && at.running() {
 				p.join(at)
 			}
 		}
