Refuse requests at once in a long outage of the controllers

The wait is for an election. Once account keys have not been accepted for as long as a request would wait, the gateway refuses with its usual Retry-After at once.

TestRequestInLongOutageIsRefusedAtOnce failed before: the second request waited, too. Nothing changes before the first confirmation after a start.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -45,7 +45,8 @@
 	maxStoppingRetryAfter = 50 * time.Millisecond
 	// A request waits up to readyTimeout for a configuration that a majority of the
 	// controllers has confirmed, and checks every readyPollInterval. Clients abandon
-	// a request without a response after about 2 s.
+	// a request without a response after about 2 s. Once the keys have not been accepted
+	// for readyTimeout, it does not wait.
 	readyTimeout      = 1500 * time.Millisecond
 	readyPollInterval = 25 * time.Millisecond
 	// writeMargin is how long after the deadline of a request its client may still
@@ -255,7 +256,8 @@
 
 // awaitReady resolves the request. It retries for up to readyTimeout while the
 // gateway lacks a confirmed configuration, as after a start or during an election
-// among the controllers, because a refused client retries at most once.
+// among the controllers, because a refused client retries at most once. An outage that
+// has lasted longer than an election gives no reason to wait.
 func (q *request) awaitReady() error {
 	for {
 		err := q.resolve()
@@ -266,7 +268,7 @@
 		if q.headers.Budget > 0 {
 			limit = min(limit, q.headers.Budget/2)
 		}
-		if q.clock.Now().Sub(q.arrival) >= limit || q.draining.Load() {
+		if q.clock.Now().Sub(q.arrival) >= limit || q.draining.Load() || q.state.KeyLeaseExpiredFor() >= readyTimeout {
 			return err
 		}
 		select {
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -184,6 +184,12 @@
 type offsetClock struct {
 	state.Clock
 	offset atomic.Int64
+	waits  atomic.Int64 // calls of After
+}
+
+func (a *offsetClock) After(d time.Duration) <-chan time.Time {
+	a.waits.Add(1)
+	return a.Clock.After(d)
 }
 
 func (a *offsetClock) Now() time.Time { return a.Clock.Now().Add(time.Duration(a.offset.Load())) }
@@ -318,6 +324,33 @@
 
 func abort() { panic(http.ErrAbortHandler) }
 
+// Guards against requests that wait although the controllers have had no majority for longer
+// than an election takes: the client learns late that it must come back.
+func TestRequestInLongOutageIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, 1, func(_ int, rw http.ResponseWriter, _ *http.Request) { respond(rw, "answer") })
+	confirm := func() {
+		w.update.Confirmed = w.clock.Boot()
+		w.heartbeat()
+	}
+	confirm()
+	w.clock.offset.Add(int64(configLease))
+	before := w.clock.waits.Load()
+	status, header, _, _ := w.post(t, "/again/", "k1")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(header.Get("Retry-After") != "")
+	is.True(w.clock.waits.Load() > before) // An election may be in progress.
+	w.clock.offset.Add(int64(2 * time.Second))
+	before = w.clock.waits.Load()
+	status, header, _, _ = w.post(t, "/again/", "k1")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(header.Get("Retry-After") != "")
+	is.Equal(w.clock.waits.Load(), before)
+	confirm()
+	status, _, _, _ = w.post(t, "/again/", "k1")
+	is.Equal(status, http.StatusOK)
+}
+
 // Guards against a non-repeatable request that is retried after a lost response and so
 // runs twice, and against status 503, which promises that the request did not run.
 func TestOrderWithLostAnswerIsNotSentAgain(t *testing.T) {
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -357,6 +357,15 @@
 	return s.confirmedAt.Load() > 0 && s.ConfirmationAge() < s.limits.KeyLease
 }
 
+// KeyLeaseExpiredFor returns for how long account keys have not been accepted since they were
+// last. It is 0 before the first confirmation.
+func (s *State) KeyLeaseExpiredFor() time.Duration {
+	if s.confirmedAt.Load() == 0 {
+		return 0
+	}
+	return max(0, s.ConfirmationAge()-s.limits.KeyLease)
+}
+
 // Ready reports whether the gateway should receive new connections.
 func (s *State) Ready() bool {
 	return s.table.Load() != nil && s.confirmedAt.Load() > 0 && s.ConfirmationAge() < s.limits.ReadinessTimeout
