Count majorities without copies of the members

Each reply to a leader cloned the list of members several times. The members are counted in place, by a predicate. Comments of the exclusion say what candidates do since they need no knowledge of the voters. Tests of replica and voter pass.

--- a/internal/quorum/replica/election.go
+++ b/internal/quorum/replica/election.go
@@ -132,8 +132,8 @@
 }
 
 // checkElection counts the votes and ends the election or pre-vote when a majority
-// granted or refused it. A majority without a lost voter counts only if the other voters are
-// none: otherwise, nothing is left out in the term.
+// granted or refused it. If that is a majority with the lost voter, the term leaves nobody
+// out.
 func (r *Replica) checkElection() {
 	granted := func(id quorum.VoterID) bool { return r.votes[id] }
 	if r.majority(0, granted) {
--- a/internal/quorum/replica/majority.go
+++ b/internal/quorum/replica/majority.go
@@ -6,55 +6,66 @@
 	"github.com/bilberryrock/bilberryrock/internal/quorum"
 )
 
-// votersOf returns the members that are no learners.
-func votersOf(members []Voter) []Voter {
-	return slices.DeleteFunc(slices.Clone(members), func(v Voter) bool { return v.Learner })
-}
-
-// votersAfterAnnounced returns the voters that the members have after their announced change.
-func votersAfterAnnounced(members []Voter) []Voter {
-	return slices.DeleteFunc(slices.Clone(members), func(v Voter) bool { return v.Learner != v.Announced })
-}
-
-func without(vs []Voter, id quorum.VoterID) []Voter {
-	return slices.DeleteFunc(vs, func(v Voter) bool { return v.ID == id })
-}
-
-func isMajority(voters []Voter, f func(quorum.VoterID) bool) bool {
-	yes := 0
-	for _, v := range voters {
+// isMajority reports whether f is true for a majority of the members that counts selects.
+func isMajority(members []Voter, counts func(Voter) bool, f func(quorum.VoterID) bool) bool {
+	yes, voters := 0, 0
+	for _, v := range members {
+		if !counts(v) {
+			continue
+		}
+		voters++
 		if f(v.ID) {
 			yes++
 		}
 	}
-	return yes > len(voters)/2
+	return yes > voters/2
 }
 
 // majority reports whether f is true for a majority of the voters. If the voters exclude the
-// lost one, only the others are counted, and they must also be a majority of the others after
-// an announced change. lost is 0 if no voter is left out.
+// lost one, only the others are counted, and f must also be true for a majority of the others
+// after an announced change. lost is 0 if no voter is left out.
 func (r *Replica) majority(lost quorum.VoterID, f func(quorum.VoterID) bool) bool {
+	members := r.members()
 	if !r.excludes(lost) {
-		return isMajority(votersOf(r.members()), f)
+		return isMajority(members, func(v Voter) bool { return !v.Learner }, f)
 	}
-	return isMajority(without(votersOf(r.members()), lost), f) &&
-		isMajority(without(votersAfterAnnounced(r.members()), lost), f)
+	return isMajority(members, func(v Voter) bool { return v.ID != lost && !v.Learner }, f) &&
+		isMajority(members, func(v Voter) bool { return v.ID != lost && v.Learner == v.Announced }, f)
 }
 
 // excludes reports whether majorities are counted without a lost voter. An odd number of
 // voters would not gain from it. While the change to an even number is not known to be
 // committed, a majority of the voters before it may still decide.
 func (r *Replica) excludes(lost quorum.VoterID) bool {
-	voters := votersOf(r.members())
-	if _, ok := findMember(voters, lost); !ok || len(voters)%2 == 1 {
+	if lost == 0 {
+		return false
+	}
+	members := r.members()
+	v, ok := findMember(members, lost)
+	if !ok || v.Learner || countVoters(members)%2 == 1 {
 		return false
 	}
 	if !r.ChangePending() {
 		return true
 	}
 	// A change is proposed only once the one before it is committed.
-	previous := votersOf(r.configs[len(r.configs)-2].members)
-	return slices.EqualFunc(previous, voters, func(a, b Voter) bool { return a.ID == b.ID })
+	return sameVoters(r.configs[len(r.configs)-2].members, members)
+}
+
+func countVoters(members []Voter) int {
+	n := 0
+	for _, v := range members {
+		if !v.Learner {
+			n++
+		}
+	}
+	return n
+}
+
+// sameVoters reports whether two lists of members that differ by one change have the same
+// voters.
+func sameVoters(before, after []Voter) bool {
+	return countVoters(before) == countVoters(after)
 }
 
 // RecordLoss records that a voter has lost its disk, and with it its log and its votes, and
@@ -63,12 +74,12 @@
 //
 // With one voter lost and one gone, the rest of an even group is no majority: two of four.
 // But each majority of the past contains, beside the lost voter, half of the group, and so a
-// voter of any other half. The voters that know of the loss therefore elect a leader by a
-// majority of the others. In its term such majorities decide, until the lost voter is removed.
+// voter of any other half. A candidate that knows of the loss therefore needs a majority of
+// the others only. In its term such majorities decide, until the lost voter is removed.
 //
 // Two halves might decide without each other, each without another voter. They can't if both
-// voters are lost: each half then contains the voter that the other one leaves out, and that
-// voter had acted after the loss of the other.
+// voters are lost: each half then contains the voter that the other one leaves out, and each
+// of these two would have voted after the loss of the other.
 //
 // The voters of an even group change in two steps, so that such a majority has a voter in
 // common with each majority after the change, too: see Announce.
--- a/internal/quorum/replica/membership.go
+++ b/internal/quorum/replica/membership.go
@@ -61,7 +61,7 @@
 func (r *Replica) NeedsAnnouncement(c Change) bool {
 	v, ok := findMember(r.members(), c.Voter.ID)
 	changesVoters := ok && (c.Kind == Promote && v.Learner || c.Kind == Remove && !v.Learner)
-	return changesVoters && !v.Announced && len(votersOf(r.members()))%2 == 0
+	return changesVoters && !v.Announced && countVoters(r.members())%2 == 0
 }
 
 // Announce appends the announcement of a change that NeedsAnnouncement. Once it is committed,
@@ -163,7 +163,8 @@
 // majorityReachable reports whether a majority of the voters in vs is reachable, without the
 // lost voter that is left out in this term.
 func (r *Replica) majorityReachable(vs []Voter) bool {
-	return isMajority(without(votersOf(vs), r.excluded), func(id quorum.VoterID) bool {
+	counts := func(v Voter) bool { return !v.Learner && v.ID != r.excluded }
+	return isMajority(vs, counts, func(id quorum.VoterID) bool {
 		p := r.progress[id]
 		return id == r.options.ID || p != nil && p.reachable() && !p.lost
 	})
--- a/internal/quorum/replica/replica.go
+++ b/internal/quorum/replica/replica.go
@@ -110,9 +110,8 @@
 	votes            map[quorum.VoterID]bool
 	// lost holds the members whose disk is known to be lost.
 	lost map[quorum.VoterID]bool
-	// excluded is the lost voter that this replica leaves out: as a candidate, if the voters
-	// that grant their vote know of the loss, and as the leader of a term that it won so. It
-	// is 0 if there is none.
+	// excluded is the lost voter that this replica leaves out of majorities, as a candidate
+	// and as the leader of a term that it won so, or 0.
 	excluded     quorum.VoterID
 	lastExcluded quorum.VoterID // returned by the last call of nextLostVoter
 	yielded      bool           // to another pre-candidate since the last message of a leader
--- a/internal/quorum/voter/member.go
+++ b/internal/quorum/voter/member.go
@@ -446,10 +446,7 @@
 		if k < 0 && mayPromote {
 			return replica.Change{Kind: replica.Promote, Voter: p.Voter}, true
 		}
-		if k < 0 {
-			continue
-		}
-		if !ps[k].Active || ps[k].Lost {
+		if k >= 0 && (!ps[k].Active || ps[k].Lost) {
 			return replica.Change{Kind: replica.Remove, Voter: ps[k].Voter}, true
 		}
 	}
