Wait for the end of short outages as before

The refusal at once after 1.5 s without keys also met requests in cuts that end after some seconds. A client has one retry; a request that waits may be served when the cut ends. The limit is 10 s now. TestRequestInLongOutageIsRefusedAtOnce passes with the limit.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -45,10 +45,11 @@
 	maxStoppingRetryAfter = 50 * time.Millisecond
 	// A request waits up to readyTimeout for a configuration that a majority of the
 	// controllers has confirmed, and checks every readyPollInterval. Clients abandon
-	// a request without a response after about 2 s. Once the keys have not been accepted
-	// for readyTimeout, it does not wait.
+	// a request without a response after about 2 s. It does not wait once the keys have
+	// not been accepted for longOutage, far longer than elections and most cuts last.
 	readyTimeout      = 1500 * time.Millisecond
 	readyPollInterval = 25 * time.Millisecond
+	longOutage        = 10 * time.Second
 	// writeMargin is how long after the deadline of a request its client may still
 	// read the response. After that the connection is closed.
 	writeMargin = time.Second
@@ -256,8 +257,8 @@
 
 // awaitReady resolves the request. It retries for up to readyTimeout while the
 // gateway lacks a confirmed configuration, as after a start or during an election
-// among the controllers, because a refused client retries at most once. An outage that
-// has lasted longer than an election gives no reason to wait.
+// among the controllers, because a refused client retries at most once. A long outage
+// gives no reason to expect its end meanwhile.
 func (q *request) awaitReady() error {
 	for {
 		err := q.resolve()
@@ -268,7 +269,7 @@
 		if q.headers.Budget > 0 {
 			limit = min(limit, q.headers.Budget/2)
 		}
-		if q.clock.Now().Sub(q.arrival) >= limit || q.draining.Load() || q.state.KeyLeaseExpiredFor() >= readyTimeout {
+		if q.clock.Now().Sub(q.arrival) >= limit || q.draining.Load() || q.state.KeyLeaseExpiredFor() >= longOutage {
 			return err
 		}
 		select {
