--- a/internal/quorum/replica/explore_test.go
+++ b/internal/quorum/replica/explore_test.go
@@ -41,7 +41,7 @@
 // is committed. Leaders of later terms must have the entry.
 type commit struct{ term, known quorum.Term }
 
-// newWalk starts a group in term 1 whose members are settled.
+// newWalk starts a group without a leader.
 func newWalk(seed uint64, voters, learners int) *walk {
 	w := &walk{
 		random: rand.New(rand.NewPCG(seed, 3)), replicas: make(map[quorum.VoterID]*Replica), lost: make(map[quorum.VoterID]bool),
@@ -61,8 +61,8 @@
 	return w
 }
 
-// lead elects voter 1 and delivers everything. In half of the walks with a learner, its
-// promotion is proposed then.
+// lead elects voter 1 and delivers everything. In half of the calls, voter 1 then proposes a
+// change of the last member.
 func (w *walk) lead() error {
 	r := w.replicas[1]
 	if err := w.campaign(r); err != nil {
@@ -232,17 +232,14 @@
 // change proposes or announces a change of a member.
 func (w *walk) change(r *Replica, id quorum.VoterID) {
 	c := Change{Kind: Remove, Voter: Voter{ID: id}}
-	if v, ok := findMember(r.members(), id); !ok || v.Learner {
-		c.Kind = Promote
-	}
-	if _, ok := findMember(r.members(), id); !ok {
-		c.Kind = AddLearner
-	}
-	if p := r.progress[id]; p != nil {
-		p.active = true
-	}
-	if w.random.IntN(8) == 0 {
+	v, isMember := findMember(r.members(), id)
+	switch {
+	case w.random.IntN(8) == 0:
 		c.Kind = Withdraw
+	case !isMember:
+		c.Kind = AddLearner
+	case v.Learner:
+		c.Kind = Promote
 	}
 	propose := r.ProposeChange
 	announces := r.NeedsAnnouncement(c)
