List a series of removals without a stop, which leaves half of the voters

Three of six voters that are removed 2 s apart, each before it is found absent, leave three that cannot go on.

--- a/internal/quorum/voter/schedule_test.go
+++ b/internal/quorum/voter/schedule_test.go
@@ -375,3 +375,27 @@
 	}
 	return l
 }
+
+// TestRemovedInSeries guards against successors that have all joined and stand still when the
+// voters that they replace are removed one after the other, without a stop and before each is
+// found absent: half of an even group is left, and no lost disk comes back.
+func TestRemovedInSeries(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 3)
+	sim.allowJoin = true
+	for _, p := range sim.peers {
+		p.member.allowJoin = true
+	}
+	s := script{simulation: sim}
+	s.elect(sim.peers[1])
+	for range 3 {
+		sim.addPeer()
+		s.joinAll()
+		s.advance(12*electionTicks, nil)
+	}
+	for range 3 {
+		sim.removePeer(sim.peers[0])
+		s.advance(4*electionTicks, nil)
+	}
+	is.NoErr(sim.healAndConverge())
+}
